--- /dev/null
+++ b/core/kernel/yaml.h
@@ -0,0 +1,22 @@
+// Support for reading YAML with findings that name line and column.
+
+#pragma once
+
+#include "core/kernel/finding.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <string>
+
+namespace fescuepond
+{
+
+/// A finding at the place of `node`.
+Finding findingAt(const std::string &file, const YAML::Node &node, std::string message);
+
+/// Parses `text`; a syntax error is a finding.
+Result<YAML::Node> loadYaml(const std::string &file, const std::string &text);
+
+Result<std::string> readTextFile(const std::string &path);
+
+} // namespace fescuepond
--- /dev/null
+++ b/core/pipeline/interfaces.h
@@ -0,0 +1,145 @@
+// The interfaces by which plug-ins meet. Each is provided by one plug-in and required by others.
+//
+// All asynchronous functions call their continuation exactly once, on a worker of the pool, unless the node stops
+// first.
+
+#pragma once
+
+#include "core/pipeline/callpipeline.h"
+#include "core/values/member.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fescuepond
+{
+
+/// Gives the configuration that is in force.
+class ConfigurationSource
+{
+public:
+    virtual ~ConfigurationSource() = default;
+    /// Null until one is known.
+    virtual std::shared_ptr<const Configuration> configuration() const = 0;
+    /// The published text of a version, or empty when it isn't this node's.
+    virtual std::string configurationText(ObjectVersion version) const = 0;
+    /// Another node was seen to have `version`; `member` can be asked for it.
+    virtual void versionSeen(const Member &member, ObjectVersion version) = 0;
+};
+
+/// Gives the members of the fleet.
+class Membership
+{
+public:
+    virtual ~Membership() = default;
+    /// This node's own record.
+    virtual Member self() const = 0;
+    /// Members that may be given new work.
+    virtual std::shared_ptr<const Members> targetsOf(const std::string &service) const = 0;
+    virtual Members all() const = 0;
+    /// Starts leaving: the record is pushed to the others.
+    virtual void leave() = 0;
+};
+
+/// Sends calls to targets, the local one included.
+class CallSender
+{
+public:
+    virtual ~CallSender() = default;
+    virtual void send(const Member &target, const CallRequest &call, Done done) = 0;
+};
+
+/// What a callee knows of an attempt.
+enum class AttemptStatus {
+    Fenced, ///< It never ran here and never will.
+    Running,
+    Finished, ///< The outcome is known.
+};
+
+class AttemptReport
+{
+    FESCUEPOND_FIELD(AttemptStatus, status, withStatus);
+    FESCUEPOND_FIELD(CallOutcome, outcome, withOutcome); ///< Set when finished.
+
+public:
+    friend auto operator<=>(const AttemptReport &, const AttemptReport &) = default;
+};
+
+/// Requests that nodes make of each other besides calls.
+enum class PeerTopic {
+    Gossip,
+    Leaving,
+    Configuration,
+    KeyRecords,
+    KeyedCall,
+    Quarantine,
+};
+
+using PeerReply = std::function<void(std::optional<std::string> reply)>;
+/// Handles the body of a request of one topic from `from`; the reply goes back to it.
+using PeerHandler = std::function<void(const std::string &request, PeerReply reply)>;
+
+/// Messages between nodes. Bodies are encoded by the plug-in that owns the topic.
+class PeerMessages
+{
+public:
+    virtual ~PeerMessages() = default;
+    /// IP and port on which this node listens for others.
+    virtual std::string address() const = 0;
+    /// Only while plug-ins start.
+    virtual void setHandler(PeerTopic topic, PeerHandler handler) = 0;
+    /// The reply is nothing when `address` could not be reached or did not answer within `timeout`.
+    virtual void
+    ask(const std::string &address, PeerTopic topic, std::string request, Duration timeout, PeerReply reply) = 0;
+};
+
+/// An object of the platform's service.
+class PlatformObject
+{
+    FESCUEPOND_FIELD(std::string, name, withName);
+    FESCUEPOND_FIELD(ObjectVersion, version, withVersion);
+    FESCUEPOND_FIELD(std::string, value, withValue);
+
+public:
+    friend auto operator<=>(const PlatformObject &, const PlatformObject &) = default;
+};
+
+enum class PlatformStatus {
+    Ok,
+    NotFound,
+    Conflict, ///< The condition of a conditional update did not hold; nothing was written.
+    Unavailable, ///< No answer: a write may have taken effect.
+};
+
+class PlatformReply
+{
+    FESCUEPOND_FIELD(PlatformStatus, status, withStatus);
+    FESCUEPOND_FIELD(std::vector<PlatformObject>, objects, withObjects);
+
+public:
+    friend auto operator<=>(const PlatformReply &, const PlatformReply &) = default;
+};
+
+using PlatformDone = std::function<void(const PlatformReply &)>;
+
+/// The platform's object API. Collections hold objects by name.
+class Platform
+{
+public:
+    virtual ~Platform() = default;
+    virtual void get(std::string collection, std::string name, PlatformDone done) = 0;
+    virtual void list(std::string collection, PlatformDone done) = 0;
+    /// Writes if the object is at `expected`; 0: if there is none.
+    virtual void
+    put(std::string collection, std::string name, std::string value, ObjectVersion expected, PlatformDone done) = 0;
+    /// Deletes if the object is at `expected`.
+    virtual void remove(std::string collection, std::string name, ObjectVersion expected, PlatformDone done) = 0;
+    /// Waits until the object's version is above `known`, for at most `wait`; NotFound when that passes.
+    virtual void
+    watch(std::string collection, std::string name, ObjectVersion known, Duration wait, PlatformDone done) = 0;
+};
+
+} // namespace fescuepond
--- /dev/null
+++ b/core/settings/nodesettings.cpp
@@ -0,0 +1,44 @@
+// The table of settings.
+
+#include "core/settings/nodesettings.h"
+
+#include <array>
+
+namespace fescuepond
+{
+
+std::span<const SettingRow> settingRows()
+{
+    static const auto rows = std::to_array<SettingRow>({
+        {"name", &NodeSettings::withName, "required", "", "Name of this node; unique in the fleet."},
+        {"service", &NodeSettings::withService, "required", "", "Service that the backend server belongs to."},
+        {"zone", &NodeSettings::withZone, "required", "", "Availability zone of this VM."},
+        {"region", &NodeSettings::withRegion, "default", "", "Region of the availability zone."},
+        {"front_address", &NodeSettings::withFrontAddress, "required", "", "IP and port for callers."},
+        {"local_address", &NodeSettings::withLocalAddress, "required", "", "Loopback IP and port for the backend."},
+        {"peer_address", &NodeSettings::withPeerAddress, "required", "", "IP and port for other nodes."},
+        {"operator_address", &NodeSettings::withOperatorAddress, "required", "", "IP and port for operators."},
+        {"backend_address", &NodeSettings::withBackendAddress, "required", "", "IP and port of the backend server."},
+        {"platform_address", &NodeSettings::withPlatformAddress, "required", "", "IP and port of the object API."},
+        {"seed_peers", &NodeSettings::withSeedPeers, "[]", "", "Peer addresses tried when the platform is out."},
+        {"backend_slots", &NodeSettings::withBackendSlots, "60", "calls", "Calls that the backend runs at once."},
+        {"http_threads", &NodeSettings::withHttpThreads, "32", "threads", "Most threads that read and write HTTP."},
+        {"backend_threads",
+         &NodeSettings::withBackendThreads,
+         "128",
+         "threads",
+         "Most threads that wait for the backend server."},
+        {"max_body_bytes", &NodeSettings::withMaxBodyBytes, "1048576", "bytes", "Longest body of a request."},
+        {"max_header_bytes", &NodeSettings::withMaxHeaderBytes, "16384", "bytes", "Longest header of a request."},
+        {"request_read_timeout_ms",
+         &NodeSettings::withRequestReadTimeout,
+         "5000",
+         "ms",
+         "Longest time in which a caller may send one request."},
+        {"drain_timeout_ms", &NodeSettings::withDrainTimeout, "30000", "ms", "Longest time of a planned stop."},
+        {"platform_timeout_ms", &NodeSettings::withPlatformTimeout, "1000", "ms", "Longest wait for the platform."},
+    });
+    return rows;
+}
+
+} // namespace fescuepond
--- /dev/null
+++ b/core/settings/nodesettings.h
@@ -0,0 +1,72 @@
+// The settings of a node, and the table that names each with its key, unit and meaning.
+
+#pragma once
+
+#include "core/value.h"
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace fescuepond
+{
+
+using Milliseconds = std::chrono::milliseconds;
+using StringList = std::vector<std::string>;
+
+/// All settings of one node. docs/OPERATORS.md describes them; settingRows() is the source of that table.
+class NodeSettings
+{
+    FESCUEPOND_FIELD(std::string, name, withName);
+    FESCUEPOND_FIELD(std::string, service, withService);
+    FESCUEPOND_FIELD(std::string, zone, withZone);
+    FESCUEPOND_FIELD(std::string, region, withRegion);
+    FESCUEPOND_FIELD(std::string, frontAddress, withFrontAddress);
+    FESCUEPOND_FIELD(std::string, localAddress, withLocalAddress);
+    FESCUEPOND_FIELD(std::string, peerAddress, withPeerAddress);
+    FESCUEPOND_FIELD(std::string, operatorAddress, withOperatorAddress);
+    FESCUEPOND_FIELD(std::string, backendAddress, withBackendAddress);
+    FESCUEPOND_FIELD(std::string, platformAddress, withPlatformAddress);
+    FESCUEPOND_FIELD(StringList, seedPeers, withSeedPeers);
+    FESCUEPOND_FIELD(std::size_t, backendSlots, withBackendSlots);
+    FESCUEPOND_FIELD(std::size_t, httpThreads, withHttpThreads);
+    FESCUEPOND_FIELD(std::size_t, backendThreads, withBackendThreads);
+    FESCUEPOND_FIELD(std::size_t, maxBodyBytes, withMaxBodyBytes);
+    FESCUEPOND_FIELD(std::size_t, maxHeaderBytes, withMaxHeaderBytes);
+    FESCUEPOND_FIELD(Milliseconds, requestReadTimeout, withRequestReadTimeout);
+    FESCUEPOND_FIELD(Milliseconds, drainTimeout, withDrainTimeout);
+    FESCUEPOND_FIELD(Milliseconds, platformTimeout, withPlatformTimeout);
+
+public:
+    friend auto operator<=>(const NodeSettings &, const NodeSettings &) = default;
+};
+
+/// How a setting's value is stored: a function of NodeSettings that returns a copy with the value changed.
+using SettingSetter = std::variant<NodeSettings (NodeSettings::*)(std::string) const,
+                                   NodeSettings (NodeSettings::*)(StringList) const,
+                                   NodeSettings (NodeSettings::*)(std::size_t) const,
+                                   NodeSettings (NodeSettings::*)(Milliseconds) const>;
+
+/// One row of the table of settings.
+struct SettingRow {
+    std::string_view key;
+    SettingSetter setter;
+    std::string_view defaultValue; ///< As it would stand in YAML; "required" when there is none.
+    std::string_view unit;
+    std::string_view description;
+
+    bool isRequired() const
+    {
+        return defaultValue == "required";
+    }
+};
+
+/// All settings, in the order of the operators' page.
+std::span<const SettingRow> settingRows();
+
+} // namespace fescuepond
--- /dev/null
+++ b/core/settings/settingsreader.cpp
@@ -0,0 +1,109 @@
+// Reads node settings from YAML, row by row of the table of settings.
+
+#include "core/settings/settingsreader.h"
+
+#include "core/kernel/yaml.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+/// Applies the value of one YAML node through a setter; the overload is chosen by the setter's type.
+class SettingVisitor
+{
+public:
+    SettingVisitor(const NodeSettings &settings, const YAML::Node &node)
+        : m_settings(settings)
+        , m_node(node)
+    {
+    }
+
+    NodeSettings operator()(NodeSettings (NodeSettings::*setter)(std::string) const) const
+    {
+        return (m_settings.*setter)(m_node.as<std::string>());
+    }
+    NodeSettings operator()(NodeSettings (NodeSettings::*setter)(StringList) const) const
+    {
+        return (m_settings.*setter)(m_node.as<StringList>());
+    }
+    NodeSettings operator()(NodeSettings (NodeSettings::*setter)(std::size_t) const) const
+    {
+        return (m_settings.*setter)(m_node.as<std::size_t>());
+    }
+    NodeSettings operator()(NodeSettings (NodeSettings::*setter)(Milliseconds) const) const
+    {
+        return (m_settings.*setter)(Milliseconds(m_node.as<std::uint32_t>()));
+    }
+
+private:
+    const NodeSettings &m_settings;
+    const YAML::Node &m_node;
+};
+
+void checkUnknownKeys(const std::string &file, const YAML::Node &root, Findings &findings)
+{
+    const auto rows = settingRows();
+    for (const auto &entry : root) {
+        const auto key = entry.first.as<std::string>();
+        const bool known = std::any_of(rows.begin(), rows.end(), [&](const SettingRow &row) {
+            return row.key == key;
+        });
+        if (!known) {
+            findings.push_back(findingAt(file, entry.first, fmt::format("unknown setting '{}'", key)));
+        }
+    }
+}
+
+void applyRow(const std::string &file,
+              const YAML::Node &root,
+              const SettingRow &row,
+              NodeSettings &settings,
+              Findings &findings)
+{
+    const bool isGiven = root[std::string(row.key)].IsDefined();
+    if (!isGiven && row.isRequired()) {
+        findings.push_back(findingAt(file, root, fmt::format("setting '{}' is missing", row.key)));
+        return;
+    }
+    const YAML::Node node = isGiven ? root[std::string(row.key)] : YAML::Load(std::string(row.defaultValue));
+    try {
+        settings = std::visit(SettingVisitor(settings, node), row.setter);
+    } catch (const YAML::Exception &) {
+        findings.push_back(findingAt(file, node, fmt::format("setting '{}' has a value of the wrong type", row.key)));
+    }
+}
+
+} // namespace
+
+Result<NodeSettings> readSettings(const std::string &file, const std::string &text)
+{
+    BOOST_LEAF_AUTO(root, loadYaml(file, text));
+    if (!root.IsMap()) {
+        return failure(Findings{findingAt(file, root, "settings must be a map of keys and values")});
+    }
+    Findings findings;
+    checkUnknownKeys(file, root, findings);
+    NodeSettings settings;
+    for (const SettingRow &row : settingRows()) {
+        applyRow(file, root, row, settings, findings);
+    }
+    if (!findings.empty()) {
+        return failure(std::move(findings));
+    }
+    return settings;
+}
+
+Result<NodeSettings> readSettingsFile(const std::string &path)
+{
+    BOOST_LEAF_AUTO(text, readTextFile(path));
+    return readSettings(path, text);
+}
+
+} // namespace fescuepond
--- /dev/null
+++ b/core/values/body.h
@@ -0,0 +1,47 @@
+// The body of a request or answer: bytes that are shared, never changed.
+
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace fescuepond
+{
+
+class Body
+{
+public:
+    Body() = default;
+    explicit Body(std::string bytes)
+        : m_bytes(std::make_shared<const std::string>(std::move(bytes)))
+    {
+    }
+
+    const std::string &bytes() const
+    {
+        static const std::string empty;
+        return m_bytes ? *m_bytes : empty;
+    }
+    std::size_t size() const
+    {
+        return bytes().size();
+    }
+    /// A digest by which a receiver sees that it has the whole body, unchanged.
+    std::uint64_t digest() const;
+
+    friend bool operator==(const Body &a, const Body &b)
+    {
+        return a.bytes() == b.bytes();
+    }
+    friend std::strong_ordering operator<=>(const Body &a, const Body &b)
+    {
+        return a.bytes() <=> b.bytes();
+    }
+
+private:
+    std::shared_ptr<const std::string> m_bytes; ///< Null: empty.
+};
+
+} // namespace fescuepond
--- /dev/null
+++ b/core/values/call.cpp
@@ -0,0 +1,50 @@
+// Calls: outcomes and their names.
+
+#include "core/values/call.h"
+
+#include <array>
+#include <cstddef>
+
+namespace fescuepond
+{
+
+CallOutcome CallOutcome::notRun(Reason reason, std::string detail)
+{
+    return CallOutcome().withState(CallState::NotRun).withReason(reason).withDetail(std::move(detail));
+}
+
+CallOutcome CallOutcome::unknown(Reason reason, std::string detail)
+{
+    return CallOutcome().withState(CallState::OutcomeUnknown).withReason(reason).withDetail(std::move(detail));
+}
+
+const char *toString(CallState state)
+{
+    static constexpr std::array Names = {"answered", "not-run", "outcome-unknown"};
+    return Names.at(static_cast<std::size_t>(state));
+}
+
+const char *toString(Reason reason)
+{
+    static constexpr std::array Names = {"none",
+                                         "bad-request",
+                                         "unknown-service",
+                                         "unknown-kind",
+                                         "no-configuration",
+                                         "no-target",
+                                         "overload",
+                                         "deadline-exceeded",
+                                         "leaving",
+                                         "quarantined",
+                                         "connection-lost",
+                                         "backend-unreachable",
+                                         "backend-lost",
+                                         "key-too-old",
+                                         "key-home-gone",
+                                         "platform-unavailable",
+                                         "cancelled",
+                                         "internal"};
+    return Names.at(static_cast<std::size_t>(reason));
+}
+
+} // namespace fescuepond
--- /dev/null
+++ b/core/values/member.cpp
@@ -0,0 +1,17 @@
+// Members of the fleet: names of states.
+
+#include "core/values/member.h"
+
+#include <array>
+#include <cstddef>
+
+namespace fescuepond
+{
+
+const char *toString(MemberState state)
+{
+    static constexpr std::array Names = {"alive", "suspect", "leaving", "dead"};
+    return Names.at(static_cast<std::size_t>(state));
+}
+
+} // namespace fescuepond
--- /dev/null
+++ b/modules/declarations/declarationreader.cpp
@@ -0,0 +1,346 @@
+// Reads and writes the operators' declarations in YAML.
+
+#include "modules/declarations/declarationreader.h"
+
+#include "core/kernel/yaml.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <set>
+#include <span>
+#include <variant>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+constexpr std::string_view DeclarationFileName = "fescuepond.yaml";
+constexpr std::string_view DeclarationFileSuffix = ".fescuepond.yaml";
+constexpr int MostRetries = 10;
+constexpr int LongestDeadlineMs = 600'000;
+
+/// How the value of a key is stored in a kind.
+using KindSetter = std::variant<KindDeclaration (KindDeclaration::*)(std::string) const,
+                                KindDeclaration (KindDeclaration::*)(int) const,
+                                KindDeclaration (KindDeclaration::*)(bool) const,
+                                KindDeclaration (KindDeclaration::*)(std::chrono::milliseconds) const,
+                                KindDeclaration (KindDeclaration::*)(double) const>;
+
+/// One key of a kind. Numbers must lie between `least` and `most`.
+struct KindRow {
+    std::string_view key;
+    KindSetter setter;
+    bool isRequired;
+    double least = 0;
+    double most = 0;
+};
+
+std::span<const KindRow> kindRows()
+{
+    static const auto rows = std::to_array<KindRow>({
+        {"name", &KindDeclaration::withName, true},
+        {"method", &KindDeclaration::withMethod, true},
+        {"path", &KindDeclaration::withPath, true},
+        {"rank", &KindDeclaration::withRank, true, MostUrgentRank, LeastUrgentRank},
+        {"idempotent", &KindDeclaration::withIdempotent, true},
+        {"deadline_ms", &KindDeclaration::withDeadline, true, 1, LongestDeadlineMs},
+        {"retries", &KindDeclaration::withRetryAllowance, false, 0, MostRetries},
+        {"kept_share", &KindDeclaration::withKeptShare, false, 0, 1},
+    });
+    return rows;
+}
+
+/// Stores the value of one YAML node in a kind. Throws YAML::Exception for a wrong type or range.
+class KindVisitor
+{
+public:
+    KindVisitor(const KindDeclaration &kind, const YAML::Node &node, const KindRow &row)
+        : m_kind(kind)
+        , m_node(node)
+        , m_row(row)
+    {
+    }
+    KindDeclaration operator()(KindDeclaration (KindDeclaration::*setter)(std::string) const) const
+    {
+        return (m_kind.*setter)(m_node.as<std::string>());
+    }
+    KindDeclaration operator()(KindDeclaration (KindDeclaration::*setter)(int) const) const
+    {
+        return (m_kind.*setter)(number<int>());
+    }
+    KindDeclaration operator()(KindDeclaration (KindDeclaration::*setter)(bool) const) const
+    {
+        return (m_kind.*setter)(m_node.as<bool>());
+    }
+    KindDeclaration operator()(KindDeclaration (KindDeclaration::*setter)(std::chrono::milliseconds) const) const
+    {
+        return (m_kind.*setter)(std::chrono::milliseconds(number<int>()));
+    }
+    KindDeclaration operator()(KindDeclaration (KindDeclaration::*setter)(double) const) const
+    {
+        return (m_kind.*setter)(number<double>());
+    }
+
+private:
+    template<typename Number>
+    Number number() const
+    {
+        const auto value = m_node.as<Number>();
+        if (!(value >= m_row.least && value <= m_row.most)) {
+            throw YAML::Exception(m_node.Mark(), fmt::format("must lie between {} and {}", m_row.least, m_row.most));
+        }
+        return value;
+    }
+
+    const KindDeclaration &m_kind;
+    const YAML::Node &m_node;
+    const KindRow &m_row;
+};
+
+/// Reads one declaration file and collects what is wrong with it.
+class FileReader
+{
+public:
+    explicit FileReader(std::string file)
+        : m_file(std::move(file))
+    {
+    }
+
+    ServiceDeclaration read(const YAML::Node &root)
+    {
+        if (!root.IsMap()) {
+            report(root, "a declaration must be a map of keys and values");
+            return {};
+        }
+        checkKeys(root, {"service", "kinds"});
+        ServiceDeclaration service;
+        const YAML::Node name = root["service"];
+        if (!name.IsDefined() || !name.IsScalar() || name.Scalar().empty()) {
+            report(root, "'service' must name the service");
+        } else {
+            service = service.withName(name.Scalar());
+        }
+        return service.withKinds(readKinds(root));
+    }
+
+    const Findings &findings() const
+    {
+        return m_findings;
+    }
+
+private:
+    void report(const YAML::Node &node, std::string message)
+    {
+        m_findings.push_back(findingAt(m_file, node, std::move(message)));
+    }
+
+    void checkKeys(const YAML::Node &map, const std::set<std::string_view> &known)
+    {
+        std::set<std::string> seen;
+        for (const auto &entry : map) {
+            const auto key = entry.first.as<std::string>();
+            if (!known.contains(key)) {
+                report(entry.first, fmt::format("unknown key '{}'", key));
+            }
+            if (!seen.insert(key).second) {
+                report(entry.first, fmt::format("key '{}' stands twice", key));
+            }
+        }
+    }
+
+    KindDeclarations readKinds(const YAML::Node &root)
+    {
+        const YAML::Node list = root["kinds"];
+        if (!list.IsDefined() || !list.IsSequence() || list.size() == 0) {
+            report(root, "'kinds' must list at least one kind");
+            return {};
+        }
+        KindDeclarations kinds;
+        std::set<std::string> names;
+        double shares = 0;
+        for (const YAML::Node &node : list) {
+            const KindDeclaration kind = readKind(node);
+            if (!kind.name().empty() && !names.insert(kind.name()).second) {
+                report(node, fmt::format("kind '{}' is declared twice", kind.name()));
+            }
+            shares += kind.keptShare();
+            kinds.push_back(kind);
+        }
+        if (shares > 1) {
+            report(list, fmt::format("the kept shares add up to {}, which is more than 1", shares));
+        }
+        return kinds;
+    }
+
+    KindDeclaration readKind(const YAML::Node &node)
+    {
+        if (!node.IsMap()) {
+            report(node, "a kind must be a map of keys and values");
+            return {};
+        }
+        std::set<std::string_view> known;
+        KindDeclaration kind;
+        for (const KindRow &row : kindRows()) {
+            known.insert(row.key);
+            kind = readField(node, row, kind);
+        }
+        checkKeys(node, known);
+        const bool isPathAbsolute = kind.path().empty() || kind.path().front() == '/';
+        if (!isPathAbsolute) {
+            report(node["path"], fmt::format("path '{}' must begin with '/'", kind.path()));
+        }
+        return kind;
+    }
+
+    KindDeclaration readField(const YAML::Node &node, const KindRow &row, const KindDeclaration &kind)
+    {
+        const YAML::Node value = node[std::string(row.key)];
+        if (!value.IsDefined()) {
+            if (row.isRequired) {
+                report(node, fmt::format("key '{}' is missing", row.key));
+            }
+            return kind;
+        }
+        try {
+            return std::visit(KindVisitor(kind, value, row), row.setter);
+        } catch (const YAML::BadConversion &) {
+            report(value, fmt::format("'{}' has a value of the wrong type", row.key));
+        } catch (const YAML::Exception &error) {
+            report(value, fmt::format("'{}' {}", row.key, error.msg));
+        }
+        return kind;
+    }
+
+    const std::string m_file;
+    Findings m_findings;
+};
+
+bool isDeclarationFile(const std::filesystem::directory_entry &entry)
+{
+    const std::string name = entry.path().filename().string();
+    return entry.is_regular_file() && (name == DeclarationFileName || name.ends_with(DeclarationFileSuffix));
+}
+
+std::vector<std::string> findFiles(const std::vector<std::string> &folders, Findings &findings)
+{
+    std::set<std::string> files;
+    for (const std::string &folder : folders) {
+        std::error_code error;
+        std::filesystem::recursive_directory_iterator entries(folder, error);
+        if (error) {
+            findings.emplace_back(folder, 0, 0, "cannot be read: " + error.message());
+            continue;
+        }
+        for (const auto &entry : entries) {
+            if (isDeclarationFile(entry)) {
+                files.insert(entry.path().string());
+            }
+        }
+    }
+    return {files.begin(), files.end()};
+}
+
+/// Reads the file at `path`; its faults are added to `findings`.
+Result<ServiceDeclaration> readFile(const std::string &path)
+{
+    BOOST_LEAF_AUTO(text, readTextFile(path));
+    return readDeclaration(path, text);
+}
+
+void emitKind(YAML::Emitter &out, const KindDeclaration &kind)
+{
+    out << YAML::BeginMap;
+    out << YAML::Key << "name" << YAML::Value << kind.name();
+    out << YAML::Key << "method" << YAML::Value << kind.method();
+    out << YAML::Key << "path" << YAML::Value << kind.path();
+    out << YAML::Key << "rank" << YAML::Value << kind.rank();
+    out << YAML::Key << "idempotent" << YAML::Value << kind.idempotent();
+    out << YAML::Key << "deadline_ms" << YAML::Value << kind.deadline().count();
+    out << YAML::Key << "retries" << YAML::Value << kind.retryAllowance();
+    out << YAML::Key << "kept_share" << YAML::Value << kind.keptShare();
+    out << YAML::EndMap;
+}
+
+} // namespace
+
+Result<ServiceDeclaration> readDeclaration(const std::string &file, const std::string &text)
+{
+    BOOST_LEAF_AUTO(root, loadYaml(file, text));
+    FileReader reader(file);
+    ServiceDeclaration service = reader.read(root);
+    if (!reader.findings().empty()) {
+        return failure(reader.findings());
+    }
+    return service;
+}
+
+Result<ServiceMap> collectDeclarations(const std::vector<std::string> &folders)
+{
+    Findings findings;
+    ServiceMap services;
+    std::map<std::string, std::string> fileOf;
+    for (const std::string &path : findFiles(folders, findings)) {
+        boost::leaf::try_handle_all(
+            [&]() -> Result<void> {
+                BOOST_LEAF_AUTO(service, readFile(path));
+                const auto [entry, isNew] = fileOf.emplace(service.name(), path);
+                if (!isNew) {
+                    findings.emplace_back(
+                        path, 0, 0, fmt::format("service '{}' is declared in {} too", service.name(), entry->second));
+                }
+                services.insert_or_assign(service.name(), service);
+                return {};
+            },
+            [&](const Findings &found) {
+                findings.insert(findings.end(), found.begin(), found.end());
+            },
+            [&] {
+                findings.emplace_back(path, 0, 0, "cannot be read");
+            });
+    }
+    if (services.empty() && findings.empty()) {
+        findings.emplace_back(folders.empty() ? "" : folders.front(), 0, 0, "holds no declaration file");
+    }
+    if (!findings.empty()) {
+        return failure(std::move(findings));
+    }
+    return services;
+}
+
+std::string writeConfiguration(const ServiceMap &services)
+{
+    YAML::Emitter out;
+    out << YAML::BeginSeq;
+    for (const auto &[name, service] : services) {
+        out << YAML::BeginMap << YAML::Key << "service" << YAML::Value << name;
+        out << YAML::Key << "kinds" << YAML::Value << YAML::BeginSeq;
+        for (const KindDeclaration &kind : service.kinds()) {
+            emitKind(out, kind);
+        }
+        out << YAML::EndSeq << YAML::EndMap;
+    }
+    out << YAML::EndSeq;
+    return out.c_str();
+}
+
+Result<Configuration> readConfiguration(const std::string &text, ObjectVersion version)
+{
+    const std::string file = fmt::format("configuration version {}", version);
+    BOOST_LEAF_AUTO(root, loadYaml(file, text));
+    FileReader reader(file);
+    ServiceMap services;
+    for (const YAML::Node &node : root) {
+        const ServiceDeclaration service = reader.read(node);
+        services.insert_or_assign(service.name(), service);
+    }
+    if (!reader.findings().empty()) {
+        return failure(reader.findings());
+    }
+    return Configuration().withVersion(version).withServices(std::move(services));
+}
+
+} // namespace fescuepond
--- /dev/null
+++ b/modules/front/frontplugin.cpp
@@ -0,0 +1,79 @@
+// The front listener: takes requests of callers outside the system.
+//
+// Nothing that a caller sends is trusted as context: the system's own headers are removed, and rank, deadline and
+// retry allowance come from the declarations.
+
+#include "core/kernel/kernel.h"
+#include "core/pipeline/callpipeline.h"
+#include "core/pipeline/headernames.h"
+#include "modules/http/callencoding.h"
+#include "modules/http/httplistener.h"
+
+#include <Poco/Net/IPAddress.h>
+
+#include <memory>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+class FrontPlugin final : public Plugin
+{
+public:
+    Result<void> start(Kernel &kernel) override
+    {
+        m_kernel = &kernel;
+        m_pipeline = &kernel.require<EntryPipeline>();
+        m_listener =
+            std::make_unique<HttpListener>(kernel, "front", [this](const HttpRequest &request, HttpRespond respond) {
+                handle(request, std::move(respond));
+            });
+        kernel.metrics().gauge("fescuepond_front_connections", {}, [this] {
+            return static_cast<double>(m_listener->connectionCount());
+        });
+        return m_listener->start(kernel.settings().frontAddress());
+    }
+    void beginDrain() override
+    {
+        m_listener->beginDrain();
+    }
+    std::size_t workInFlight() const override
+    {
+        return m_listener->requestsInFlight();
+    }
+    void stop() override
+    {
+        m_listener->stop();
+    }
+
+private:
+    void handle(const HttpRequest &request, HttpRespond respond)
+    {
+        const CallContext context = CallContext().withKey(request.header(header::IdempotencyKey));
+        const CallRequest call = toCall(request, serviceOf(request)).withContext(context);
+        m_pipeline->submit(call, [respond = std::move(respond)](const CallOutcome &outcome) {
+            respond(toResponse(outcome));
+        });
+    }
+
+    /// The service named by the Host header; an IP or no name at all means the node's own.
+    std::string serviceOf(const HttpRequest &request) const
+    {
+        Poco::Net::IPAddress address;
+        const bool namesNoService = request.host().empty() || request.host() == "localhost"
+            || Poco::Net::IPAddress::tryParse(request.host(), address);
+        return namesNoService ? m_kernel->settings().service() : request.host();
+    }
+
+    Kernel *m_kernel = nullptr;
+    EntryPipeline *m_pipeline = nullptr;
+    std::unique_ptr<HttpListener> m_listener;
+};
+
+const auto registration = registerPlugin<FrontPlugin>("front", {"pipelines", "classification", "routing"});
+
+} // namespace
+
+} // namespace fescuepond
--- /dev/null
+++ b/modules/http/httplistener.cpp
@@ -0,0 +1,466 @@
+// An HTTP listener: accepting, parking idle connections, reading requests and writing responses through POCO Net.
+
+#include "modules/http/httplistener.h"
+
+#include "core/kernel/eventlog.h"
+#include "core/kernel/kernel.h"
+#include "core/kernel/sharedtable.h"
+
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponseImpl.h>
+#include <Poco/Net/HTTPServerSession.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/PollSet.h>
+#include <Poco/Net/ServerSocket.h>
+
+#include <array>
+#include <atomic>
+#include <map>
+#include <optional>
+#include <thread>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+constexpr int AcceptBacklog = 512;
+constexpr std::size_t ReadChunkBytes = 16384;
+constexpr long PollTimeoutMicroseconds = 250'000;
+constexpr Duration EmptySetPause = std::chrono::milliseconds(50);
+constexpr int StatusBadRequest = 400;
+constexpr int StatusBodyTooLarge = 413;
+constexpr int StatusHeaderTooLarge = 431;
+
+/// A fault of a request that the caller is told of before its connection is closed.
+class RequestError : public std::exception
+{
+public:
+    RequestError(int status, const char *message)
+        : m_status(status)
+        , m_message(message)
+    {
+    }
+    const char *what() const noexcept override
+    {
+        return m_message;
+    }
+    int status() const
+    {
+        return m_status;
+    }
+
+private:
+    const int m_status;
+    const char *const m_message;
+};
+
+HttpResponse badRequest(int status, const std::string &detail)
+{
+    return toResponse(CallOutcome::notRun(Reason::BadRequest, detail)).withStatus(status);
+}
+
+std::string hostWithoutPort(const std::string &host)
+{
+    return host.substr(0, host.find(':'));
+}
+
+/// Reads headers as values; more bytes than `limit` is an error.
+Headers readHeaders(const Poco::Net::HTTPServerRequest &request, std::size_t limit)
+{
+    Headers headers;
+    std::size_t bytes = 0;
+    for (const auto &[name, value] : request) {
+        bytes += name.size() + value.size();
+        headers[toLower(name)] = value;
+    }
+    if (bytes > limit) {
+        throw RequestError(StatusHeaderTooLarge, "the header is too long");
+    }
+    return headers;
+}
+
+/// Reads the whole body. One that is longer than `limit` or ends early is an error.
+std::string readBody(Poco::Net::HTTPServerRequest &request, std::size_t limit)
+{
+    const auto declared = request.getContentLength64();
+    if (declared > static_cast<Poco::Int64>(limit)) {
+        throw RequestError(StatusBodyTooLarge, "the body is too long");
+    }
+    const bool hasBody = declared >= 0 || request.getChunkedTransferEncoding();
+    if (!hasBody) {
+        return {};
+    }
+    std::string body;
+    std::array<char, ReadChunkBytes> chunk;
+    std::istream &stream = request.stream();
+    while (stream.good()) {
+        stream.read(chunk.data(), chunk.size());
+        body.append(chunk.data(), static_cast<std::size_t>(stream.gcount()));
+        if (body.size() > limit) {
+            throw RequestError(StatusBodyTooLarge, "the body is too long");
+        }
+    }
+    const bool isTruncated = declared >= 0 && body.size() < static_cast<std::size_t>(declared);
+    if (isTruncated) {
+        throw RequestError(StatusBadRequest, "the body ends before its declared length");
+    }
+    return body;
+}
+
+} // namespace
+
+namespace detail
+{
+
+/// Ends a connection in both directions; a worker that reads from it returns.
+static void shutDown(Poco::Net::StreamSocket &socket)
+{
+    try {
+        socket.shutdown();
+    } catch (const Poco::Exception &) {
+        // It was closed already.
+    }
+}
+
+/// One connection of a caller. At any time it is either parked in the poll set or owned by one request.
+struct HttpConnection {
+    HttpConnection(const Poco::Net::StreamSocket &socket, const Poco::Net::HTTPServerParams::Ptr &params)
+        : m_socket(socket)
+        , m_session(socket, params)
+    {
+    }
+
+    Poco::Net::StreamSocket m_socket;
+    Poco::Net::HTTPServerSession m_session;
+    // The request and response of the library, while a request is in flight.
+    std::unique_ptr<Poco::Net::HTTPServerResponseImpl> m_response;
+    std::unique_ptr<Poco::Net::HTTPServerRequestImpl> m_request;
+};
+
+using HttpConnectionPtr = std::shared_ptr<HttpConnection>;
+
+class HttpListenerState : public std::enable_shared_from_this<HttpListenerState>
+{
+public:
+    HttpListenerState(Kernel &kernel, std::string name, HttpHandler handler)
+        : m_kernel(kernel)
+        , m_name(std::move(name))
+        , m_handler(std::move(handler))
+        , m_params(new Poco::Net::HTTPServerParams)
+    {
+        m_params->setKeepAlive(true);
+        m_params->setMaxKeepAliveRequests(0);
+        // Zero: asking for more requests never waits.
+        m_params->setKeepAliveTimeout(Poco::Timespan(0));
+    }
+
+    void listen(const std::string &address)
+    {
+        m_serverSocket.bind(Poco::Net::SocketAddress(address), true);
+        m_serverSocket.listen(AcceptBacklog);
+        m_pollSet.add(m_serverSocket, Poco::Net::PollSet::POLL_READ);
+        m_thread = std::thread([this] {
+            pollLoop();
+        });
+    }
+
+    std::string address() const
+    {
+        return m_serverSocket.address().toString();
+    }
+
+    void beginDrain()
+    {
+        m_draining = true;
+    }
+
+    void stop()
+    {
+        m_draining = true;
+        m_stopped = true;
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+        m_parked.locked([](auto &parked) {
+            parked.clear();
+        });
+    }
+
+    std::size_t requestsInFlight() const
+    {
+        return m_inFlight;
+    }
+
+    std::size_t connectionCount() const
+    {
+        return m_inFlight + m_parked.locked([](const auto &parked) {
+            return parked.size();
+        });
+    }
+
+private:
+    using ParkedConnections = std::map<Poco::Net::Socket, HttpConnectionPtr>;
+
+    void pollLoop()
+    {
+        bool isListening = true;
+        while (!m_stopped) {
+            if (isListening && m_draining) {
+                m_pollSet.remove(m_serverSocket);
+                m_serverSocket.close();
+                isListening = false;
+            }
+            if (m_pollSet.empty()) {
+                std::this_thread::sleep_for(EmptySetPause);
+                continue;
+            }
+            for (const auto &[socket, mode] : m_pollSet.poll(Poco::Timespan(0, PollTimeoutMicroseconds))) {
+                if (isListening && socket == m_serverSocket) {
+                    accept();
+                    continue;
+                }
+                wake(socket);
+            }
+        }
+    }
+
+    void accept()
+    {
+        try {
+            Poco::Net::StreamSocket socket = m_serverSocket.acceptConnection();
+            socket.setNoDelay(true);
+            const auto timeout = Poco::Timespan(
+                std::chrono::duration_cast<std::chrono::microseconds>(m_kernel.settings().requestReadTimeout())
+                    .count());
+            socket.setReceiveTimeout(timeout);
+            socket.setSendTimeout(timeout);
+            auto connection = std::make_shared<HttpConnection>(socket, m_params);
+            // The session counts the first request apart; this makes all requests alike.
+            connection->m_session.hasMoreRequests();
+            park(connection);
+        } catch (const Poco::Exception &error) {
+            Event("accept_failed").with("listener", m_name).with("error", error.displayText());
+        }
+    }
+
+    void park(const HttpConnectionPtr &connection)
+    {
+        if (m_stopped) {
+            return;
+        }
+        m_parked.locked([&](ParkedConnections &parked) {
+            parked.insert_or_assign(connection->m_socket, connection);
+        });
+        m_pollSet.add(connection->m_socket, Poco::Net::PollSet::POLL_READ);
+    }
+
+    /// Takes a readable connection out of the poll set and gives it to a worker.
+    void wake(const Poco::Net::Socket &socket)
+    {
+        m_pollSet.remove(socket);
+        const HttpConnectionPtr connection = m_parked.locked([&](ParkedConnections &parked) -> HttpConnectionPtr {
+            const auto found = parked.find(socket);
+            if (found == parked.end()) {
+                return nullptr;
+            }
+            HttpConnectionPtr taken = found->second;
+            parked.erase(found);
+            return taken;
+        });
+        if (connection) {
+            postRead(connection);
+        }
+    }
+
+    void postRead(const HttpConnectionPtr &connection)
+    {
+        ++m_inFlight;
+        m_kernel.pool().post(Lane::Http, [self = shared_from_this(), connection] {
+            self->readAndHandle(connection);
+        });
+    }
+
+    void readAndHandle(const HttpConnectionPtr &connection)
+    {
+        const auto request = read(connection);
+        if (!request) {
+            connection->m_request.reset();
+            connection->m_response.reset();
+            --m_inFlight;
+            return;
+        }
+        m_handler(*request, [self = shared_from_this(), connection](const HttpResponse &response) {
+            self->m_kernel.pool().post(Lane::Http, [self, connection, response] {
+                self->write(connection, response);
+            });
+        });
+    }
+
+    /// Reads one request; on a fault the caller is told, where it can be, and nothing is returned.
+    std::optional<HttpRequest> read(const HttpConnectionPtr &connection)
+    {
+        const NodeSettings &settings = m_kernel.settings();
+        // A caller that sends its request byte by byte is cut off when its whole time has passed.
+        const auto watchdog =
+            m_kernel.timers().once(m_kernel.clock().now() + settings.requestReadTimeout(), [connection] {
+                shutDown(connection->m_socket);
+            });
+        std::optional<HttpRequest> request;
+        try {
+            connection->m_response = std::make_unique<Poco::Net::HTTPServerResponseImpl>(connection->m_session);
+            connection->m_request = std::make_unique<Poco::Net::HTTPServerRequestImpl>(
+                *connection->m_response, connection->m_session, m_params);
+            request = toValue(*connection->m_request, *connection->m_response);
+        } catch (const RequestError &error) {
+            refuse(connection, error.status(), error.what());
+        } catch (const Poco::Net::NoMessageException &) {
+            // The caller closed an idle connection.
+        } catch (const Poco::Net::MessageException &) {
+            refuse(connection, StatusBadRequest, "the request is not valid HTTP");
+        } catch (const Poco::Exception &error) {
+            Event("request_read_failed").with("listener", m_name).with("error", error.displayText());
+        }
+        m_kernel.timers().cancel(watchdog);
+        return request;
+    }
+
+    HttpRequest toValue(Poco::Net::HTTPServerRequestImpl &request, Poco::Net::HTTPServerResponseImpl &response)
+    {
+        const NodeSettings &settings = m_kernel.settings();
+        Headers headers = readHeaders(request, settings.maxHeaderBytes());
+        if (request.getExpectContinue()) {
+            response.sendContinue();
+        }
+        Body body(readBody(request, settings.maxBodyBytes()));
+        return HttpRequest()
+            .withMethod(request.getMethod())
+            .withTarget(request.getURI())
+            .withHost(hostWithoutPort(request.get("Host", "")))
+            .withHeaders(std::move(headers))
+            .withBody(std::move(body));
+    }
+
+    void refuse(const HttpConnectionPtr &connection, int status, const std::string &detail)
+    {
+        Event("request_refused").with("listener", m_name).with("status", status).with("detail", detail);
+        m_kernel.metrics().count("fescuepond_bad_requests_total", {{"listener", m_name}});
+        try {
+            Poco::Net::HTTPServerResponseImpl response(connection->m_session);
+            response.setKeepAlive(false);
+            send(response, badRequest(status, detail));
+            connection->m_socket.shutdownSend();
+        } catch (const Poco::Exception &) {
+            // The caller has gone; there is nobody to tell.
+        }
+    }
+
+    static void send(Poco::Net::HTTPServerResponse &target, const HttpResponse &response)
+    {
+        target.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(response.status()));
+        for (const auto &[name, value] : response.headers()) {
+            target.set(name, value);
+        }
+        target.sendBuffer(response.body().bytes().data(), response.body().size());
+    }
+
+    void write(const HttpConnectionPtr &connection, const HttpResponse &response)
+    {
+        bool keepAlive = false;
+        try {
+            keepAlive = connection->m_request->getKeepAlive() && !m_draining;
+            connection->m_response->setVersion(connection->m_request->getVersion());
+            connection->m_response->setKeepAlive(keepAlive);
+            send(*connection->m_response, response);
+        } catch (const Poco::Exception &error) {
+            keepAlive = false;
+            Event("response_write_failed").with("listener", m_name).with("error", error.displayText());
+        }
+        connection->m_request.reset();
+        connection->m_response.reset();
+        // Parked or read again before it stops counting, so that a connection is never missed.
+        if (keepAlive) {
+            continueConnection(connection);
+        }
+        --m_inFlight;
+    }
+
+    /// Waits for the next request, or reads it at once if some of it has arrived already.
+    void continueConnection(const HttpConnectionPtr &connection)
+    {
+        bool hasMore = false;
+        try {
+            hasMore = connection->m_session.hasMoreRequests();
+        } catch (const Poco::Exception &) {
+            return;
+        }
+        if (hasMore) {
+            postRead(connection);
+            return;
+        }
+        park(connection);
+    }
+
+    Kernel &m_kernel;
+    const std::string m_name;
+    const HttpHandler m_handler;
+    Poco::Net::HTTPServerParams::Ptr m_params;
+    Poco::Net::ServerSocket m_serverSocket;
+    Poco::Net::PollSet m_pollSet;
+    SharedTable<ParkedConnections> m_parked{LockRank::HttpConnections};
+    std::atomic<std::size_t> m_inFlight = 0;
+    std::atomic<bool> m_draining = false;
+    std::atomic<bool> m_stopped = false;
+    std::thread m_thread;
+};
+
+} // namespace detail
+
+HttpListener::HttpListener(Kernel &kernel, std::string name, HttpHandler handler)
+    : m_state(std::make_shared<detail::HttpListenerState>(kernel, std::move(name), std::move(handler)))
+{
+}
+
+HttpListener::~HttpListener()
+{
+    stop();
+}
+
+Result<void> HttpListener::start(const std::string &address)
+{
+    try {
+        m_state->listen(address);
+        return {};
+    } catch (const Poco::Exception &error) {
+        return failure("cannot listen on " + address + ": " + error.displayText());
+    }
+}
+
+std::string HttpListener::address() const
+{
+    return m_state->address();
+}
+
+void HttpListener::beginDrain()
+{
+    m_state->beginDrain();
+}
+
+std::size_t HttpListener::requestsInFlight() const
+{
+    return m_state->requestsInFlight();
+}
+
+std::size_t HttpListener::connectionCount() const
+{
+    return m_state->connectionCount();
+}
+
+void HttpListener::stop()
+{
+    m_state->stop();
+}
+
+} // namespace fescuepond
--- /dev/null
+++ b/modules/http/httpmessage.h
@@ -0,0 +1,49 @@
+// HTTP requests and responses as values, apart from the library that reads and writes them.
+
+#pragma once
+
+#include "core/value.h"
+#include "core/values/call.h"
+
+#include <compare>
+#include <string>
+
+namespace fescuepond
+{
+
+/// A whole request. Header names are in lower case.
+class HttpRequest
+{
+    FESCUEPOND_FIELD(std::string, method, withMethod);
+    FESCUEPOND_FIELD(std::string, target, withTarget); ///< Path and query.
+    FESCUEPOND_FIELD(std::string, host, withHost); ///< Without a port.
+    FESCUEPOND_FIELD(Headers, headers, withHeaders);
+    FESCUEPOND_FIELD(Body, body, withBody);
+
+public:
+    /// The value of a header, or an empty string. `name` may be in any case.
+    std::string header(std::string_view name) const;
+    friend auto operator<=>(const HttpRequest &, const HttpRequest &) = default;
+};
+
+class HttpResponse
+{
+    FESCUEPOND_FIELD(int, status, withStatus);
+    FESCUEPOND_FIELD(Headers, headers, withHeaders);
+    FESCUEPOND_FIELD(Body, body, withBody);
+
+public:
+    HttpResponse() = default;
+    HttpResponse(int status, std::string contentType, std::string body);
+    friend auto operator<=>(const HttpResponse &, const HttpResponse &) = default;
+};
+
+std::string toLower(std::string_view text);
+
+/// Whether a header belongs to one connection and is never passed on. `lowerName` is in lower case.
+bool isHopByHop(std::string_view lowerName);
+
+/// The response that tells a caller how its call ended.
+HttpResponse toResponse(const CallOutcome &outcome);
+
+} // namespace fescuepond
--- /dev/null
+++ b/modules/local/localplugin.cpp
@@ -0,0 +1,85 @@
+// The local listener: takes the calls that the backend server of this VM makes to other services.
+//
+// The backend copies the call identifier of the request that it serves. The context of that request is looked up here
+// and passed on to the new call; a call without a known identifier counts as a new root request.
+
+#include "core/kernel/kernel.h"
+#include "core/pipeline/callpipeline.h"
+#include "core/pipeline/callsinflight.h"
+#include "core/pipeline/headernames.h"
+#include "modules/http/callencoding.h"
+#include "modules/http/httplistener.h"
+
+#include <memory>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+/// The context of a call made while `parent` runs. Its retry allowance is set apart.
+CallContext childOf(const CallContext &parent)
+{
+    return CallContext()
+        .withRootId(parent.rootId())
+        .withRootKind(parent.rootKind())
+        .withRank(parent.rank())
+        .withKeptShare(parent.keptShare())
+        .withDeadline(parent.deadline())
+        .withDepth(parent.depth() + 1);
+}
+
+class LocalPlugin final : public Plugin
+{
+public:
+    Result<void> start(Kernel &kernel) override
+    {
+        m_pipeline = &kernel.require<EntryPipeline>();
+        m_calls = &kernel.require<CallsInFlight>();
+        m_listener = std::make_unique<HttpListener>(
+            kernel, "local", [this](const HttpRequest &request, const HttpRespond &respond) {
+                handle(request, respond);
+            });
+        return m_listener->start(kernel.settings().localAddress());
+    }
+    std::size_t workInFlight() const override
+    {
+        return m_listener->requestsInFlight();
+    }
+    void stop() override
+    {
+        m_listener->stop();
+    }
+
+private:
+    void handle(const HttpRequest &request, const HttpRespond &respond)
+    {
+        const auto parentId = CallId::parse(request.header(header::Call));
+        const auto parent = parentId ? m_calls->find(*parentId) : std::nullopt;
+        CallRequest call = toCall(request, request.host());
+        const std::string key = request.header(header::IdempotencyKey);
+        if (!parent) {
+            m_pipeline->submit(call.withContext(CallContext().withKey(key)), [respond](const CallOutcome &outcome) {
+                respond(toResponse(outcome));
+            });
+            return;
+        }
+        const int allowance = m_calls->takeAllowance(*parentId, parent->retryAllowance());
+        call = call.withContext(childOf(*parent).withKey(key).withRetryAllowance(allowance));
+        m_pipeline->submit(call, [this, respond, parentId](const CallOutcome &outcome) {
+            m_calls->returnAllowance(*parentId, outcome.unusedAllowance());
+            respond(toResponse(outcome));
+        });
+    }
+
+    EntryPipeline *m_pipeline = nullptr;
+    CallsInFlight *m_calls = nullptr;
+    std::unique_ptr<HttpListener> m_listener;
+};
+
+const auto registration = registerPlugin<LocalPlugin>("local", {"pipelines", "classification", "routing"});
+
+} // namespace
+
+} // namespace fescuepond
--- /dev/null
+++ b/modules/peer/peerconnections.cpp
@@ -0,0 +1,82 @@
+// Connections to other nodes.
+
+#include "modules/peer/peerconnections.h"
+
+#include <kj/debug.h>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+constexpr kj::Duration ConnectTimeout = 1 * kj::SECONDS;
+
+}
+
+PeerConnections::PeerConnections(kj::AsyncIoContext &io, std::string ownName)
+    : m_io(io)
+    , m_ownName(std::move(ownName))
+{
+}
+
+kj::Promise<kj::Own<PeerConnection>> PeerConnections::get(const std::string &address)
+{
+    const auto found = m_open.find(address);
+    if (found != m_open.end()) {
+        return found->second.m_promise.addBranch();
+    }
+    const std::uint64_t number = m_nextNumber++;
+    auto promise = m_io.provider->getTimer().timeoutAfter(ConnectTimeout, open(address, number)).fork();
+    auto branch = promise.addBranch();
+    m_open.emplace(address, Entry{kj::mv(promise), number, nullptr});
+    // A connection that can't be opened is forgotten, so that the next call tries again.
+    return branch.catch_([this, address, number](kj::Exception &&error) -> kj::Promise<kj::Own<PeerConnection>> {
+        const auto entry = m_open.find(address);
+        if (entry != m_open.end() && entry->second.m_number == number) {
+            m_open.erase(entry);
+        }
+        return kj::mv(error);
+    });
+}
+
+void PeerConnections::discard(const std::string &address, const PeerConnection &connection)
+{
+    const auto entry = m_open.find(address);
+    if (entry != m_open.end() && entry->second.m_connection == &connection) {
+        m_open.erase(entry);
+    }
+}
+
+kj::Promise<kj::Own<PeerConnection>> PeerConnections::open(const std::string &address, std::uint64_t number)
+{
+    return m_io.provider->getNetwork()
+        .parseAddress(address)
+        .then([](kj::Own<kj::NetworkAddress> parsed) {
+            auto connected = parsed->connect();
+            return connected.attach(kj::mv(parsed));
+        })
+        .then([this](kj::Own<kj::AsyncIoStream> stream) {
+            return greet(kj::refcounted<PeerConnection>(kj::mv(stream)));
+        })
+        .then([this, address, number](kj::Own<PeerConnection> connection) {
+            const auto entry = m_open.find(address);
+            if (entry != m_open.end() && entry->second.m_number == number) {
+                entry->second.m_connection = connection.get();
+            }
+            return connection;
+        });
+}
+
+kj::Promise<kj::Own<PeerConnection>> PeerConnections::greet(kj::Own<PeerConnection> connection)
+{
+    auto request = connection->m_peer.helloRequest();
+    request.setVersion(wire::PROTOCOL_VERSION);
+    request.setName(m_ownName);
+    return request.send().then([connection = kj::mv(connection)](auto response) mutable {
+        KJ_REQUIRE(response.getVersion() == wire::PROTOCOL_VERSION, "peer speaks another version of the protocol");
+        return kj::mv(connection);
+    });
+}
+
+} // namespace fescuepond
--- /dev/null
+++ b/modules/peer/peerplugin.cpp
@@ -0,0 +1,123 @@
+// Communication with other nodes by Cap'n Proto RPC: the listener, the connections, and the thread that runs them.
+
+#include "core/kernel/kernel.h"
+#include "core/pipeline/interfaces.h"
+#include "modules/peer/peersender.h"
+#include "modules/peer/peerserver.h"
+
+#include <capnp/rpc-twoparty.h>
+
+#include <future>
+#include <memory>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+class PeerPlugin final : public Plugin, public CallSender, public PeerMessages
+{
+public:
+    Result<void> start(Kernel &kernel) override
+    {
+        m_kernel = &kernel;
+        m_pipeline = &kernel.require<TargetPipeline>();
+        m_sender = std::make_unique<PeerSender>(kernel, m_loop);
+        std::promise<std::string> listening;
+        m_loop.start([this, &listening] {
+            listening.set_value(listen());
+        });
+        const std::string error = listening.get_future().get();
+        if (!error.empty()) {
+            return failure("cannot listen for peers on " + kernel.settings().peerAddress() + ": " + error);
+        }
+        kernel.provide<CallSender>(*this);
+        kernel.provide<PeerMessages>(*this);
+        return {};
+    }
+
+    void stop() override
+    {
+        m_loop.stop([this] {
+            m_listener.reset();
+            m_sender->close();
+        });
+    }
+
+    std::string address() const override
+    {
+        return m_address;
+    }
+
+    void send(const Member &target, const CallRequest &call, Done done) override
+    {
+        if (target.name() == m_kernel->settings().name()) {
+            m_pipeline->submit(call, std::move(done));
+            return;
+        }
+        m_sender->send(target, call, std::move(done));
+    }
+
+    void setHandler(PeerTopic topic, PeerHandler handler) override
+    {
+        // The loop's thread reads the table, so it also writes it.
+        m_loop.post([this, topic, handler = std::move(handler)] {
+            m_handlers[topic] = handler;
+        });
+    }
+
+    void
+    ask(const std::string &address, PeerTopic topic, std::string request, Duration timeout, PeerReply reply) override
+    {
+        m_sender->ask(address, topic, std::move(request), timeout, std::move(reply));
+    }
+
+private:
+    /// Accepts connections of other nodes. Declared in the order in which each member needs the one before.
+    struct Listener {
+        Listener(kj::Own<kj::ConnectionReceiver> receiver, kj::Own<PeerServer> server)
+            : m_receiver(kj::mv(receiver))
+            , m_server(kj::mv(server))
+            , m_accepting(m_server.listen(*m_receiver).eagerlyEvaluate(nullptr))
+        {
+        }
+        kj::Own<kj::ConnectionReceiver> m_receiver;
+        capnp::TwoPartyServer m_server;
+        kj::Promise<void> m_accepting;
+    };
+
+    /// Opens the listener on the loop's thread; returns what went wrong, or an empty string.
+    std::string listen()
+    {
+        m_sender->open();
+        const std::string &wanted = m_kernel->settings().peerAddress();
+        try {
+            auto &io = m_loop.io();
+            auto parsed = io.provider->getNetwork().parseAddress(wanted).wait(io.waitScope);
+            auto receiver = parsed->listen();
+            m_address = wanted.substr(0, wanted.rfind(':') + 1) + std::to_string(receiver->getPort());
+            m_listener =
+                std::make_unique<Listener>(kj::mv(receiver), kj::heap<PeerServer>(*m_kernel, *m_pipeline, m_handlers));
+            return {};
+        } catch (const kj::Exception &error) {
+            return error.getDescription().cStr();
+        }
+    }
+
+    Kernel *m_kernel = nullptr;
+    TargetPipeline *m_pipeline = nullptr;
+    EventLoop m_loop;
+    std::unique_ptr<PeerSender> m_sender;
+    std::string m_address;
+
+    // Used only on the loop's thread.
+    PeerHandlers m_handlers;
+    std::unique_ptr<Listener> m_listener;
+};
+
+const auto registration = registerPlugin<PeerPlugin>("peer", {"pipelines"});
+
+} // namespace
+
+} // namespace fescuepond
--- /dev/null
+++ b/modules/peer/wireencoding.cpp
@@ -0,0 +1,142 @@
+// Between calls as values and the messages of the peer protocol.
+
+#include "modules/peer/wireencoding.h"
+
+namespace fescuepond
+{
+
+namespace
+{
+
+using HeaderListBuilder = capnp::List<wire::Header>::Builder;
+using HeaderListReader = capnp::List<wire::Header>::Reader;
+
+void encodeHeaders(const Headers &headers, HeaderListBuilder builder)
+{
+    unsigned i = 0;
+    for (const auto &[name, value] : headers) {
+        builder[i].setName(name);
+        builder[i].setValue(value);
+        ++i;
+    }
+}
+
+Headers decodeHeaders(HeaderListReader reader)
+{
+    Headers headers;
+    for (const wire::Header::Reader header : reader) {
+        headers.emplace(header.getName().cStr(), header.getValue().cStr());
+    }
+    return headers;
+}
+
+capnp::Data::Reader asData(const Body &body)
+{
+    const std::string &bytes = body.bytes();
+    return {reinterpret_cast<const capnp::byte *>(bytes.data()), bytes.size()};
+}
+
+Body asBody(capnp::Data::Reader data)
+{
+    return Body(std::string(reinterpret_cast<const char *>(data.begin()), data.size()));
+}
+
+} // namespace
+
+void encodeId(std::uint64_t high, std::uint64_t low, wire::Id::Builder builder)
+{
+    builder.setHigh(high);
+    builder.setLow(low);
+}
+
+void encode(const CallRequest &call, TimePoint now, wire::Call::Builder builder)
+{
+    const CallContext &context = call.context();
+    encode(context.callId(), builder.initCallId());
+    encode(context.rootId(), builder.initRootId());
+    encode(context.attemptId(), builder.initAttemptId());
+    builder.setKind(context.kind());
+    builder.setRootKind(context.rootKind());
+    builder.setRank(context.rank());
+    builder.setKeptShare(context.keptShare());
+    builder.setIdempotent(context.idempotent());
+    builder.setKey(context.key());
+    builder.setRemainingNs((context.deadline() - now).count());
+    builder.setRetryAllowance(context.retryAllowance());
+    builder.setDepth(context.depth());
+    builder.setCrashCount(context.crashCount());
+    builder.setService(call.service());
+    builder.setMethod(call.method());
+    builder.setPath(call.path());
+    encodeHeaders(call.headers(), builder.initHeaders(static_cast<unsigned>(call.headers().size())));
+    builder.setBody(asData(call.body()));
+    builder.setBodyDigest(call.body().digest());
+}
+
+std::optional<CallRequest> decode(wire::Call::Reader reader, TimePoint now)
+{
+    Body body = asBody(reader.getBody());
+    if (body.digest() != reader.getBodyDigest()) {
+        return std::nullopt;
+    }
+    const CallContext context = CallContext()
+                                    .withCallId(decodeId<CallId>(reader.getCallId()))
+                                    .withRootId(decodeId<RootId>(reader.getRootId()))
+                                    .withAttemptId(decodeId<AttemptId>(reader.getAttemptId()))
+                                    .withKind(reader.getKind())
+                                    .withRootKind(reader.getRootKind())
+                                    .withRank(reader.getRank())
+                                    .withKeptShare(reader.getKeptShare())
+                                    .withIdempotent(reader.getIdempotent())
+                                    .withKey(reader.getKey())
+                                    .withDeadline(now + Duration(reader.getRemainingNs()))
+                                    .withRetryAllowance(reader.getRetryAllowance())
+                                    .withDepth(reader.getDepth())
+                                    .withCrashCount(reader.getCrashCount());
+    return CallRequest()
+        .withContext(context)
+        .withService(reader.getService())
+        .withMethod(reader.getMethod())
+        .withPath(reader.getPath())
+        .withHeaders(decodeHeaders(reader.getHeaders()))
+        .withBody(std::move(body));
+}
+
+void encode(const CallOutcome &outcome, wire::Outcome::Builder builder)
+{
+    builder.setState(static_cast<std::uint8_t>(outcome.state()));
+    builder.setReason(static_cast<std::uint8_t>(outcome.reason()));
+    builder.setDetail(outcome.detail());
+    builder.setStatus(outcome.status());
+    encodeHeaders(outcome.headers(), builder.initHeaders(static_cast<unsigned>(outcome.headers().size())));
+    builder.setBody(asData(outcome.body()));
+    builder.setBodyDigest(outcome.body().digest());
+    builder.setUnusedAllowance(outcome.unusedAllowance());
+    builder.setTargetLimit(outcome.targetLimit());
+    builder.setTargetInFlight(outcome.targetInFlight());
+    builder.setPathLimit(outcome.pathLimit());
+}
+
+std::optional<CallOutcome> decode(wire::Outcome::Reader reader)
+{
+    Body body = asBody(reader.getBody());
+    const bool isIntact = body.digest() == reader.getBodyDigest();
+    const bool isKnown = reader.getState() <= static_cast<std::uint8_t>(CallState::OutcomeUnknown)
+        && reader.getReason() <= static_cast<std::uint8_t>(Reason::Internal);
+    if (!isIntact || !isKnown) {
+        return std::nullopt;
+    }
+    return CallOutcome()
+        .withState(static_cast<CallState>(reader.getState()))
+        .withReason(static_cast<Reason>(reader.getReason()))
+        .withDetail(reader.getDetail())
+        .withStatus(reader.getStatus())
+        .withHeaders(decodeHeaders(reader.getHeaders()))
+        .withBody(std::move(body))
+        .withUnusedAllowance(reader.getUnusedAllowance())
+        .withTargetLimit(reader.getTargetLimit())
+        .withTargetInFlight(reader.getTargetInFlight())
+        .withPathLimit(reader.getPathLimit());
+}
+
+} // namespace fescuepond
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,125 @@
+#!/usr/bin/env bash
+# Shows the system at work: starts stand-ins for the platform and for the backend servers of two services in three
+# zones, a node beside each backend server, publishes declarations, sends requests of several ranks, prints a table of
+# the outcomes, and ends all that it started.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/build.sh >&2
+
+work=$(mktemp -d)
+pids=()
+finish() {
+  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  rm -rf "$work"
+}
+trap finish EXIT
+
+step() { printf '\n== %s\n' "$*"; }
+
+# start NAME COMMAND...: runs a program in the background with its output in files of that name.
+start() {
+  local name="$1"
+  shift
+  "$@" >"$work/$name.out" 2>"$work/$name.err" &
+  pids+=($!)
+}
+
+# wait_for FILE PATTERN: until the file has a line with the pattern, for at most ten seconds.
+wait_for() {
+  for _ in $(seq 200); do
+    grep -q "$2" "$1" 2>/dev/null && return 0
+    sleep 0.05
+  done
+  echo "demo: '$2' did not appear in $1" >&2
+  cat "$1" >&2
+  exit 1
+}
+
+# printed FILE KEY: the value of KEY in the line that a stand-in printed.
+printed() { sed -n "s/.*$2=\([^ ]*\).*/\1/p" "$1" | head -1; }
+
+# Takes free ports of loopback from the kernel.
+free_ports() {
+  python3 - "$1" <<'PY'
+import socket, sys
+sockets = [socket.socket() for _ in range(int(sys.argv[1]))]
+for s in sockets:
+    s.bind(("127.0.0.1", 0))
+print(*[s.getsockname()[1] for s in sockets])
+PY
+}
+
+step "start the platform's stand-in"
+start platform build/tests/platformstandin
+wait_for "$work/platform.out" address=
+platform=$(printed "$work/platform.out" address)
+echo "object API on $platform"
+
+step "publish the declarations of examples/tuul"
+build/fescuepond publish --platform="$platform" examples/tuul
+
+# start_node NAME SERVICE ZONE DOWNSTREAM: a backend server and the node beside it.
+declare -A front operator
+start_node() {
+  local name="$1" service="$2" zone="$3" downstream="$4"
+  read -r front_port local_port peer_port operator_port < <(free_ports 4)
+  start "$name-backend" build/tests/backendstandin --name="$name" --local="127.0.0.1:$local_port" \
+    --downstream="$downstream" --service_ms=3
+  wait_for "$work/$name-backend.out" address=
+  cat >"$work/$name.yaml" <<YAML
+name: $name
+service: $service
+zone: $zone
+region: ulaanbaatar
+front_address: 127.0.0.1:$front_port
+local_address: 127.0.0.1:$local_port
+peer_address: 127.0.0.1:$peer_port
+operator_address: 127.0.0.1:$operator_port
+backend_address: $(printed "$work/$name-backend.out" address)
+platform_address: $platform
+YAML
+  start "$name" build/fescuepond node --settings="$work/$name.yaml"
+  front[$name]=127.0.0.1:$front_port
+  operator[$name]=127.0.0.1:$operator_port
+}
+
+step "start two services in three zones: dispatch calls yard"
+for zone in a b c; do
+  start_node "yard-$zone" yard "zone-$zone" ""
+  start_node "dispatch-$zone" dispatch "zone-$zone" "GET yard /stock/sleepers"
+done
+for name in "${!front[@]}"; do
+  wait_for "$work/$name.err" event=configuration_in_force
+done
+sleep 2.5
+curl -s "http://${operator[dispatch-a]}/status" | grep '"name"' | sort | uniq -c
+
+step "send requests"
+printf '%-44s %-8s %-16s %s\n' request status outcome answer
+# request METHOD PATH HOST [CURL ARGUMENTS]: sends one request and prints how it ended.
+request() {
+  local method="$1" path="$2" host="$3"
+  shift 3
+  local status outcome
+  status=$(curl -s -o "$work/body" -D "$work/headers" -w '%{http_code}' -X "$method" -H "Host: $host" "$@" \
+    "http://${front[dispatch-a]}$path")
+  outcome=$(tr -d '\r' <"$work/headers" | sed -n 's/^X-Fescuepond-Outcome: //Ip')
+  printf '%-44s %-8s %-16s %s\n' "$method $host$path" "$status" "$outcome" "$(head -c 100 "$work/body" | tr '\n' ' ')"
+}
+request GET /slots/monday dispatch
+request GET /reports/week dispatch
+request GET /stock/ballast yard
+request POST /bookings dispatch -H 'Idempotency-Key: demo-1' -d 'truck=7'
+request GET /slots/monday nosuch
+request DELETE /slots/monday dispatch
+request GET /slots/forged dispatch -H 'X-Fescuepond-Call: 00000000000000010000000000000001'
+
+step "metrics of dispatch-a"
+curl -s "http://${operator[dispatch-a]}/metrics" | grep -E 'call_seconds_count|platform_calls'
+
+step "stop one node with a planned stop"
+curl -s -X POST "http://${operator[yard-c]}/drain"
+wait_for "$work/yard-c.err" event=node_stopped
+grep -E 'event=(drain_started|node_stopped)' "$work/yard-c.err"
+echo "demo: done"
--- /dev/null
+++ b/servers/classification/classifier.cpp
@@ -0,0 +1,54 @@
+// Classification: what the declarations say of a call.
+
+#include "servers/classification/classifier.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+CallContext rootContext(const CallRequest &call, const KindDeclaration &kind)
+{
+    return call.context()
+        .withRootId(RootId::random())
+        .withRootKind(call.service() + "/" + kind.name())
+        .withRank(kind.rank())
+        .withKeptShare(kind.keptShare())
+        .withRetryAllowance(kind.retryAllowance())
+        .withDepth(0);
+}
+
+} // namespace
+
+std::variant<CallRequest, CallOutcome>
+classify(const CallRequest &call, const Configuration *configuration, TimePoint now)
+{
+    if (configuration == nullptr) {
+        return CallOutcome::notRun(Reason::NoConfiguration, "this node has no configuration yet");
+    }
+    const ServiceDeclaration *service = configuration->service(call.service());
+    if (service == nullptr) {
+        return CallOutcome::notRun(Reason::UnknownService, fmt::format("no service '{}' is declared", call.service()));
+    }
+    const KindDeclaration *kind = service->match(call.method(), call.path());
+    if (kind == nullptr) {
+        return CallOutcome::notRun(
+            Reason::UnknownKind,
+            fmt::format("service '{}' declares no kind for {} {}", call.service(), call.method(), call.path()));
+    }
+    const bool isRoot = call.context().rootId().isNone();
+    const TimePoint ownDeadline = now + kind->deadline();
+    CallContext context = isRoot ? rootContext(call, *kind) : call.context();
+    context = context.withCallId(CallId::random())
+                  .withKind(kind->name())
+                  .withIdempotent(kind->idempotent())
+                  .withDeadline(isRoot ? ownDeadline : std::min(ownDeadline, call.context().deadline()));
+    return call.withContext(context);
+}
+
+} // namespace fescuepond
--- /dev/null
+++ b/tests/standins/backendstandin.cpp
@@ -0,0 +1,316 @@
+// Stand-in for a backend server, for tests and the demo.
+//
+// It has slots and a service time, calls further services through its node's local listener, reports its load, and
+// writes a journal of what it ran: a line "begin CALL METHOD PATH BODY" when a request starts and "end CALL" when its
+// answer is ready. Requests with these paths are special:
+//     /crash...     ends the process at once
+// Control port: POST /set?service_ms=N | /set?load=N (report this load) | /set?silent=1 (never answer again)
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/ThreadPool.h>
+#include <Poco/URI.h>
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <mutex>
+#include <random>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+DEFINE_string(address, "127.0.0.1:0", "IP and port for requests.");
+DEFINE_string(control, "127.0.0.1:0", "IP and port of the control.");
+DEFINE_string(name, "backend", "Name that answers carry.");
+DEFINE_string(local, "", "Local listener of the node, for calls to other services.");
+DEFINE_string(downstream, "", "Calls made for each request: 'METHOD SERVICE PATH', separated by ';'.");
+DEFINE_string(journal, "", "File to which the journal is appended.");
+DEFINE_int32(slots, 60, "Requests that run at once; others wait.");
+DEFINE_int32(service_ms, 5, "Mean service time, exponential.");
+DEFINE_bool(fixed, false, "Every request takes exactly the mean service time.");
+DEFINE_int32(cold_start_ms, 0, "Time after the start in which service takes ten times as long.");
+DEFINE_uint64(seed, 1, "Seed of the service times.");
+
+namespace
+{
+
+using Clock = std::chrono::steady_clock;
+using Poco::Net::HTTPRequestHandler;
+using Poco::Net::HTTPResponse;
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+constexpr int MostThreads = 800;
+constexpr int ColdStartFactor = 10;
+constexpr int ReportUnset = -1;
+constexpr const char *CallHeader = "X-Fescuepond-Call";
+
+struct DownstreamCall {
+    std::string method;
+    std::string service;
+    std::string path;
+};
+
+std::vector<DownstreamCall> parseDownstream(const std::string &text)
+{
+    std::vector<DownstreamCall> calls;
+    std::istringstream entries(text);
+    std::string entry;
+    while (std::getline(entries, entry, ';')) {
+        std::istringstream words(entry);
+        DownstreamCall call;
+        words >> call.method >> call.service >> call.path;
+        calls.push_back(call);
+    }
+    return calls;
+}
+
+/// The journal of what ran. Each line is flushed, so that it survives a crash of the process.
+class Journal
+{
+public:
+    explicit Journal(const std::string &path)
+    {
+        if (!path.empty()) {
+            m_file.open(path, std::ios::app);
+        }
+    }
+    void write(const std::string &line)
+    {
+        const std::lock_guard guard(m_mutex);
+        if (m_file.is_open()) {
+            m_file << line << std::endl;
+        }
+    }
+
+private:
+    std::mutex m_mutex;
+    std::ofstream m_file;
+};
+
+/// The slots of the backend server and the time that a request holds one.
+class Slots
+{
+public:
+    void acquire()
+    {
+        std::unique_lock lock(m_mutex);
+        m_freed.wait(lock, [this] {
+            return m_used < FLAGS_slots;
+        });
+        ++m_used;
+    }
+    void release()
+    {
+        const std::lock_guard guard(m_mutex);
+        --m_used;
+        m_freed.notify_one();
+    }
+    int used()
+    {
+        const std::lock_guard guard(m_mutex);
+        return m_used;
+    }
+    std::chrono::duration<double, std::milli> drawServiceTime()
+    {
+        const std::lock_guard guard(m_mutex);
+        double mean = m_serviceMs;
+        if (Clock::now() - m_start < std::chrono::milliseconds(FLAGS_cold_start_ms)) {
+            mean *= ColdStartFactor;
+        }
+        if (FLAGS_fixed || mean == 0) {
+            return std::chrono::duration<double, std::milli>(mean);
+        }
+        return std::chrono::duration<double, std::milli>(std::exponential_distribution<>(1.0 / mean)(m_random));
+    }
+    void setServiceMs(int milliseconds)
+    {
+        const std::lock_guard guard(m_mutex);
+        m_serviceMs = milliseconds;
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_freed;
+    int m_used = 0;
+    double m_serviceMs = FLAGS_service_ms;
+    const Clock::time_point m_start = Clock::now();
+    std::mt19937_64 m_random{FLAGS_seed};
+};
+
+struct Backend {
+    Slots slots;
+    Journal journal{FLAGS_journal};
+    const std::vector<DownstreamCall> downstream = parseDownstream(FLAGS_downstream);
+    std::atomic<int> reportedLoad = ReportUnset;
+    std::atomic<bool> isSilent = false;
+};
+
+/// Makes one call through the node's local listener and returns its status, 0 for none.
+int callDownstream(const DownstreamCall &call, const std::string &callId)
+{
+    try {
+        Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress(FLAGS_local)};
+        Poco::Net::HTTPRequest request(call.method, call.path, Poco::Net::HTTPRequest::HTTP_1_1);
+        request.setHost(call.service);
+        request.set(CallHeader, callId);
+        request.setContentLength(0);
+        session.sendRequest(request);
+        HTTPResponse response;
+        std::string body;
+        Poco::StreamCopier::copyToString(session.receiveResponse(response), body);
+        return response.getStatus();
+    } catch (const Poco::Exception &) {
+        return 0;
+    }
+}
+
+class RequestHandler final : public HTTPRequestHandler
+{
+public:
+    explicit RequestHandler(Backend &backend)
+        : m_backend(backend)
+    {
+    }
+
+    void handleRequest(HTTPServerRequest &request, HTTPServerResponse &response) override
+    {
+        std::string body;
+        Poco::StreamCopier::copyToString(request.stream(), body);
+        if (request.getURI() == "/load") {
+            sendLoad(response);
+            return;
+        }
+        const std::string callId = request.get(CallHeader, "-");
+        m_backend.slots.acquire();
+        m_backend.journal.write(fmt::format("begin {} {} {} {}", callId, request.getMethod(), request.getURI(), body));
+        if (request.getURI().starts_with("/crash")) {
+            std::_Exit(1);
+        }
+        std::this_thread::sleep_for(m_backend.slots.drawServiceTime());
+        HTTPResponse::HTTPStatus status = HTTPResponse::HTTP_OK;
+        std::string children;
+        for (const DownstreamCall &call : m_backend.downstream) {
+            const int childStatus = callDownstream(call, callId);
+            children += fmt::format(" {}={}", call.service, childStatus);
+            if (childStatus != HTTPResponse::HTTP_OK) {
+                status = HTTPResponse::HTTP_BAD_GATEWAY;
+            }
+        }
+        m_backend.slots.release();
+        m_backend.journal.write(fmt::format("end {}", callId));
+        while (m_backend.isSilent) {
+            std::this_thread::sleep_for(std::chrono::seconds(1));
+        }
+        const std::string text =
+            fmt::format("{} {} {} {}{}\n", FLAGS_name, request.getMethod(), request.getURI(), body, children);
+        response.setStatusAndReason(status);
+        response.setContentType("text/plain");
+        response.sendBuffer(text.data(), text.size());
+    }
+
+private:
+    void sendLoad(HTTPServerResponse &response)
+    {
+        const int reported = m_backend.reportedLoad;
+        const std::string text = fmt::format("{}\n", reported == ReportUnset ? m_backend.slots.used() : reported);
+        response.sendBuffer(text.data(), text.size());
+    }
+
+    Backend &m_backend;
+};
+
+class ControlHandler final : public HTTPRequestHandler
+{
+public:
+    explicit ControlHandler(Backend &backend)
+        : m_backend(backend)
+    {
+    }
+
+    void handleRequest(HTTPServerRequest &request, HTTPServerResponse &response) override
+    {
+        for (const auto &[name, value] : Poco::URI(request.getURI()).getQueryParameters()) {
+            if (name == "service_ms") {
+                m_backend.slots.setServiceMs(std::stoi(value));
+            } else if (name == "load") {
+                m_backend.reportedLoad = std::stoi(value);
+            } else if (name == "silent") {
+                m_backend.isSilent = value == "1";
+            }
+        }
+        response.sendBuffer("ok\n", 3);
+    }
+
+private:
+    Backend &m_backend;
+};
+
+template<typename Handler>
+class Factory final : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    explicit Factory(Backend &backend)
+        : m_backend(backend)
+    {
+    }
+    HTTPRequestHandler *createRequestHandler(const HTTPServerRequest &) override
+    {
+        return new Handler(m_backend);
+    }
+
+private:
+    Backend &m_backend;
+};
+
+Poco::Net::HTTPServerParams::Ptr serverParams()
+{
+    Poco::Net::HTTPServerParams::Ptr params(new Poco::Net::HTTPServerParams);
+    params->setMaxThreads(MostThreads);
+    params->setMaxQueued(MostThreads);
+    params->setKeepAlive(true);
+    params->setMaxKeepAliveRequests(0);
+    return params;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+
+    Backend backend;
+    Poco::ThreadPool pool(2, MostThreads);
+    Poco::Net::ServerSocket requestSocket(Poco::Net::SocketAddress(FLAGS_address), 512);
+    Poco::Net::ServerSocket controlSocket{Poco::Net::SocketAddress(FLAGS_control)};
+    Poco::Net::HTTPServer requests(new Factory<RequestHandler>(backend), pool, requestSocket, serverParams());
+    Poco::Net::HTTPServer control(new Factory<ControlHandler>(backend), pool, controlSocket, serverParams());
+    requests.start();
+    control.start();
+    fmt::print("address={} control={}\n", requestSocket.address().toString(), controlSocket.address().toString());
+    std::fflush(stdout);
+    int received = 0;
+    sigwait(&signals, &received);
+    std::_Exit(0);
+}
