--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -162,6 +162,7 @@
         m_serverSocket.bind(Poco::Net::SocketAddress(address), true);
         m_serverSocket.listen(AcceptBacklog);
         m_pollSet.add(m_serverSocket, Poco::Net::PollSet::POLL_READ);
+        Event("listening").with("listener", m_name).with("address", this->address());
         m_thread = std::thread([this] {
             pollLoop();
         });
--- a/modules/peer/peerplugin.cpp
+++ b/modules/peer/peerplugin.cpp
@@ -1,5 +1,6 @@
 // Communication with other nodes by Cap'n Proto RPC: the listener, the connections, and the thread that runs them.
 
+#include "core/kernel/eventlog.h"
 #include "core/kernel/kernel.h"
 #include "core/pipeline/interfaces.h"
 #include "modules/peer/peersender.h"
@@ -97,6 +98,7 @@
             auto parsed = io.provider->getNetwork().parseAddress(wanted).wait(io.waitScope);
             auto receiver = parsed->listen();
             m_address = wanted.substr(0, wanted.rfind(':') + 1) + std::to_string(receiver->getPort());
+            Event("listening").with("listener", "peer").with("address", m_address);
             m_listener =
                 std::make_unique<Listener>(kj::mv(receiver), kj::heap<PeerServer>(*m_kernel, *m_pipeline, m_handlers));
             return {};
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -39,15 +39,10 @@
 # printed FILE KEY: the value of KEY in the line that a stand-in printed.
 printed() { sed -n "s/.*$2=\([^ ]*\).*/\1/p" "$1" | head -1; }
 
-# Takes free ports of loopback from the kernel.
-free_ports() {
-  python3 - "$1" <<'PY'
-import socket, sys
-sockets = [socket.socket() for _ in range(int(sys.argv[1]))]
-for s in sockets:
-    s.bind(("127.0.0.1", 0))
-print(*[s.getsockname()[1] for s in sockets])
-PY
+# listening NAME LISTENER: the address that a node's listener took.
+listening() {
+  wait_for "$work/$1.err" "event=listening listener=$2 "
+  sed -n "s/.*event=listening listener=$2 address=\([^ ]*\).*/\1/p" "$work/$1.err" | head -1
 }
 
 step "start the platform's stand-in"
@@ -59,29 +54,28 @@
 step "publish the declarations of examples/tuul"
 build/fescuepond publish --platform="$platform" examples/tuul
 
-# start_node NAME SERVICE ZONE DOWNSTREAM: a backend server and the node beside it.
+# start_node NAME SERVICE ZONE DOWNSTREAM: a backend server and the node beside it, on ports from the kernel.
 declare -A front operator
 start_node() {
   local name="$1" service="$2" zone="$3" downstream="$4"
-  read -r front_port local_port peer_port operator_port < <(free_ports 4)
-  start "$name-backend" build/tests/backendstandin --name="$name" --local="127.0.0.1:$local_port" \
-    --downstream="$downstream" --service_ms=3
+  start "$name-backend" build/tests/backendstandin --name="$name" --downstream="$downstream" --service_ms=3
   wait_for "$work/$name-backend.out" address=
   cat >"$work/$name.yaml" <<YAML
 name: $name
 service: $service
 zone: $zone
 region: ulaanbaatar
-front_address: 127.0.0.1:$front_port
-local_address: 127.0.0.1:$local_port
-peer_address: 127.0.0.1:$peer_port
-operator_address: 127.0.0.1:$operator_port
+front_address: 127.0.0.1:0
+local_address: 127.0.0.1:0
+peer_address: 127.0.0.1:0
+operator_address: 127.0.0.1:0
 backend_address: $(printed "$work/$name-backend.out" address)
 platform_address: $platform
 YAML
   start "$name" build/fescuepond node --settings="$work/$name.yaml"
-  front[$name]=127.0.0.1:$front_port
-  operator[$name]=127.0.0.1:$operator_port
+  front[$name]=$(listening "$name" front)
+  operator[$name]=$(listening "$name" operator)
+  curl -s -o /dev/null -X POST "http://$(printed "$work/$name-backend.out" control)/set?local=$(listening "$name" local)"
 }
 
 step "start two services in three zones: dispatch calls yard"
--- a/tests/standins/backendstandin.cpp
+++ b/tests/standins/backendstandin.cpp
@@ -4,7 +4,8 @@
 // writes a journal of what it ran: a line "begin CALL METHOD PATH BODY" when a request starts and "end CALL" when its
 // answer is ready. Requests with these paths are special:
 //     /crash...     ends the process at once
-// Control port: POST /set?service_ms=N | /set?load=N (report this load) | /set?silent=1 (never answer again)
+// Control port: POST /set?local=ADDRESS | /set?service_ms=N | /set?load=N (report this load) | /set?silent=1 (never
+// answer again)
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -38,7 +39,7 @@
 DEFINE_string(address, "127.0.0.1:0", "IP and port for requests.");
 DEFINE_string(control, "127.0.0.1:0", "IP and port of the control.");
 DEFINE_string(name, "backend", "Name that answers carry.");
-DEFINE_string(local, "", "Local listener of the node, for calls to other services.");
+DEFINE_string(local, "", "Local listener of the node, for calls to other services; may be set by the control too.");
 DEFINE_string(downstream, "", "Calls made for each request: 'METHOD SERVICE PATH', separated by ';'.");
 DEFINE_string(journal, "", "File to which the journal is appended.");
 DEFINE_int32(slots, 60, "Requests that run at once; others wait.");
@@ -160,13 +161,28 @@
     const std::vector<DownstreamCall> downstream = parseDownstream(FLAGS_downstream);
     std::atomic<int> reportedLoad = ReportUnset;
     std::atomic<bool> isSilent = false;
+
+    std::string localAddress()
+    {
+        const std::lock_guard guard(m_mutex);
+        return m_local;
+    }
+    void setLocalAddress(const std::string &address)
+    {
+        const std::lock_guard guard(m_mutex);
+        m_local = address;
+    }
+
+private:
+    std::mutex m_mutex;
+    std::string m_local = FLAGS_local;
 };
 
 /// Makes one call through the node's local listener and returns its status, 0 for none.
-int callDownstream(const DownstreamCall &call, const std::string &callId)
+int callDownstream(const std::string &local, const DownstreamCall &call, const std::string &callId)
 {
     try {
-        Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress(FLAGS_local)};
+        Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress(local)};
         Poco::Net::HTTPRequest request(call.method, call.path, Poco::Net::HTTPRequest::HTTP_1_1);
         request.setHost(call.service);
         request.set(CallHeader, callId);
@@ -207,7 +223,7 @@
         HTTPResponse::HTTPStatus status = HTTPResponse::HTTP_OK;
         std::string children;
         for (const DownstreamCall &call : m_backend.downstream) {
-            const int childStatus = callDownstream(call, callId);
+            const int childStatus = callDownstream(m_backend.localAddress(), call, callId);
             children += fmt::format(" {}={}", call.service, childStatus);
             if (childStatus != HTTPResponse::HTTP_OK) {
                 status = HTTPResponse::HTTP_BAD_GATEWAY;
@@ -247,7 +263,9 @@
     void handleRequest(HTTPServerRequest &request, HTTPServerResponse &response) override
     {
         for (const auto &[name, value] : Poco::URI(request.getURI()).getQueryParameters()) {
-            if (name == "service_ms") {
+            if (name == "local") {
+                m_backend.setLocalAddress(value);
+            } else if (name == "service_ms") {
                 m_backend.slots.setServiceMs(std::stoi(value));
             } else if (name == "load") {
                 m_backend.reportedLoad = std::stoi(value);
--- /dev/null
+++ b/tests/support/fleet.cpp
@@ -0,0 +1,255 @@
+// A small fleet of real processes on loopback.
+
+#include "tests/support/fleet.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/StreamCopier.h>
+
+#include <algorithm>
+#include <cctype>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+namespace fescuepond::test
+{
+
+namespace
+{
+
+constexpr auto ReadyTimeout = std::chrono::seconds(10);
+constexpr auto VerbTimeout = std::chrono::seconds(30);
+constexpr auto PollInterval = std::chrono::milliseconds(50);
+
+/// The path of a program below the build folder.
+std::string programPath(const std::string &program)
+{
+    const char *folder = std::getenv("FESCUEPOND_BUILD");
+    if (folder == nullptr) {
+        throw std::runtime_error("FESCUEPOND_BUILD is not set; run the tests with ctest");
+    }
+    return std::string(folder) + "/" + program;
+}
+
+std::string lower(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
+        return static_cast<char>(std::tolower(c));
+    });
+    return text;
+}
+
+std::size_t countOf(const std::string &text, const std::string &part)
+{
+    std::size_t count = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
+        ++count;
+    }
+    return count;
+}
+
+bool isReady(const FleetNode &node, std::size_t count)
+{
+    HttpCall call;
+    call.path = "/status";
+    const HttpReply reply = sendHttp(node.operatorAddress, call);
+    const bool hasConfiguration = reply.body.find("\"configuration_version\": 0,") == std::string::npos;
+    // The node's own state stands beside the list of members.
+    return reply.status == 200 && hasConfiguration && countOf(reply.body, "\"state\": \"alive\"") == count + 1;
+}
+
+} // namespace
+
+std::string HttpReply::outcome() const
+{
+    const auto found = headers.find("x-fescuepond-outcome");
+    return found == headers.end() ? "" : found->second;
+}
+
+HttpReply sendHttp(const std::string &address, const HttpCall &call)
+{
+    HttpReply reply;
+    try {
+        Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress(address)};
+        session.setTimeout(Poco::Timespan(std::chrono::microseconds(call.timeout).count()));
+        Poco::Net::HTTPRequest request(call.method, call.path, Poco::Net::HTTPRequest::HTTP_1_1);
+        if (!call.host.empty()) {
+            request.setHost(call.host);
+        }
+        for (const auto &[name, value] : call.headers) {
+            request.set(name, value);
+        }
+        request.setContentLength64(static_cast<Poco::Int64>(call.body.size()));
+        session.sendRequest(request) << call.body;
+        Poco::Net::HTTPResponse response;
+        Poco::StreamCopier::copyToString(session.receiveResponse(response), reply.body);
+        const auto declared = response.getContentLength64();
+        if (declared >= 0 && reply.body.size() != static_cast<std::size_t>(declared)) {
+            return {};
+        }
+        for (const auto &[name, value] : response) {
+            reply.headers[lower(name)] = value;
+        }
+        reply.status = response.getStatus();
+    } catch (const Poco::Exception &) {
+        return {};
+    }
+    return reply;
+}
+
+std::vector<std::string> FleetNode::journalLines(const std::string &prefix) const
+{
+    std::vector<std::string> lines;
+    std::ifstream stream(journal);
+    std::string line;
+    while (std::getline(stream, line)) {
+        if (line.starts_with(prefix)) {
+            lines.push_back(line);
+        }
+    }
+    return lines;
+}
+
+Fleet::Fleet()
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "fescuepond-test-XXXXXX").string();
+    m_folder = mkdtemp(pattern.data());
+    m_platformProcess = std::make_unique<Process>(
+        programPath("tests/platformstandin"), std::vector<std::string>{}, m_folder + "/platform.log");
+    const std::string line = m_platformProcess->waitForLine("address=");
+    m_platform = valueIn(line, "address");
+    m_platformControl = valueIn(line, "control");
+}
+
+Fleet::~Fleet()
+{
+    for (const auto &node : m_nodes) {
+        node->process.reset();
+        node->backendProcess.reset();
+    }
+    m_platformProcess.reset();
+    const bool isKept = std::getenv("FESCUEPOND_KEEP_LOGS") != nullptr;
+    if (!isKept) {
+        std::error_code ignored;
+        std::filesystem::remove_all(m_folder, ignored);
+    }
+}
+
+void Fleet::setPlatformMode(const std::string &query) const
+{
+    HttpCall call;
+    call.method = "POST";
+    call.path = "/mode?" + (query.empty() ? "up" : query);
+    sendHttp(m_platformControl, call);
+}
+
+std::map<std::string, int> Fleet::platformCounts() const
+{
+    HttpCall call;
+    call.path = "/counts";
+    std::istringstream lines(sendHttp(m_platformControl, call).body);
+    std::map<std::string, int> counts;
+    std::string operation;
+    int count = 0;
+    while (lines >> operation >> count) {
+        counts[operation] = count;
+    }
+    return counts;
+}
+
+int Fleet::runVerb(const std::vector<std::string> &arguments, std::string *output) const
+{
+    const std::string file = m_folder + "/verb-" + std::to_string(std::rand()) + ".log";
+    Process process(programPath("fescuepond"), arguments, file);
+    const auto code = process.wait(VerbTimeout);
+    if (output != nullptr) {
+        *output = process.output();
+    }
+    return code.value_or(-1);
+}
+
+int Fleet::publish(const std::vector<std::string> &declarations)
+{
+    const std::string folder = m_folder + "/publish-" + std::to_string(++m_publishCount);
+    std::filesystem::create_directory(folder);
+    int number = 0;
+    for (const std::string &text : declarations) {
+        std::ofstream(folder + "/" + std::to_string(++number) + ".fescuepond.yaml") << text;
+    }
+    return runVerb({"publish", "--platform=" + m_platform, folder});
+}
+
+FleetNode &Fleet::addNode(const NodeOptions &options)
+{
+    auto node = std::make_unique<FleetNode>();
+    node->options = options;
+    node->journal = m_folder + "/" + options.name + ".journal";
+    std::vector<std::string> flags = {"--name=" + options.name, "--journal=" + node->journal};
+    flags.insert(flags.end(), options.backendFlags.begin(), options.backendFlags.end());
+    node->backendProcess = std::make_unique<Process>(
+        programPath("tests/backendstandin"), flags, m_folder + "/" + options.name + "-backend.log");
+    const std::string line = node->backendProcess->waitForLine("address=");
+    node->backend = valueIn(line, "address");
+    node->backendControl = valueIn(line, "control");
+    startNode(*node);
+    m_nodes.push_back(std::move(node));
+    return *m_nodes.back();
+}
+
+void Fleet::restartNode(FleetNode &node)
+{
+    node.process.reset();
+    startNode(node);
+}
+
+void Fleet::startNode(FleetNode &node)
+{
+    const std::string base = m_folder + "/" + node.options.name + "-" + std::to_string(++m_processCount);
+    std::ofstream settings(base + ".yaml");
+    settings << "name: " << node.options.name << "\nservice: " << node.options.service
+             << "\nzone: " << node.options.zone << "\nbackend_address: " << node.backend
+             << "\nplatform_address: " << m_platform << '\n';
+    for (const char *listener : {"front", "local", "peer", "operator"}) {
+        settings << listener << "_address: 127.0.0.1:0\n";
+    }
+    for (const std::string &line : node.options.settings) {
+        settings << line << '\n';
+    }
+    settings.close();
+    node.process = std::make_unique<Process>(
+        programPath("fescuepond"), std::vector<std::string>{"node", "--settings=" + base + ".yaml"}, base + ".log");
+    node.process->waitForLine("event=node_started");
+    const auto addressOf = [&](const std::string &listener) {
+        return valueIn(node.process->waitForLine("event=listening listener=" + listener), "address");
+    };
+    node.front = addressOf("front");
+    node.peer = addressOf("peer");
+    node.operatorAddress = addressOf("operator");
+    HttpCall call;
+    call.method = "POST";
+    call.path = "/set?local=" + addressOf("local");
+    sendHttp(node.backendControl, call);
+}
+
+bool Fleet::waitUntilReady(std::size_t count) const
+{
+    const auto end = std::chrono::steady_clock::now() + ReadyTimeout;
+    while (std::chrono::steady_clock::now() < end) {
+        const bool allReady = std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto &node) {
+            return !node->process || isReady(*node, count);
+        });
+        if (allReady) {
+            return true;
+        }
+        std::this_thread::sleep_for(PollInterval);
+    }
+    return false;
+}
+
+} // namespace fescuepond::test
--- /dev/null
+++ b/tests/system/pathtest.cpp
@@ -0,0 +1,66 @@
+// The whole path as real processes: a caller's request through two nodes and a call further down.
+
+#include "tests/support/fleet.h"
+
+#include <gtest/gtest.h>
+
+namespace fescuepond::test
+{
+
+namespace
+{
+
+constexpr const char *Dispatch = R"(
+service: dispatch
+kinds:
+  - {name: slots, method: GET, path: /slots/*, rank: 5, idempotent: true, deadline_ms: 5000, retries: 2}
+)";
+constexpr const char *Yard = R"(
+service: yard
+kinds:
+  - {name: stock, method: GET, path: /stock/*, rank: 5, idempotent: true, deadline_ms: 5000, retries: 2}
+)";
+
+} // namespace
+
+TEST(Path, RequestGoesThroughTwoNodesAndACallFurtherDown)
+{
+    Fleet fleet;
+    ASSERT_EQ(fleet.publish({Dispatch, Yard}), 0);
+    FleetNode &yard = fleet.addNode({.name = "yard-a", .service = "yard"});
+    FleetNode &dispatch = fleet.addNode(
+        {.name = "dispatch-a", .service = "dispatch", .backendFlags = {"--downstream=GET yard /stock/sleepers"}});
+    ASSERT_TRUE(fleet.waitUntilReady(2));
+
+    HttpCall call;
+    call.host = "dispatch";
+    call.path = "/slots/monday";
+    const HttpReply reply = sendHttp(yard.front, call);
+
+    EXPECT_EQ(reply.status, 200);
+    EXPECT_EQ(reply.outcome(), "answered");
+    EXPECT_NE(reply.body.find("yard=200"), std::string::npos) << reply.body;
+    EXPECT_EQ(dispatch.journalLines("begin").size(), 1);
+    EXPECT_EQ(yard.journalLines("begin").size(), 1);
+}
+
+TEST(Path, UnknownServiceAndUnknownKindAreRefusedAsNotRun)
+{
+    Fleet fleet;
+    ASSERT_EQ(fleet.publish({Yard}), 0);
+    const FleetNode &yard = fleet.addNode({.name = "yard-a", .service = "yard"});
+    ASSERT_TRUE(fleet.waitUntilReady(1));
+
+    HttpCall unknownService;
+    unknownService.host = "nosuch";
+    EXPECT_EQ(sendHttp(yard.front, unknownService).status, 404);
+    HttpCall unknownKind;
+    unknownKind.method = "DELETE";
+    unknownKind.path = "/stock/sleepers";
+    const HttpReply reply = sendHttp(yard.front, unknownKind);
+    EXPECT_EQ(reply.status, 404);
+    EXPECT_EQ(reply.outcome(), "not-run");
+    EXPECT_TRUE(yard.journalLines("begin").empty());
+}
+
+} // namespace fescuepond::test
