--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -12,8 +12,6 @@
 #include <stdexcept>
 #include <thread>
 
-extern char **environ;
-
 namespace fescuepond::test
 {
 
