--- a/core/pipeline/interfaces.h
+++ b/core/pipeline/interfaces.h
@@ -57,6 +57,7 @@
     Fenced, ///< It never ran here and never will.
     Running,
     Finished, ///< The outcome is known.
+    Forgotten, ///< It may have run.
 };
 
 class AttemptReport
@@ -68,6 +69,21 @@
     friend auto operator<=>(const AttemptReport &, const AttemptReport &) = default;
 };
 
+/// What this node knows of the attempts that were sent to it.
+class AttemptSettlement
+{
+public:
+    using Settled = std::function<void(const AttemptReport &)>;
+
+    virtual ~AttemptSettlement() = default;
+    /// Tells what became of an attempt; waits for at most `wait` while it runs. One that never came is fenced.
+    virtual void settle(const AttemptId &id, TimePoint deadline, Duration wait, Settled settled) = 0;
+    /// The sender no longer wants the outcome: an attempt that the backend server doesn't have yet is never run.
+    virtual void cancel(const AttemptId &id, TimePoint deadline) = 0;
+    /// Asked right before an attempt is given to the backend server: whether it may be, now.
+    virtual bool mayBegin(const AttemptId &id) = 0;
+};
+
 /// Requests that nodes make of each other besides calls.
 enum class PeerTopic {
     Gossip,
--- a/core/settings/nodesettings.h
+++ b/core/settings/nodesettings.h
@@ -29,6 +29,7 @@
     FESCUEPOND_FIELD(std::string, frontAddress, withFrontAddress);
     FESCUEPOND_FIELD(std::string, localAddress, withLocalAddress);
     FESCUEPOND_FIELD(std::string, peerAddress, withPeerAddress);
+    FESCUEPOND_FIELD(std::string, peerAdvertisedAddress, withPeerAdvertisedAddress);
     FESCUEPOND_FIELD(std::string, operatorAddress, withOperatorAddress);
     FESCUEPOND_FIELD(std::string, backendAddress, withBackendAddress);
     FESCUEPOND_FIELD(std::string, platformAddress, withPlatformAddress);
--- a/modules/backend/backendplugin.cpp
+++ b/modules/backend/backendplugin.cpp
@@ -3,6 +3,7 @@
 #include "core/kernel/kernel.h"
 #include "core/pipeline/callpipeline.h"
 #include "core/pipeline/callsinflight.h"
+#include "core/pipeline/interfaces.h"
 #include "modules/backend/backendclient.h"
 
 #include <memory>
@@ -20,6 +21,7 @@
     {
         m_kernel = &kernel;
         m_calls = &kernel.require<CallsInFlight>();
+        m_settlement = &kernel.require<AttemptSettlement>();
         m_client = std::make_unique<BackendClient>(kernel.settings().backendAddress());
         kernel.require<TargetPipeline>().add(TargetPlace::Run, *this);
         return {};
@@ -27,6 +29,11 @@
 
     void handle(const CallRequest &call, const Next &, Done done) override
     {
+        if (!m_settlement->mayBegin(call.context().attemptId())) {
+            done(CallOutcome::notRun(Reason::Cancelled, "the caller no longer wants the outcome")
+                     .withUnusedAllowance(call.context().retryAllowance()));
+            return;
+        }
         m_calls->add(call.context());
         m_kernel->pool().post(Lane::Backend, [this, call, done = std::move(done)] {
             const TimePoint begin = m_kernel->clock().now();
@@ -40,10 +47,11 @@
 private:
     Kernel *m_kernel = nullptr;
     CallsInFlight *m_calls = nullptr;
+    AttemptSettlement *m_settlement = nullptr;
     std::unique_ptr<BackendClient> m_client;
 };
 
-const auto registration = registerPlugin<BackendPlugin>("backend", {"pipelines"});
+const auto registration = registerPlugin<BackendPlugin>("backend", {"pipelines", "settlement"});
 
 } // namespace
 
--- /dev/null
+++ b/modules/peer/messagelimits.h
@@ -0,0 +1,29 @@
+// Limits on the messages between nodes.
+
+#pragma once
+
+#include <capnp/message.h>
+
+#include <cstdint>
+
+namespace fescuepond
+{
+
+/// What a message may hold besides bodies and headers.
+constexpr std::uint64_t MessageOverheadBytes = 65'536;
+
+/// The longest message for bodies and headers of the given lengths. Cap'n Proto counts what is read twice as twice.
+constexpr std::uint64_t mostMessageBytes(std::uint64_t mostBodyBytes, std::uint64_t mostHeaderBytes)
+{
+    return 2 * (mostBodyBytes + mostHeaderBytes) + MessageOverheadBytes;
+}
+
+/// Options under which a longer message is refused before memory is taken for it.
+inline capnp::ReaderOptions readerOptions(std::uint64_t mostMessageBytes)
+{
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = mostMessageBytes / sizeof(capnp::word);
+    return options;
+}
+
+} // namespace fescuepond
--- a/modules/peer/peer.capnp
+++ b/modules/peer/peer.capnp
@@ -18,6 +18,14 @@
   value @1 :Text;
 }
 
+# Clocks of two nodes have no common zero, so a deadline is given twice; the callee takes the earlier one. The time
+# that was left when it was sent is too late by the message's way; the sender's clock, which hello related to the
+# callee's, is too late by the way of that hello, however long this message was held up.
+struct Deadline {
+  remainingNs @0 :Int64;
+  senderClockNs @1 :Int64;
+}
+
 struct Call {
   callId @0 :Id;
   rootId @1 :Id;
@@ -28,8 +36,7 @@
   keptShare @6 :Float64;
   idempotent @7 :Bool;
   key @8 :Text;
-  # Time left until the deadline: the clocks of two nodes have no common zero.
-  remainingNs @9 :Int64;
+  deadline @9 :Deadline;
   retryAllowance @10 :Int32;
   depth @11 :Int32;
   crashCount @12 :Int32;
@@ -56,17 +63,19 @@
 }
 
 interface Peer {
-  # First request on each connection. The reply carries the callee's own version and name.
-  hello @0 (version :UInt32, name :Text) -> (version :UInt32, name :Text);
+  # First request on each connection, with the caller's clock. The reply carries the callee's own version and name, and
+  # an identifier of this life of its process.
+  hello @0 (version :UInt32, name :Text, clockNs :Int64) -> (version :UInt32, name :Text, incarnation :Id);
 
   # Runs a call at the callee, which is its target. `attemptId` again lets a reply be matched to its request.
   call @1 (call :Call) -> (outcome :Outcome, attemptId :Id);
 
-  # Asks what became of an attempt. One that the callee never saw is fenced: it will never run.
-  settle @2 (attemptId :Id, waitNs :Int64) -> (status :UInt8, outcome :Outcome);
+  # Asks what became of an attempt; waits for at most `waitNs` while it runs. One that the callee never saw is fenced:
+  # it will never run. The outcome is set when the attempt is finished.
+  settle @2 (attemptId :Id, deadline :Deadline, waitNs :Int64) -> (status :UInt8, outcome :Outcome);
 
-  # The caller no longer wants the outcome.
-  cancel @3 (attemptId :Id);
+  # The caller no longer wants the outcome. An attempt that the backend server doesn't have yet will never run.
+  cancel @3 (attemptId :Id, deadline :Deadline);
 
   # A request of one of the topics of PeerTopic; the plug-in that owns the topic encodes the bodies.
   ask @4 (topic :UInt16, body :Data) -> (answered :Bool, body :Data);
--- a/modules/peer/peer.capnp.h
+++ b/modules/peer/peer.capnp.h
@@ -22,6 +22,7 @@
 CAPNP_DECLARE_SCHEMA(a4a3c6dcdb88ee2d);
 CAPNP_DECLARE_SCHEMA(971d541eadcc254a);
 CAPNP_DECLARE_SCHEMA(9462abf603179953);
+CAPNP_DECLARE_SCHEMA(df4f06e61f15fd92);
 CAPNP_DECLARE_SCHEMA(95366b2ac4fd728d);
 CAPNP_DECLARE_SCHEMA(ea3fa387287ff851);
 CAPNP_DECLARE_SCHEMA(847bf393bf225da9);
@@ -75,6 +76,21 @@
   };
 };
 
+struct Deadline {
+  Deadline() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(df4f06e61f15fd92, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Call {
   Call() = delete;
 
@@ -83,7 +99,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(95366b2ac4fd728d, 6, 11)
+    CAPNP_DECLARE_STRUCT_HEADER(95366b2ac4fd728d, 5, 12)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -142,7 +158,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b0a69bc672142a37, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b0a69bc672142a37, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -157,7 +173,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c1d217480ed66b86, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c1d217480ed66b86, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -202,7 +218,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c6f4c800c98dceb9, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c6f4c800c98dceb9, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -232,7 +248,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(89158ee87f8e5c7b, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(89158ee87f8e5c7b, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -488,6 +504,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class Deadline::Reader {
+public:
+  typedef Deadline Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getRemainingNs() const;
+
+  inline  ::int64_t getSenderClockNs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Deadline::Builder {
+public:
+  typedef Deadline Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getRemainingNs();
+  inline void setRemainingNs( ::int64_t value);
+
+  inline  ::int64_t getSenderClockNs();
+  inline void setSenderClockNs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Deadline::Pipeline {
+public:
+  typedef Deadline Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Call::Reader {
 public:
   typedef Call Reads;
@@ -529,7 +626,8 @@
   inline bool hasKey() const;
   inline  ::capnp::Text::Reader getKey() const;
 
-  inline  ::int64_t getRemainingNs() const;
+  inline bool hasDeadline() const;
+  inline  ::fescuepond::wire::Deadline::Reader getDeadline() const;
 
   inline  ::int32_t getRetryAllowance() const;
 
@@ -633,8 +731,12 @@
   inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownKey();
 
-  inline  ::int64_t getRemainingNs();
-  inline void setRemainingNs( ::int64_t value);
+  inline bool hasDeadline();
+  inline  ::fescuepond::wire::Deadline::Builder getDeadline();
+  inline void setDeadline( ::fescuepond::wire::Deadline::Reader value);
+  inline  ::fescuepond::wire::Deadline::Builder initDeadline();
+  inline void adoptDeadline(::capnp::Orphan< ::fescuepond::wire::Deadline>&& value);
+  inline ::capnp::Orphan< ::fescuepond::wire::Deadline> disownDeadline();
 
   inline  ::int32_t getRetryAllowance();
   inline void setRetryAllowance( ::int32_t value);
@@ -704,6 +806,7 @@
   inline  ::fescuepond::wire::Id::Pipeline getCallId();
   inline  ::fescuepond::wire::Id::Pipeline getRootId();
   inline  ::fescuepond::wire::Id::Pipeline getAttemptId();
+  inline  ::fescuepond::wire::Deadline::Pipeline getDeadline();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -958,6 +1061,8 @@
   inline bool hasName() const;
   inline  ::capnp::Text::Reader getName() const;
 
+  inline  ::int64_t getClockNs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -996,6 +1101,9 @@
   inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownName();
 
+  inline  ::int64_t getClockNs();
+  inline void setClockNs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1044,6 +1152,9 @@
   inline bool hasName() const;
   inline  ::capnp::Text::Reader getName() const;
 
+  inline bool hasIncarnation() const;
+  inline  ::fescuepond::wire::Id::Reader getIncarnation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1082,6 +1193,13 @@
   inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownName();
 
+  inline bool hasIncarnation();
+  inline  ::fescuepond::wire::Id::Builder getIncarnation();
+  inline void setIncarnation( ::fescuepond::wire::Id::Reader value);
+  inline  ::fescuepond::wire::Id::Builder initIncarnation();
+  inline void adoptIncarnation(::capnp::Orphan< ::fescuepond::wire::Id>&& value);
+  inline ::capnp::Orphan< ::fescuepond::wire::Id> disownIncarnation();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1100,6 +1218,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::fescuepond::wire::Id::Pipeline getIncarnation();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1303,6 +1422,9 @@
   inline bool hasAttemptId() const;
   inline  ::fescuepond::wire::Id::Reader getAttemptId() const;
 
+  inline bool hasDeadline() const;
+  inline  ::fescuepond::wire::Deadline::Reader getDeadline() const;
+
   inline  ::int64_t getWaitNs() const;
 
 private:
@@ -1340,6 +1462,13 @@
   inline void adoptAttemptId(::capnp::Orphan< ::fescuepond::wire::Id>&& value);
   inline ::capnp::Orphan< ::fescuepond::wire::Id> disownAttemptId();
 
+  inline bool hasDeadline();
+  inline  ::fescuepond::wire::Deadline::Builder getDeadline();
+  inline void setDeadline( ::fescuepond::wire::Deadline::Reader value);
+  inline  ::fescuepond::wire::Deadline::Builder initDeadline();
+  inline void adoptDeadline(::capnp::Orphan< ::fescuepond::wire::Deadline>&& value);
+  inline ::capnp::Orphan< ::fescuepond::wire::Deadline> disownDeadline();
+
   inline  ::int64_t getWaitNs();
   inline void setWaitNs( ::int64_t value);
 
@@ -1362,6 +1491,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::fescuepond::wire::Id::Pipeline getAttemptId();
+  inline  ::fescuepond::wire::Deadline::Pipeline getDeadline();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1477,6 +1607,9 @@
   inline bool hasAttemptId() const;
   inline  ::fescuepond::wire::Id::Reader getAttemptId() const;
 
+  inline bool hasDeadline() const;
+  inline  ::fescuepond::wire::Deadline::Reader getDeadline() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1512,6 +1645,13 @@
   inline void adoptAttemptId(::capnp::Orphan< ::fescuepond::wire::Id>&& value);
   inline ::capnp::Orphan< ::fescuepond::wire::Id> disownAttemptId();
 
+  inline bool hasDeadline();
+  inline  ::fescuepond::wire::Deadline::Builder getDeadline();
+  inline void setDeadline( ::fescuepond::wire::Deadline::Reader value);
+  inline  ::fescuepond::wire::Deadline::Builder initDeadline();
+  inline void adoptDeadline(::capnp::Orphan< ::fescuepond::wire::Deadline>&& value);
+  inline ::capnp::Orphan< ::fescuepond::wire::Deadline> disownDeadline();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1531,6 +1671,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::fescuepond::wire::Id::Pipeline getAttemptId();
+  inline  ::fescuepond::wire::Deadline::Pipeline getDeadline();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2022,6 +2163,34 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t Deadline::Reader::getRemainingNs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Deadline::Builder::getRemainingNs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Deadline::Builder::setRemainingNs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Deadline::Reader::getSenderClockNs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Deadline::Builder::getSenderClockNs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Deadline::Builder::setSenderClockNs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Call::Reader::hasCallId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2283,244 +2452,269 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t Call::Reader::getRemainingNs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Call::Reader::hasDeadline() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::int64_t Call::Builder::getRemainingNs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Call::Builder::hasDeadline() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline void Call::Builder::setRemainingNs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::fescuepond::wire::Deadline::Reader Call::Reader::getDeadline() const {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::Deadline>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::fescuepond::wire::Deadline::Builder Call::Builder::getDeadline() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::Deadline>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::fescuepond::wire::Deadline::Pipeline Call::Pipeline::getDeadline() {
+  return  ::fescuepond::wire::Deadline::Pipeline(_typeless.getPointerField(6));
+}
+#endif  // !CAPNP_LITE
+inline void Call::Builder::setDeadline( ::fescuepond::wire::Deadline::Reader value) {
+  ::capnp::_::PointerHelpers< ::fescuepond::wire::Deadline>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::fescuepond::wire::Deadline::Builder Call::Builder::initDeadline() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::Deadline>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Call::Builder::adoptDeadline(
+    ::capnp::Orphan< ::fescuepond::wire::Deadline>&& value) {
+  ::capnp::_::PointerHelpers< ::fescuepond::wire::Deadline>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::fescuepond::wire::Deadline> Call::Builder::disownDeadline() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::Deadline>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
 inline  ::int32_t Call::Reader::getRetryAllowance() const {
   return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
 inline  ::int32_t Call::Builder::getRetryAllowance() {
   return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 inline void Call::Builder::setRetryAllowance( ::int32_t value) {
   _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::int32_t Call::Reader::getDepth() const {
   return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
 inline  ::int32_t Call::Builder::getDepth() {
   return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 inline void Call::Builder::setDepth( ::int32_t value) {
   _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::int32_t Call::Reader::getCrashCount() const {
   return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
 inline  ::int32_t Call::Builder::getCrashCount() {
   return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 inline void Call::Builder::setCrashCount( ::int32_t value) {
   _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Call::Reader::hasService() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
 inline bool Call::Builder::hasService() {
   return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::Text::Reader Call::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 inline  ::capnp::Text::Builder Call::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 inline void Call::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::Text::Builder Call::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
 inline void Call::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
 inline bool Call::Reader::hasMethod() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
 inline bool Call::Builder::hasMethod() {
   return !_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::Text::Reader Call::Reader::getMethod() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 inline  ::capnp::Text::Builder Call::Builder::getMethod() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 inline void Call::Builder::setMethod( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::Text::Builder Call::Builder::initMethod(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
 }
 inline void Call::Builder::adoptMethod(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownMethod() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
 inline bool Call::Reader::hasPath() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
 inline bool Call::Builder::hasPath() {
   return !_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::Text::Reader Call::Reader::getPath() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 inline  ::capnp::Text::Builder Call::Builder::getPath() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 inline void Call::Builder::setPath( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::Text::Builder Call::Builder::initPath(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
 }
 inline void Call::Builder::adoptPath(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::Text> Call::Builder::disownPath() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
 inline bool Call::Reader::hasHeaders() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
 }
 inline bool Call::Builder::hasHeaders() {
   return !_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::fescuepond::wire::Header,  ::capnp::Kind::STRUCT>::Reader Call::Reader::getHeaders() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuepond::wire::Header,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS));
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::fescuepond::wire::Header,  ::capnp::Kind::STRUCT>::Builder Call::Builder::getHeaders() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuepond::wire::Header,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS));
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
 inline void Call::Builder::setHeaders( ::capnp::List< ::fescuepond::wire::Header,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::fescuepond::wire::Header,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::fescuepond::wire::Header,  ::capnp::Kind::STRUCT>::Builder Call::Builder::initHeaders(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuepond::wire::Header,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
 }
 inline void Call::Builder::adoptHeaders(
     ::capnp::Orphan< ::capnp::List< ::fescuepond::wire::Header,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::fescuepond::wire::Header,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::fescuepond::wire::Header,  ::capnp::Kind::STRUCT>> Call::Builder::disownHeaders() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::fescuepond::wire::Header,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS));
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
 
 inline bool Call::Reader::hasBody() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
 }
 inline bool Call::Builder::hasBody() {
   return !_builder.getPointerField(
-      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::Data::Reader Call::Reader::getBody() const {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<10>() * ::capnp::POINTERS));
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
 }
 inline  ::capnp::Data::Builder Call::Builder::getBody() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<10>() * ::capnp::POINTERS));
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
 }
 inline void Call::Builder::setBody( ::capnp::Data::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<11>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::Data::Builder Call::Builder::initBody(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<11>() * ::capnp::POINTERS), size);
 }
 inline void Call::Builder::adoptBody(
     ::capnp::Orphan< ::capnp::Data>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<11>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::Data> Call::Builder::disownBody() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<10>() * ::capnp::POINTERS));
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
 }
 
 inline  ::uint64_t Call::Reader::getBodyDigest() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint64_t Call::Builder::getBodyDigest() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 inline void Call::Builder::setBodyDigest( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint8_t Outcome::Reader::getState() const {
@@ -2809,6 +3003,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t Peer::HelloParams::Reader::getClockNs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Peer::HelloParams::Builder::getClockNs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Peer::HelloParams::Builder::setClockNs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Peer::HelloResults::Reader::getVersion() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2857,6 +3065,45 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::HelloResults::Reader::hasIncarnation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::HelloResults::Builder::hasIncarnation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::fescuepond::wire::Id::Reader Peer::HelloResults::Reader::getIncarnation() const {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::Id>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::fescuepond::wire::Id::Builder Peer::HelloResults::Builder::getIncarnation() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::Id>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::fescuepond::wire::Id::Pipeline Peer::HelloResults::Pipeline::getIncarnation() {
+  return  ::fescuepond::wire::Id::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::HelloResults::Builder::setIncarnation( ::fescuepond::wire::Id::Reader value) {
+  ::capnp::_::PointerHelpers< ::fescuepond::wire::Id>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::fescuepond::wire::Id::Builder Peer::HelloResults::Builder::initIncarnation() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::Id>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::HelloResults::Builder::adoptIncarnation(
+    ::capnp::Orphan< ::fescuepond::wire::Id>&& value) {
+  ::capnp::_::PointerHelpers< ::fescuepond::wire::Id>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::fescuepond::wire::Id> Peer::HelloResults::Builder::disownIncarnation() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::Id>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Peer::CallParams::Reader::hasCall() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3013,6 +3260,45 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::SettleParams::Reader::hasDeadline() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::SettleParams::Builder::hasDeadline() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::fescuepond::wire::Deadline::Reader Peer::SettleParams::Reader::getDeadline() const {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::Deadline>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::fescuepond::wire::Deadline::Builder Peer::SettleParams::Builder::getDeadline() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::Deadline>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::fescuepond::wire::Deadline::Pipeline Peer::SettleParams::Pipeline::getDeadline() {
+  return  ::fescuepond::wire::Deadline::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::SettleParams::Builder::setDeadline( ::fescuepond::wire::Deadline::Reader value) {
+  ::capnp::_::PointerHelpers< ::fescuepond::wire::Deadline>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::fescuepond::wire::Deadline::Builder Peer::SettleParams::Builder::initDeadline() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::Deadline>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::SettleParams::Builder::adoptDeadline(
+    ::capnp::Orphan< ::fescuepond::wire::Deadline>&& value) {
+  ::capnp::_::PointerHelpers< ::fescuepond::wire::Deadline>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::fescuepond::wire::Deadline> Peer::SettleParams::Builder::disownDeadline() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::Deadline>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::int64_t Peer::SettleParams::Reader::getWaitNs() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3119,6 +3405,45 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::CancelParams::Reader::hasDeadline() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::CancelParams::Builder::hasDeadline() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::fescuepond::wire::Deadline::Reader Peer::CancelParams::Reader::getDeadline() const {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::Deadline>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::fescuepond::wire::Deadline::Builder Peer::CancelParams::Builder::getDeadline() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::Deadline>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::fescuepond::wire::Deadline::Pipeline Peer::CancelParams::Pipeline::getDeadline() {
+  return  ::fescuepond::wire::Deadline::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::CancelParams::Builder::setDeadline( ::fescuepond::wire::Deadline::Reader value) {
+  ::capnp::_::PointerHelpers< ::fescuepond::wire::Deadline>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::fescuepond::wire::Deadline::Builder Peer::CancelParams::Builder::initDeadline() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::Deadline>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::CancelParams::Builder::adoptDeadline(
+    ::capnp::Orphan< ::fescuepond::wire::Deadline>&& value) {
+  ::capnp::_::PointerHelpers< ::fescuepond::wire::Deadline>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::fescuepond::wire::Deadline> Peer::CancelParams::Builder::disownDeadline() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::Deadline>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint16_t Peer::AskParams::Reader::getTopic() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- /dev/null
+++ b/modules/peer/peerconnection.cpp
@@ -0,0 +1,91 @@
+// One open connection to another node, and how it is found to be silent.
+
+#include "modules/peer/peerconnection.h"
+
+#include "core/kernel/eventlog.h"
+#include "modules/peer/messagelimits.h"
+
+#include <capnp/message.h>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+/// The object that the other end of a connection offers.
+wire::Peer::Client peerOf(capnp::RpcSystem<capnp::rpc::twoparty::VatId> &rpc)
+{
+    capnp::MallocMessageBuilder message;
+    auto vatId = message.initRoot<capnp::rpc::twoparty::VatId>();
+    vatId.setSide(capnp::rpc::twoparty::Side::SERVER);
+    return rpc.bootstrap(vatId).castAs<wire::Peer>();
+}
+
+} // namespace
+
+PeerConnection::PeerConnection(kj::Own<kj::AsyncIoStream> stream, kj::Timer &timer, std::uint64_t mostMessageBytes)
+    : m_timer(timer)
+    , m_stream(kj::mv(stream))
+    , m_network(*m_stream, capnp::rpc::twoparty::Side::CLIENT, readerOptions(mostMessageBytes))
+    , m_rpc(capnp::makeRpcClient(m_network))
+    , m_peer(peerOf(m_rpc))
+    , m_lastHeard(timer.now())
+    , m_silence(nullptr)
+    , m_watch(nullptr)
+    , m_disconnect(nullptr)
+{
+    auto pair = kj::newPromiseAndFulfiller<void>();
+    m_foundSilent = kj::mv(pair.fulfiller);
+    m_silence = pair.promise.fork();
+    m_disconnect = m_network.onDisconnect()
+                       .then([this] {
+                           m_isUsable = false;
+                       })
+                       .eagerlyEvaluate(nullptr);
+}
+
+void PeerConnection::beginRequest()
+{
+    ++m_unanswered;
+    if (m_isWatched) {
+        return;
+    }
+    m_isWatched = true;
+    m_watch = watch().eagerlyEvaluate([](kj::Exception &&) {
+        // The requests themselves fail too.
+    });
+}
+
+kj::Promise<void> PeerConnection::watch()
+{
+    if (m_unanswered == 0 || !m_isUsable) {
+        m_isWatched = false;
+        return kj::READY_NOW;
+    }
+    // A connection that was idle is pinged together with the first request on it.
+    const bool wasHeard = m_timer.now() - m_lastHeard < PingInterval;
+    auto heard = wasHeard ? m_timer.afterDelay(PingInterval) : ping();
+    return heard.then([this] {
+        return watch();
+    });
+}
+
+kj::Promise<void> PeerConnection::ping()
+{
+    auto answered = m_peer.pingRequest().send().ignoreResult();
+    return m_timer.timeoutAfter(PingLimit, kj::mv(answered))
+        .then(
+            [this] {
+                m_lastHeard = m_timer.now();
+                // Not again before the interval has passed, even when the answer comes at once.
+                return m_timer.afterDelay(PingInterval);
+            },
+            [this](kj::Exception &&error) -> kj::Promise<void> {
+                m_isUsable = false;
+                m_foundSilent->fulfill();
+                return kj::mv(error);
+            });
+}
+
+} // namespace fescuepond
--- a/modules/peer/peerconnections.cpp
+++ b/modules/peer/peerconnections.cpp
@@ -2,6 +2,10 @@
 
 #include "modules/peer/peerconnections.h"
 
+#include "modules/peer/peerclock.h"
+#include "modules/peer/wireencoding.h"
+#include "servers/settlement/attempttable.h"
+
 #include <kj/debug.h>
 
 namespace fescuepond
@@ -10,13 +14,14 @@
 namespace
 {
 
-constexpr kj::Duration ConnectTimeout = 1 * kj::SECONDS;
+/// The exchange of clocks takes no longer than this, and so bounds the error that it leaves.
+constexpr kj::Duration ConnectTimeout = ClockErrorLimit.count() * kj::NANOSECONDS;
 
 }
 
-PeerConnections::PeerConnections(kj::AsyncIoContext &io, std::string ownName)
+PeerConnections::PeerConnections(kj::AsyncIoContext &io, PeerIdentity identity)
     : m_io(io)
-    , m_ownName(std::move(ownName))
+    , m_identity(std::move(identity))
 {
 }
 
@@ -24,7 +29,11 @@
 {
     const auto found = m_open.find(address);
     if (found != m_open.end()) {
-        return found->second.m_promise.addBranch();
+        const PeerConnection *connection = found->second.m_connection;
+        if (connection == nullptr || connection->isUsable()) {
+            return found->second.m_promise.addBranch();
+        }
+        m_open.erase(found);
     }
     const std::uint64_t number = m_nextNumber++;
     auto promise = m_io.provider->getTimer().timeoutAfter(ConnectTimeout, open(address, number)).fork();
@@ -32,22 +41,28 @@
     m_open.emplace(address, Entry{kj::mv(promise), number, nullptr});
     // A connection that can't be opened is forgotten, so that the next call tries again.
     return branch.catch_([this, address, number](kj::Exception &&error) -> kj::Promise<kj::Own<PeerConnection>> {
-        const auto entry = m_open.find(address);
-        if (entry != m_open.end() && entry->second.m_number == number) {
-            m_open.erase(entry);
-        }
+        remove(address, number);
         return kj::mv(error);
     });
 }
 
-void PeerConnections::discard(const std::string &address, const PeerConnection &connection)
+void PeerConnections::discard(const std::string &address, PeerConnection &connection)
 {
+    connection.retire();
     const auto entry = m_open.find(address);
     if (entry != m_open.end() && entry->second.m_connection == &connection) {
         m_open.erase(entry);
     }
 }
 
+void PeerConnections::remove(const std::string &address, std::uint64_t number)
+{
+    const auto entry = m_open.find(address);
+    if (entry != m_open.end() && entry->second.m_number == number) {
+        m_open.erase(entry);
+    }
+}
+
 kj::Promise<kj::Own<PeerConnection>> PeerConnections::open(const std::string &address, std::uint64_t number)
 {
     return m_io.provider->getNetwork()
@@ -57,7 +72,8 @@
             return connected.attach(kj::mv(parsed));
         })
         .then([this](kj::Own<kj::AsyncIoStream> stream) {
-            return greet(kj::refcounted<PeerConnection>(kj::mv(stream)));
+            return greet(
+                kj::refcounted<PeerConnection>(kj::mv(stream), m_io.provider->getTimer(), m_identity.mostMessageBytes));
         })
         .then([this, address, number](kj::Own<PeerConnection> connection) {
             const auto entry = m_open.find(address);
@@ -70,11 +86,13 @@
 
 kj::Promise<kj::Own<PeerConnection>> PeerConnections::greet(kj::Own<PeerConnection> connection)
 {
-    auto request = connection->m_peer.helloRequest();
+    auto request = connection->peer().helloRequest();
     request.setVersion(wire::PROTOCOL_VERSION);
-    request.setName(m_ownName);
+    request.setName(m_identity.name);
+    request.setClockNs(toWireClock(m_identity.clock.now()));
     return request.send().then([connection = kj::mv(connection)](auto response) mutable {
         KJ_REQUIRE(response.getVersion() == wire::PROTOCOL_VERSION, "peer speaks another version of the protocol");
+        connection->setIncarnation(decodeId<Incarnation>(response.getIncarnation()));
         return kj::mv(connection);
     });
 }
--- /dev/null
+++ b/modules/peer/peerlistener.cpp
@@ -0,0 +1,107 @@
+// Accepts the connections of other nodes.
+
+#include "modules/peer/peerlistener.h"
+
+#include "core/kernel/eventlog.h"
+#include "core/kernel/kernel.h"
+#include "modules/peer/messagelimits.h"
+
+#include <capnp/rpc-twoparty.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+constexpr std::size_t ConnectionLimit = 4096;
+/// Longest time from a connection's opening to its first message.
+constexpr kj::Duration HelloTimeout = 5 * kj::SECONDS;
+// An idle connection whose other end is gone is closed by the system after 60 s.
+constexpr int KeepAliveIdleSeconds = 30;
+constexpr int KeepAliveIntervalSeconds = 10;
+constexpr int KeepAliveProbes = 3;
+
+void setOption(kj::AsyncIoStream &stream, int level, int option, int value)
+{
+    stream.setsockopt(level, option, &value, sizeof(value));
+}
+
+void keepAlive(kj::AsyncIoStream &stream)
+{
+    setOption(stream, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(stream, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
+    setOption(stream, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
+    setOption(stream, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+}
+
+/// One accepted connection. Declared in the order in which each member needs the one before.
+struct Incoming {
+    Incoming(kj::Own<kj::AsyncIoStream> stream, std::uint64_t mostMessageBytes, kj::Own<PeerServer> server)
+        : m_stream(kj::mv(stream))
+        , m_network(*m_stream, capnp::rpc::twoparty::Side::SERVER, readerOptions(mostMessageBytes))
+        , m_server(*server)
+        , m_rpc(capnp::makeRpcServer(m_network, wire::Peer::Client(kj::mv(server))))
+    {
+    }
+
+    kj::Own<kj::AsyncIoStream> m_stream;
+    capnp::TwoPartyVatNetwork m_network;
+    const PeerServer &m_server; ///< Owned by m_rpc.
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> m_rpc;
+};
+
+} // namespace
+
+PeerListener::PeerListener(kj::Own<kj::ConnectionReceiver> receiver, kj::Timer &timer, const PeerServices &services)
+    : m_receiver(kj::mv(receiver))
+    , m_timer(timer)
+    , m_services(services)
+    , m_mostMessageBytes(
+          mostMessageBytes(services.kernel.settings().maxBodyBytes(), services.kernel.settings().maxHeaderBytes()))
+    , m_connections(*this)
+    , m_accepting(acceptNext().eagerlyEvaluate([](kj::Exception &&error) {
+        Event("peer_listener_failed").with("error", error.getDescription().cStr());
+    }))
+{
+}
+
+kj::Promise<void> PeerListener::acceptNext()
+{
+    return m_receiver->accept().then([this](kj::Own<kj::AsyncIoStream> stream) {
+        if (m_connectionCount < ConnectionLimit) {
+            m_connections.add(serve(kj::mv(stream)));
+        }
+        return acceptNext();
+    });
+}
+
+kj::Promise<void> PeerListener::serve(kj::Own<kj::AsyncIoStream> stream)
+{
+    ++m_connectionCount;
+    auto end = kj::defer([this] {
+        --m_connectionCount;
+    });
+    keepAlive(*stream);
+    auto incoming = kj::heap<Incoming>(kj::mv(stream), m_mostMessageBytes, kj::heap<PeerServer>(m_services));
+    auto disconnected = incoming->m_network.onDisconnect();
+    auto noHello = m_timer.afterDelay(HelloTimeout).then([&server = incoming->m_server]() -> kj::Promise<void> {
+        if (server.isGreeted()) {
+            return kj::NEVER_DONE;
+        }
+        return KJ_EXCEPTION(DISCONNECTED, "no hello in time");
+    });
+    return disconnected.exclusiveJoin(kj::mv(noHello)).attach(kj::mv(incoming), kj::mv(end));
+}
+
+void PeerListener::taskFailed(kj::Exception &&error)
+{
+    m_services.kernel.metrics().count("fescuepond_peer_connections_refused_total", {});
+    Event("peer_connection_refused").with("error", error.getDescription().cStr());
+}
+
+} // namespace fescuepond
--- /dev/null
+++ b/modules/peer/peerlistener.h
@@ -0,0 +1,38 @@
+// Accepts the connections of other nodes.
+//
+// Whatever comes from a connection can end only that connection: bytes that are no message, a message that is too long,
+// or silence instead of a first message.
+
+#pragma once
+
+#include "modules/peer/peerserver.h"
+
+#include <kj/async-io.h>
+#include <kj/timer.h>
+
+#include <cstddef>
+
+namespace fescuepond
+{
+
+/// All functions only on the event loop's thread.
+class PeerListener final : private kj::TaskSet::ErrorHandler
+{
+public:
+    PeerListener(kj::Own<kj::ConnectionReceiver> receiver, kj::Timer &timer, const PeerServices &services);
+
+private:
+    kj::Promise<void> acceptNext();
+    kj::Promise<void> serve(kj::Own<kj::AsyncIoStream> stream);
+    void taskFailed(kj::Exception &&error) override;
+
+    kj::Own<kj::ConnectionReceiver> m_receiver;
+    kj::Timer &m_timer;
+    const PeerServices &m_services;
+    const std::uint64_t m_mostMessageBytes;
+    std::size_t m_connectionCount = 0;
+    kj::TaskSet m_connections;
+    kj::Promise<void> m_accepting;
+};
+
+} // namespace fescuepond
--- a/modules/peer/peerplugin.cpp
+++ b/modules/peer/peerplugin.cpp
@@ -3,11 +3,10 @@
 #include "core/kernel/eventlog.h"
 #include "core/kernel/kernel.h"
 #include "core/pipeline/interfaces.h"
+#include "modules/peer/peerlistener.h"
 #include "modules/peer/peersender.h"
 #include "modules/peer/peerserver.h"
 
-#include <capnp/rpc-twoparty.h>
-
 #include <future>
 #include <memory>
 
@@ -24,6 +23,8 @@
     {
         m_kernel = &kernel;
         m_pipeline = &kernel.require<TargetPipeline>();
+        m_services = std::make_unique<PeerServices>(
+            PeerServices{kernel, *m_pipeline, kernel.require<AttemptSettlement>(), m_handlers, Incarnation::random()});
         m_sender = std::make_unique<PeerSender>(kernel, m_loop);
         std::promise<std::string> listening;
         m_loop.start([this, &listening] {
@@ -48,7 +49,8 @@
 
     std::string address() const override
     {
-        return m_address;
+        const std::string &advertised = m_kernel->settings().peerAdvertisedAddress();
+        return advertised.empty() ? m_address : advertised;
     }
 
     void send(const Member &target, const CallRequest &call, Done done) override
@@ -75,19 +77,6 @@
     }
 
 private:
-    /// Accepts connections of other nodes. Declared in the order in which each member needs the one before.
-    struct Listener {
-        Listener(kj::Own<kj::ConnectionReceiver> receiver, kj::Own<PeerServer> server)
-            : m_receiver(kj::mv(receiver))
-            , m_server(kj::mv(server))
-            , m_accepting(m_server.listen(*m_receiver).eagerlyEvaluate(nullptr))
-        {
-        }
-        kj::Own<kj::ConnectionReceiver> m_receiver;
-        capnp::TwoPartyServer m_server;
-        kj::Promise<void> m_accepting;
-    };
-
     /// Opens the listener on the loop's thread; returns what went wrong, or an empty string.
     std::string listen()
     {
@@ -99,8 +88,7 @@
             auto receiver = parsed->listen();
             m_address = wanted.substr(0, wanted.rfind(':') + 1) + std::to_string(receiver->getPort());
             Event("listening").with("listener", "peer").with("address", m_address);
-            m_listener =
-                std::make_unique<Listener>(kj::mv(receiver), kj::heap<PeerServer>(*m_kernel, *m_pipeline, m_handlers));
+            m_listener = std::make_unique<PeerListener>(kj::mv(receiver), io.provider->getTimer(), *m_services);
             return {};
         } catch (const kj::Exception &error) {
             return error.getDescription().cStr();
@@ -111,14 +99,15 @@
     TargetPipeline *m_pipeline = nullptr;
     EventLoop m_loop;
     std::unique_ptr<PeerSender> m_sender;
+    std::unique_ptr<PeerServices> m_services;
     std::string m_address;
 
     // Used only on the loop's thread.
     PeerHandlers m_handlers;
-    std::unique_ptr<Listener> m_listener;
+    std::unique_ptr<PeerListener> m_listener;
 };
 
-const auto registration = registerPlugin<PeerPlugin>("peer", {"pipelines"});
+const auto registration = registerPlugin<PeerPlugin>("peer", {"pipelines", "settlement"});
 
 } // namespace
 
--- a/modules/peer/peersender.cpp
+++ b/modules/peer/peersender.cpp
@@ -4,7 +4,9 @@
 
 #include "core/kernel/eventlog.h"
 #include "core/kernel/kernel.h"
+#include "modules/peer/messagelimits.h"
 #include "modules/peer/wireencoding.h"
+#include "servers/settlement/settlementpolicy.h"
 
 #include <kj/debug.h>
 
@@ -32,7 +34,11 @@
 
 void PeerSender::open()
 {
-    m_connections = std::make_unique<PeerConnections>(m_loop.io(), m_kernel.settings().name());
+    const NodeSettings &settings = m_kernel.settings();
+    m_connections = std::make_unique<PeerConnections>(
+        m_loop.io(),
+        PeerIdentity{
+            settings.name(), m_kernel.clock(), mostMessageBytes(settings.maxBodyBytes(), settings.maxHeaderBytes())});
 }
 
 void PeerSender::close()
@@ -43,50 +49,144 @@
 void PeerSender::send(const Member &target, const CallRequest &call, Done done)
 {
     m_loop.post([this, address = target.peerAddress(), call, done = std::move(done)] {
-        sendOnLoop(address, call, done);
+        sendOnLoop(std::make_shared<Outgoing>(Outgoing{address, call, std::nullopt}), done);
     });
 }
 
-void PeerSender::sendOnLoop(const std::string &address, const CallRequest &call, const Done &done)
+void PeerSender::sendOnLoop(const OutgoingPtr &outgoing, const Done &done)
 {
-    // Whether the callee may have seen the call; shared with the continuations below.
-    const auto isSent = std::make_shared<bool>(false);
-    const Duration limit = call.context().deadline() - m_kernel.clock().now() + DeadlineGrace;
-    auto outcome = m_connections->get(address).then([this, call, isSent](kj::Own<PeerConnection> connection) {
-        *isSent = true;
-        return request(kj::mv(connection), call);
-    });
+    const Duration remaining = outgoing->call.context().deadline() - m_kernel.clock().now();
+    if (remaining <= Duration::zero()) {
+        finish(done, outcomeAtDeadline(*outgoing));
+        return;
+    }
+    auto outcome = connect(outgoing->address)
+                       .then([this, outgoing](kj::Own<PeerConnection> connection) {
+                           return request(outgoing, kj::mv(connection));
+                       })
+                       .catch_([this, outgoing](kj::Exception &&error) {
+                           Event("peer_call_failed")
+                               .with("address", outgoing->address)
+                               .with("sent", outgoing->sentTo.has_value())
+                               .with("error", error.getDescription().cStr());
+                           return settle(outgoing);
+                       });
     m_loop.io()
         .provider->getTimer()
-        .timeoutAfter(toKj(limit), kj::mv(outcome))
+        .timeoutAfter(toKj(remaining + DeadlineGrace), kj::mv(outcome))
         .then(
             [this, done](const CallOutcome &received) {
                 finish(done, received);
             },
-            [this, done, address, isSent, call](kj::Exception &&error) {
-                const std::string detail = "no answer from " + address;
-                Event("peer_call_failed").with("address", address).with("error", error.getDescription().cStr());
-                finish(done,
-                       *isSent ? CallOutcome::unknown(Reason::ConnectionLost, detail)
-                               : CallOutcome::notRun(Reason::ConnectionLost, detail)
-                                     .withUnusedAllowance(call.context().retryAllowance()));
+            [this, done, outgoing](kj::Exception &&) {
+                finish(done, outcomeAtDeadline(*outgoing));
             })
         .detach([](kj::Exception &&error) {
             Event("peer_send_failed").with("error", error.getDescription().cStr());
         });
 }
 
-kj::Promise<CallOutcome> PeerSender::request(kj::Own<PeerConnection> connection, const CallRequest &call)
+kj::Promise<CallOutcome> PeerSender::request(const OutgoingPtr &outgoing, kj::Own<PeerConnection> connection)
 {
-    auto request = connection->m_peer.callRequest();
-    encode(call, m_kernel.clock().now(), request.initCall());
-    const AttemptId attemptId = call.context().attemptId();
-    return request.send().then([attemptId, connection = kj::mv(connection)](auto response) {
+    outgoing->sentTo = connection->incarnation();
+    auto message = connection->peer().callRequest();
+    encode(outgoing->call, m_kernel.clock().now(), message.initCall());
+    const AttemptId attemptId = outgoing->call.context().attemptId();
+    auto answered = message.send().then([attemptId](auto response) {
         KJ_REQUIRE(decodeId<AttemptId>(response.getAttemptId()) == attemptId, "the answer is for another attempt");
         auto outcome = decode(response.getOutcome());
         KJ_REQUIRE(outcome.has_value(), "the answer does not match its digest");
         return *std::move(outcome);
     });
+    auto watched = connection->watched<CallOutcome>(kj::mv(answered));
+    return watched.catch_([this, outgoing, connection = kj::mv(connection)](kj::Exception &&error) mutable {
+        return discardAndThrow<CallOutcome>(outgoing->address, *connection, kj::mv(error));
+    });
+}
+
+kj::Promise<CallOutcome> PeerSender::settle(const OutgoingPtr &outgoing)
+{
+    if (!outgoing->sentTo) {
+        return CallOutcome::notRun(Reason::ConnectionLost, "no connection to " + outgoing->address)
+            .withUnusedAllowance(outgoing->call.context().retryAllowance());
+    }
+    return connect(outgoing->address)
+        .then([this, outgoing](kj::Own<PeerConnection> connection) {
+            return askForReport(outgoing, kj::mv(connection));
+        })
+        .catch_([this, outgoing](kj::Exception &&error) {
+            return settleAgain(outgoing, error);
+        });
+}
+
+kj::Promise<CallOutcome> PeerSender::askForReport(const OutgoingPtr &outgoing, kj::Own<PeerConnection> connection)
+{
+    if (connection->incarnation() != *outgoing->sentTo) {
+        return CallOutcome::unknown(Reason::ConnectionLost, "the target was restarted while the call was there");
+    }
+    const CallContext &context = outgoing->call.context();
+    const TimePoint now = m_kernel.clock().now();
+    auto message = connection->peer().settleRequest();
+    encode(context.attemptId(), message.initAttemptId());
+    encode(toWire(context.deadline(), now), message.initDeadline());
+    message.setWaitNs(std::max(context.deadline() - now, Duration::zero()).count());
+    auto answered = message.send().then([](auto response) {
+        auto report = decode(response);
+        KJ_REQUIRE(report.has_value(), "the report does not match its digest");
+        return *std::move(report);
+    });
+    auto watched = connection->watched<AttemptReport>(kj::mv(answered));
+    return watched
+        .catch_([this, outgoing, connection = kj::mv(connection)](kj::Exception &&error) mutable {
+            return discardAndThrow<AttemptReport>(outgoing->address, *connection, kj::mv(error));
+        })
+        .then([this, outgoing](const AttemptReport &report) -> kj::Promise<CallOutcome> {
+            auto outcome = outcomeOf(report, outgoing->call.context());
+            return outcome ? kj::Promise<CallOutcome>(*std::move(outcome)) : settle(outgoing);
+        });
+}
+
+kj::Promise<CallOutcome> PeerSender::settleAgain(const OutgoingPtr &outgoing, const kj::Exception &error)
+{
+    ++outgoing->failures;
+    Event("settle_failed")
+        .with("address", outgoing->address)
+        .with("failures", outgoing->failures)
+        .with("error", error.getDescription().cStr());
+    const auto pause = pauseBeforeAskingAgain(outgoing->call.context(), outgoing->failures, m_kernel.clock().now());
+    if (!pause) {
+        return CallOutcome::unknown(Reason::ConnectionLost, "the connection to " + outgoing->address + " was lost");
+    }
+    return m_loop.io().provider->getTimer().afterDelay(toKj(*pause)).then([this, outgoing] {
+        return settle(outgoing);
+    });
+}
+
+CallOutcome PeerSender::outcomeAtDeadline(const Outgoing &outgoing) const
+{
+    if (outgoing.sentTo) {
+        return CallOutcome::unknown(Reason::DeadlineExceeded, "no answer from " + outgoing.address + " in time");
+    }
+    return CallOutcome::notRun(Reason::DeadlineExceeded, "the deadline passed before the call was sent")
+        .withUnusedAllowance(outgoing.call.context().retryAllowance());
+}
+
+kj::Promise<kj::Own<PeerConnection>> PeerSender::connect(const std::string &address)
+{
+    if (!m_connections) {
+        return KJ_EXCEPTION(DISCONNECTED, "this node is stopping");
+    }
+    return m_connections->get(address);
+}
+
+template<typename T>
+kj::Promise<T>
+PeerSender::discardAndThrow(const std::string &address, PeerConnection &connection, kj::Exception &&error)
+{
+    if (m_connections) {
+        m_connections->discard(address, connection);
+    }
+    return kj::mv(error);
 }
 
 void PeerSender::finish(const Done &done, const CallOutcome &outcome)
@@ -103,33 +203,47 @@
                      PeerReply reply)
 {
     m_loop.post([this, address, topic, body = std::move(request), timeout, reply = std::move(reply)] {
-        auto answered = m_connections->get(address).then([topic, body](kj::Own<PeerConnection> connection) {
-            auto message = connection->m_peer.askRequest();
-            message.setTopic(static_cast<std::uint16_t>(topic));
-            message.setBody({reinterpret_cast<const capnp::byte *>(body.data()), body.size()});
-            return message.send().then([connection = kj::mv(connection)](auto response) -> std::optional<std::string> {
-                if (!response.getAnswered()) {
-                    return std::nullopt;
-                }
-                const auto data = response.getBody();
-                return std::string(reinterpret_cast<const char *>(data.begin()), data.size());
-            });
-        });
-        m_loop.io()
-            .provider->getTimer()
-            .timeoutAfter(toKj(timeout), kj::mv(answered))
-            .catch_([](kj::Exception &&) -> std::optional<std::string> {
+        askOnLoop(address, topic, body, timeout, reply);
+    });
+}
+
+void PeerSender::askOnLoop(const std::string &address,
+                           PeerTopic topic,
+                           const std::string &body,
+                           Duration timeout,
+                           const PeerReply &reply)
+{
+    using Answer = std::optional<std::string>;
+    auto answered = connect(address).then([this, address, topic, body](kj::Own<PeerConnection> connection) {
+        auto message = connection->peer().askRequest();
+        message.setTopic(static_cast<std::uint16_t>(topic));
+        message.setBody({reinterpret_cast<const capnp::byte *>(body.data()), body.size()});
+        auto sent = message.send().then([](auto response) -> Answer {
+            if (!response.getAnswered()) {
                 return std::nullopt;
-            })
-            .then([this, reply](std::optional<std::string> answer) {
-                m_kernel.pool().post(Lane::Decision, [reply, answer = std::move(answer)] {
-                    reply(answer);
-                });
-            })
-            .detach([](kj::Exception &&error) {
-                Event("peer_ask_failed").with("error", error.getDescription().cStr());
-            });
+            }
+            const auto data = response.getBody();
+            return std::string(reinterpret_cast<const char *>(data.begin()), data.size());
+        });
+        auto watched = connection->watched<Answer>(kj::mv(sent));
+        return watched.catch_([this, address, connection = kj::mv(connection)](kj::Exception &&error) mutable {
+            return discardAndThrow<Answer>(address, *connection, kj::mv(error));
+        });
     });
+    m_loop.io()
+        .provider->getTimer()
+        .timeoutAfter(toKj(timeout), kj::mv(answered))
+        .catch_([](kj::Exception &&) -> Answer {
+            return std::nullopt;
+        })
+        .then([this, reply](Answer answer) {
+            m_kernel.pool().post(Lane::Decision, [reply, answer = std::move(answer)] {
+                reply(answer);
+            });
+        })
+        .detach([](kj::Exception &&error) {
+            Event("peer_ask_failed").with("error", error.getDescription().cStr());
+        });
 }
 
 } // namespace fescuepond
--- a/modules/peer/peersender.h
+++ b/modules/peer/peersender.h
@@ -1,4 +1,7 @@
 // The caller's side of the peer protocol: sends calls and requests to other nodes.
+//
+// A call whose connection is lost, or whose answer is not whole, is settled: over a new connection the target is asked
+// what became of the attempt, until that is known or the deadline has passed.
 
 #pragma once
 
@@ -7,6 +10,7 @@
 #include "modules/peer/peerconnections.h"
 
 #include <memory>
+#include <optional>
 
 namespace fescuepond
 {
@@ -26,8 +30,30 @@
     void ask(const std::string &address, PeerTopic topic, std::string request, Duration timeout, PeerReply reply);
 
 private:
-    void sendOnLoop(const std::string &address, const CallRequest &call, const Done &done);
-    kj::Promise<CallOutcome> request(kj::Own<PeerConnection> connection, const CallRequest &call);
+    /// A call on its way. Used only on the loop's thread.
+    struct Outgoing {
+        std::string address;
+        CallRequest call;
+        std::optional<Incarnation> sentTo; ///< Nothing until it was handed to a connection: it can't have run.
+        int failures = 0; ///< How often the target could not be asked what became of it.
+    };
+    using OutgoingPtr = std::shared_ptr<Outgoing>;
+
+    void sendOnLoop(const OutgoingPtr &outgoing, const Done &done);
+    kj::Promise<CallOutcome> request(const OutgoingPtr &outgoing, kj::Own<PeerConnection> connection);
+    kj::Promise<CallOutcome> settle(const OutgoingPtr &outgoing);
+    kj::Promise<CallOutcome> askForReport(const OutgoingPtr &outgoing, kj::Own<PeerConnection> connection);
+    kj::Promise<CallOutcome> settleAgain(const OutgoingPtr &outgoing, const kj::Exception &error);
+    CallOutcome outcomeAtDeadline(const Outgoing &outgoing) const;
+    void askOnLoop(const std::string &address,
+                   PeerTopic topic,
+                   const std::string &body,
+                   Duration timeout,
+                   const PeerReply &reply);
+    kj::Promise<kj::Own<PeerConnection>> connect(const std::string &address);
+    /// Passes a failure on after its connection was discarded.
+    template<typename T>
+    kj::Promise<T> discardAndThrow(const std::string &address, PeerConnection &connection, kj::Exception &&error);
     void finish(const Done &done, const CallOutcome &outcome);
 
     Kernel &m_kernel;
--- a/modules/peer/peerserver.cpp
+++ b/modules/peer/peerserver.cpp
@@ -2,12 +2,15 @@
 
 #include "modules/peer/peerserver.h"
 
+#include "core/kernel/eventlog.h"
 #include "core/kernel/kernel.h"
 #include "modules/peer/wireencoding.h"
 
 #include <kj/async.h>
 #include <kj/debug.h>
 
+#include <algorithm>
+
 namespace fescuepond
 {
 
@@ -34,36 +37,52 @@
 
 } // namespace
 
-PeerServer::PeerServer(Kernel &kernel, const TargetPipeline &pipeline, const PeerHandlers &handlers)
-    : m_kernel(kernel)
-    , m_pipeline(pipeline)
-    , m_handlers(handlers)
+PeerServer::PeerServer(const PeerServices &services)
+    : m_services(services)
 {
 }
 
 kj::Promise<void> PeerServer::hello(HelloContext context)
 {
+    const auto params = context.getParams();
+    const Kernel &kernel = m_services.kernel;
+    if (params.getVersion() == wire::PROTOCOL_VERSION) {
+        m_clock = PeerClock().withTheirsNs(params.getClockNs()).withHeardAt(kernel.clock().now());
+    } else {
+        Event("peer_version_refused").with("peer", params.getName().cStr()).with("version", params.getVersion());
+    }
     auto results = context.getResults();
     results.setVersion(wire::PROTOCOL_VERSION);
-    results.setName(m_kernel.settings().name());
+    results.setName(kernel.settings().name());
+    encode(m_services.incarnation, results.initIncarnation());
     return kj::READY_NOW;
 }
 
+const PeerClock &PeerServer::clockOfPeer() const
+{
+    KJ_REQUIRE(m_clock.has_value(), "say hello first, in this version of the protocol", wire::PROTOCOL_VERSION);
+    return *m_clock;
+}
+
 kj::Promise<void> PeerServer::call(CallContext context)
 {
-    const auto call = decode(context.getParams().getCall(), m_kernel.clock().now());
+    const auto message = context.getParams().getCall();
+    const auto attemptId = decodeId<AttemptId>(message.getAttemptId());
+    const auto call = decode(message, clockOfPeer(), m_services.kernel.clock().now());
     if (!call) {
+        auto results = context.getResults();
         encode(CallOutcome::notRun(Reason::BadRequest, "the call's body does not match its digest"),
-               context.getResults().initOutcome());
+               results.initOutcome());
+        encode(attemptId, results.initAttemptId());
         return kj::READY_NOW;
     }
     auto pair = kj::newPromiseAndCrossThreadFulfiller<CallOutcome>();
-    m_kernel.pool().post(Lane::Decision, [this, call = *call, fulfiller = shared(kj::mv(pair.fulfiller))] {
-        m_pipeline.submit(call, [fulfiller](const CallOutcome &outcome) {
-            (*fulfiller)->fulfill(CallOutcome(outcome));
+    m_services.kernel.pool().post(
+        Lane::Decision, [&pipeline = m_services.pipeline, call = *call, fulfiller = shared(kj::mv(pair.fulfiller))] {
+            pipeline.submit(call, [fulfiller](const CallOutcome &outcome) {
+                (*fulfiller)->fulfill(CallOutcome(outcome));
+            });
         });
-    });
-    const AttemptId attemptId = call->context().attemptId();
     return pair.promise.then([context, attemptId](const CallOutcome &outcome) mutable {
         auto results = context.getResults();
         encode(outcome, results.initOutcome());
@@ -73,25 +92,47 @@
 
 kj::Promise<void> PeerServer::settle(SettleContext context)
 {
-    return KJ_EXCEPTION(UNIMPLEMENTED, "settle");
+    const auto params = context.getParams();
+    const auto attemptId = decodeId<AttemptId>(params.getAttemptId());
+    const TimePoint now = m_services.kernel.clock().now();
+    const TimePoint deadline = fromWire(decode(params.getDeadline()), clockOfPeer(), now);
+    const Duration wait = std::min(Duration(params.getWaitNs()), deadline - now);
+    auto pair = kj::newPromiseAndCrossThreadFulfiller<AttemptReport>();
+    m_services.kernel.pool().post(
+        Lane::Decision,
+        [&settlement = m_services.settlement, attemptId, deadline, wait, fulfiller = shared(kj::mv(pair.fulfiller))] {
+            settlement.settle(attemptId, deadline, wait, [fulfiller](const AttemptReport &report) {
+                (*fulfiller)->fulfill(AttemptReport(report));
+            });
+        });
+    return pair.promise.then([context](const AttemptReport &report) mutable {
+        encode(report, context.getResults());
+    });
 }
 
-kj::Promise<void> PeerServer::cancel(CancelContext)
+kj::Promise<void> PeerServer::cancel(CancelContext context)
 {
+    const auto params = context.getParams();
+    const auto attemptId = decodeId<AttemptId>(params.getAttemptId());
+    const TimePoint deadline = fromWire(decode(params.getDeadline()), clockOfPeer(), m_services.kernel.clock().now());
+    m_services.kernel.pool().post(Lane::Decision, [&settlement = m_services.settlement, attemptId, deadline] {
+        settlement.cancel(attemptId, deadline);
+    });
     return kj::READY_NOW;
 }
 
 kj::Promise<void> PeerServer::ask(AskContext context)
 {
+    clockOfPeer();
     const auto params = context.getParams();
-    const auto found = m_handlers.find(static_cast<PeerTopic>(params.getTopic()));
-    if (found == m_handlers.end()) {
+    const auto found = m_services.handlers.find(static_cast<PeerTopic>(params.getTopic()));
+    if (found == m_services.handlers.end()) {
         context.getResults().setAnswered(false);
         return kj::READY_NOW;
     }
     using Reply = std::optional<std::string>;
     auto pair = kj::newPromiseAndCrossThreadFulfiller<Reply>();
-    m_kernel.pool().post(
+    m_services.kernel.pool().post(
         Lane::Decision,
         [handler = found->second, request = toString(params.getBody()), fulfiller = shared(kj::mv(pair.fulfiller))] {
             handler(request, [fulfiller](Reply reply) {
--- a/modules/peer/peerserver.h
+++ b/modules/peer/peerserver.h
@@ -4,8 +4,10 @@
 
 #include "core/pipeline/interfaces.h"
 #include "modules/peer/peer.capnp.h"
+#include "modules/peer/peerclock.h"
 
 #include <map>
+#include <optional>
 
 namespace fescuepond
 {
@@ -14,11 +16,26 @@
 
 using PeerHandlers = std::map<PeerTopic, PeerHandler>;
 
-/// Serves requests of other nodes. Lives on the event loop's thread; the work itself runs on the pool.
+/// What serves the requests of other nodes, whichever connection they come by.
+struct PeerServices {
+    Kernel &kernel;
+    const TargetPipeline &pipeline;
+    AttemptSettlement &settlement;
+    const PeerHandlers &handlers;
+    const Incarnation incarnation; ///< Of this node's process.
+};
+
+/// Serves the requests on one connection. Lives on the event loop's thread; the work itself runs on the pool.
 class PeerServer final : public wire::Peer::Server
 {
 public:
-    PeerServer(Kernel &kernel, const TargetPipeline &pipeline, const PeerHandlers &handlers);
+    explicit PeerServer(const PeerServices &services);
+
+    /// Whether the other end has said hello in this version of the protocol.
+    bool isGreeted() const
+    {
+        return m_clock.has_value();
+    }
 
     kj::Promise<void> hello(HelloContext context) override;
     kj::Promise<void> call(CallContext context) override;
@@ -28,9 +45,11 @@
     kj::Promise<void> ping(PingContext context) override;
 
 private:
-    Kernel &m_kernel;
-    const TargetPipeline &m_pipeline;
-    const PeerHandlers &m_handlers;
+    /// Throws when the other end hasn't said hello in this version of the protocol.
+    const PeerClock &clockOfPeer() const;
+
+    const PeerServices &m_services;
+    std::optional<PeerClock> m_clock; ///< Nothing before a hello that was accepted.
 };
 
 } // namespace fescuepond
--- a/modules/peer/wireencoding.cpp
+++ b/modules/peer/wireencoding.cpp
@@ -49,6 +49,17 @@
     builder.setLow(low);
 }
 
+void encode(const WireDeadline &deadline, wire::Deadline::Builder builder)
+{
+    builder.setRemainingNs(deadline.remainingNs());
+    builder.setSenderClockNs(deadline.senderClockNs());
+}
+
+WireDeadline decode(wire::Deadline::Reader reader)
+{
+    return WireDeadline().withRemainingNs(reader.getRemainingNs()).withSenderClockNs(reader.getSenderClockNs());
+}
+
 void encode(const CallRequest &call, TimePoint now, wire::Call::Builder builder)
 {
     const CallContext &context = call.context();
@@ -61,7 +72,7 @@
     builder.setKeptShare(context.keptShare());
     builder.setIdempotent(context.idempotent());
     builder.setKey(context.key());
-    builder.setRemainingNs((context.deadline() - now).count());
+    encode(toWire(context.deadline(), now), builder.initDeadline());
     builder.setRetryAllowance(context.retryAllowance());
     builder.setDepth(context.depth());
     builder.setCrashCount(context.crashCount());
@@ -73,7 +84,7 @@
     builder.setBodyDigest(call.body().digest());
 }
 
-std::optional<CallRequest> decode(wire::Call::Reader reader, TimePoint now)
+std::optional<CallRequest> decode(wire::Call::Reader reader, const PeerClock &clock, TimePoint now)
 {
     Body body = asBody(reader.getBody());
     if (body.digest() != reader.getBodyDigest()) {
@@ -89,7 +100,7 @@
                                     .withKeptShare(reader.getKeptShare())
                                     .withIdempotent(reader.getIdempotent())
                                     .withKey(reader.getKey())
-                                    .withDeadline(now + Duration(reader.getRemainingNs()))
+                                    .withDeadline(fromWire(decode(reader.getDeadline()), clock, now))
                                     .withRetryAllowance(reader.getRetryAllowance())
                                     .withDepth(reader.getDepth())
                                     .withCrashCount(reader.getCrashCount());
@@ -139,4 +150,25 @@
         .withPathLimit(reader.getPathLimit());
 }
 
+void encode(const AttemptReport &report, wire::Peer::SettleResults::Builder builder)
+{
+    builder.setStatus(static_cast<std::uint8_t>(report.status()));
+    if (report.status() == AttemptStatus::Finished) {
+        encode(report.outcome(), builder.initOutcome());
+    }
+}
+
+std::optional<AttemptReport> decode(wire::Peer::SettleResults::Reader reader)
+{
+    if (reader.getStatus() > static_cast<std::uint8_t>(AttemptStatus::Forgotten)) {
+        return std::nullopt;
+    }
+    const AttemptReport report = AttemptReport().withStatus(static_cast<AttemptStatus>(reader.getStatus()));
+    if (report.status() != AttemptStatus::Finished) {
+        return report;
+    }
+    auto outcome = decode(reader.getOutcome());
+    return outcome ? std::optional(report.withOutcome(*std::move(outcome))) : std::nullopt;
+}
+
 } // namespace fescuepond
--- a/modules/peer/wireencoding.h
+++ b/modules/peer/wireencoding.h
@@ -4,6 +4,7 @@
 
 #include "core/pipeline/interfaces.h"
 #include "modules/peer/peer.capnp.h"
+#include "modules/peer/peerclock.h"
 
 #include <optional>
 
@@ -22,13 +23,20 @@
     return Identifier(reader.getHigh(), reader.getLow());
 }
 
+void encode(const WireDeadline &deadline, wire::Deadline::Builder builder);
+WireDeadline decode(wire::Deadline::Reader reader);
+
 /// `now` turns the deadline into time that is left.
 void encode(const CallRequest &call, TimePoint now, wire::Call::Builder builder);
 /// Nothing when the body does not match its digest.
-std::optional<CallRequest> decode(wire::Call::Reader reader, TimePoint now);
+std::optional<CallRequest> decode(wire::Call::Reader reader, const PeerClock &clock, TimePoint now);
 
 void encode(const CallOutcome &outcome, wire::Outcome::Builder builder);
 /// Nothing when the body does not match its digest or a name is not known.
 std::optional<CallOutcome> decode(wire::Outcome::Reader reader);
 
+void encode(const AttemptReport &report, wire::Peer::SettleResults::Builder builder);
+/// Nothing when the outcome is damaged or the status is not known.
+std::optional<AttemptReport> decode(wire::Peer::SettleResults::Reader reader);
+
 } // namespace fescuepond
--- /dev/null
+++ b/modules/settlement/settlementplugin.cpp
@@ -0,0 +1,179 @@
+// Target stage that knows each attempt: it refuses those that were fenced, and tells senders what became of theirs.
+
+#include "core/kernel/kernel.h"
+#include "core/kernel/sharedtable.h"
+#include "core/pipeline/interfaces.h"
+#include "servers/settlement/attempttable.h"
+
+#include <cstdint>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+class SettlementPlugin final : public Plugin, public CallStage, public AttemptSettlement
+{
+public:
+    Result<void> start(Kernel &kernel) override
+    {
+        m_kernel = &kernel;
+        kernel.require<TargetPipeline>().add(TargetPlace::Fence, *this);
+        kernel.provide<AttemptSettlement>(*this);
+        kernel.metrics().gauge("fescuepond_attempts_known", {}, [this] {
+            return static_cast<double>(m_attempts.locked([](const Attempts &attempts) {
+                return attempts.m_table.size();
+            }));
+        });
+        return {};
+    }
+
+    void handle(const CallRequest &call, const Next &next, Done done) override
+    {
+        const AttemptId id = call.context().attemptId();
+        const ArrivalDecision decision = arrive(id, call.context().deadline(), done);
+        switch (decision.arrival()) {
+        case Arrival::Run:
+            next(call, [this, id, done = std::move(done)](const CallOutcome &outcome) {
+                finish(id, outcome);
+                done(outcome);
+            });
+            return;
+        case Arrival::Join:
+            return;
+        case Arrival::Answer:
+        case Arrival::Refuse:
+            m_kernel->metrics().count("fescuepond_attempts_not_run_total", {});
+            done(decision.outcome().withUnusedAllowance(call.context().retryAllowance()));
+            return;
+        }
+    }
+
+    void settle(const AttemptId &id, TimePoint deadline, Duration wait, Settled settled) override
+    {
+        const TimePoint now = m_kernel->clock().now();
+        const AttemptReport report = m_attempts.locked([&](Attempts &attempts) {
+            AttemptReport known = attempts.m_table.settle(id, deadline, now);
+            if (known.status() == AttemptStatus::Running && wait > Duration::zero()) {
+                addWaiter(attempts, id, now + wait, settled);
+            }
+            return known;
+        });
+        m_kernel->metrics().count("fescuepond_settlements_total", {{"status", toString(report.status())}});
+        const bool isWaiting = report.status() == AttemptStatus::Running && wait > Duration::zero();
+        if (!isWaiting) {
+            settled(report);
+        }
+    }
+
+    void cancel(const AttemptId &id, TimePoint deadline) override
+    {
+        const TimePoint now = m_kernel->clock().now();
+        const AttemptReport report = m_attempts.locked([&](Attempts &attempts) {
+            return attempts.m_table.cancel(id, deadline, now);
+        });
+        m_kernel->metrics().count("fescuepond_cancellations_total", {{"status", toString(report.status())}});
+    }
+
+    bool mayBegin(const AttemptId &id) override
+    {
+        return m_attempts.locked([&](Attempts &attempts) {
+            return attempts.m_table.begin(id);
+        });
+    }
+
+private:
+    /// Somebody who wants the outcome of an attempt that runs.
+    struct Waiter {
+        std::uint64_t m_number;
+        Settled m_settled;
+        TimerService::SubscriptionId m_timeout; ///< 0: waits without a limit.
+    };
+    using Waiters = std::vector<Waiter>;
+
+    struct Attempts {
+        AttemptTable m_table;
+        std::unordered_map<AttemptId, Waiters> m_waiters; ///< Only of attempts that are waiting or running.
+        std::uint64_t m_nextNumber = 1;
+    };
+
+    /// Decides on an attempt; a copy of one that is here waits for the same outcome.
+    ArrivalDecision arrive(const AttemptId &id, TimePoint deadline, const Done &done)
+    {
+        return m_attempts.locked([&](Attempts &attempts) {
+            ArrivalDecision decision = attempts.m_table.arrive(id, deadline, m_kernel->clock().now());
+            if (decision.arrival() == Arrival::Join) {
+                attempts.m_waiters[id].push_back({attempts.m_nextNumber++,
+                                                  [done](const AttemptReport &report) {
+                                                      done(report.outcome());
+                                                  },
+                                                  0});
+            }
+            return decision;
+        });
+    }
+
+    void addWaiter(Attempts &attempts, const AttemptId &id, TimePoint until, const Settled &settled)
+    {
+        const std::uint64_t number = attempts.m_nextNumber++;
+        const auto timeout = m_kernel->timers().once(until, [this, id, number] {
+            stopWaiting(id, number);
+        });
+        attempts.m_waiters[id].push_back({number, settled, timeout});
+    }
+
+    void stopWaiting(const AttemptId &id, std::uint64_t number)
+    {
+        const Settled settled = m_attempts.locked([&](Attempts &attempts) -> Settled {
+            const auto found = attempts.m_waiters.find(id);
+            if (found == attempts.m_waiters.end()) {
+                return nullptr;
+            }
+            for (auto waiter = found->second.begin(); waiter != found->second.end(); ++waiter) {
+                if (waiter->m_number == number) {
+                    Settled taken = std::move(waiter->m_settled);
+                    found->second.erase(waiter);
+                    return taken;
+                }
+            }
+            return nullptr;
+        });
+        if (settled) {
+            settled(AttemptReport().withStatus(AttemptStatus::Running));
+        }
+    }
+
+    void finish(const AttemptId &id, const CallOutcome &outcome)
+    {
+        const Waiters waiters = m_attempts.locked([&](Attempts &attempts) {
+            attempts.m_table.finish(id, outcome, m_kernel->clock().now());
+            Waiters taken;
+            const auto found = attempts.m_waiters.find(id);
+            if (found != attempts.m_waiters.end()) {
+                taken = std::move(found->second);
+                attempts.m_waiters.erase(found);
+            }
+            return taken;
+        });
+        const AttemptReport report = AttemptReport().withStatus(AttemptStatus::Finished).withOutcome(outcome);
+        for (const Waiter &waiter : waiters) {
+            m_kernel->timers().cancel(waiter.m_timeout);
+            m_kernel->pool().post(Lane::Decision, [settled = waiter.m_settled, report] {
+                settled(report);
+            });
+        }
+    }
+
+    Kernel *m_kernel = nullptr;
+    SharedTable<Attempts> m_attempts{LockRank::Attempts};
+};
+
+const auto registration = registerPlugin<SettlementPlugin>("settlement", {"pipelines"});
+
+} // namespace
+
+} // namespace fescuepond
--- /dev/null
+++ b/servers/settlement/attempttable.cpp
@@ -0,0 +1,234 @@
+// What a target knows of the attempts that were sent to it.
+
+#include "servers/settlement/attempttable.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+constexpr std::size_t FenceLimit = 32'768;
+constexpr std::size_t FinishedLimit = 65'536;
+constexpr std::size_t OutcomeByteLimit = 8UL * 1024 * 1024;
+constexpr Duration OutcomeKeepTime = std::chrono::seconds(10);
+
+/// Ends the program when an invariant does not hold: a false "not run" is worse than a crash.
+void requireInvariant(bool holds, const char *invariant)
+{
+    if (!holds) {
+        std::fprintf(stderr, "event=invariant_violated invariant=%s\n", invariant);
+        std::abort();
+    }
+}
+
+CallOutcome refusalOfFenced()
+{
+    return CallOutcome::notRun(Reason::Cancelled, "this attempt was declared as never to run");
+}
+
+CallOutcome withoutBody(const CallOutcome &outcome)
+{
+    if (outcome.state() != CallState::Answered) {
+        return outcome;
+    }
+    return CallOutcome::unknown(Reason::ConnectionLost, "the call ran, but its answer was not kept");
+}
+
+/// The first time at which no message about the attempt can be in time any more.
+TimePoint endOf(TimePoint deadline)
+{
+    return deadline + ClockErrorLimit;
+}
+
+} // namespace
+
+AttemptLimits AttemptLimits::standard()
+{
+    return AttemptLimits()
+        .withFences(FenceLimit)
+        .withFinished(FinishedLimit)
+        .withOutcomeBytes(OutcomeByteLimit)
+        .withOutcomeKeepTime(OutcomeKeepTime);
+}
+
+ArrivalDecision decideArrival(const AttemptRecord *known, TimePoint deadline, TimePoint now)
+{
+    if (known == nullptr) {
+        if (now < deadline) {
+            return ArrivalDecision().withArrival(Arrival::Run);
+        }
+        return ArrivalDecision()
+            .withArrival(Arrival::Refuse)
+            .withOutcome(CallOutcome::notRun(Reason::DeadlineExceeded, "the deadline passed on the way to the target"));
+    }
+    switch (known->phase()) {
+    case AttemptPhase::Waiting:
+    case AttemptPhase::Running:
+        return ArrivalDecision().withArrival(Arrival::Join);
+    case AttemptPhase::Finished:
+        return ArrivalDecision().withArrival(Arrival::Answer).withOutcome(known->outcome());
+    case AttemptPhase::Fenced:
+        break;
+    }
+    return ArrivalDecision().withArrival(Arrival::Refuse).withOutcome(refusalOfFenced());
+}
+
+AttemptReport reportOf(const AttemptRecord &known)
+{
+    switch (known.phase()) {
+    case AttemptPhase::Waiting:
+    case AttemptPhase::Running:
+        return AttemptReport().withStatus(AttemptStatus::Running);
+    case AttemptPhase::Finished:
+        return AttemptReport().withStatus(AttemptStatus::Finished).withOutcome(known.outcome());
+    case AttemptPhase::Fenced:
+        break;
+    }
+    return AttemptReport().withStatus(AttemptStatus::Fenced);
+}
+
+const char *toString(AttemptStatus status)
+{
+    static constexpr std::array Names = {"fenced", "running", "finished", "forgotten"};
+    return Names.at(static_cast<std::size_t>(status));
+}
+
+AttemptTable::AttemptTable(AttemptLimits limits)
+    : m_limits(limits)
+{
+}
+
+ArrivalDecision AttemptTable::arrive(const AttemptId &id, TimePoint deadline, TimePoint now)
+{
+    expire(now);
+    ArrivalDecision decision = decideArrival(find(id), deadline, now);
+    if (decision.arrival() == Arrival::Run) {
+        m_records.emplace(id, AttemptRecord().withPhase(AttemptPhase::Waiting).withDeadline(deadline));
+    }
+    return decision;
+}
+
+bool AttemptTable::begin(const AttemptId &id)
+{
+    const auto found = m_records.find(id);
+    const bool isWaiting = found != m_records.end() && found->second.phase() == AttemptPhase::Waiting;
+    if (isWaiting) {
+        found->second = found->second.withPhase(AttemptPhase::Running);
+    }
+    return isWaiting;
+}
+
+void AttemptTable::finish(const AttemptId &id, const CallOutcome &outcome, TimePoint now)
+{
+    const auto found = m_records.find(id);
+    const bool isFenced = found == m_records.end() || found->second.phase() == AttemptPhase::Fenced;
+    if (isFenced) {
+        // A fence may have expired while the attempt stood in the queue; it still must not have run.
+        requireInvariant(outcome.state() == CallState::NotRun, "fenced_attempt_never_runs");
+        return;
+    }
+    requireInvariant(found->second.phase() != AttemptPhase::Finished, "attempt_finishes_once");
+    found->second = found->second.withPhase(AttemptPhase::Finished)
+                        .withOutcome(outcome)
+                        .withOutcomeUntil(now + m_limits.outcomeKeepTime());
+    m_finished.emplace(endOf(found->second.deadline()), id);
+    if (outcome.state() == CallState::Answered) {
+        m_outcomes.push_back(id);
+        m_outcomeBytes += outcome.body().size();
+    }
+    expire(now);
+}
+
+AttemptReport AttemptTable::settle(const AttemptId &id, TimePoint deadline, TimePoint now)
+{
+    expire(now);
+    const AttemptRecord *known = find(id);
+    return known == nullptr ? fenceUnseen(id, deadline, now) : reportOf(*known);
+}
+
+AttemptReport AttemptTable::cancel(const AttemptId &id, TimePoint deadline, TimePoint now)
+{
+    expire(now);
+    const auto found = m_records.find(id);
+    if (found != m_records.end() && found->second.phase() == AttemptPhase::Waiting) {
+        found->second = found->second.withPhase(AttemptPhase::Fenced);
+        m_fenced.emplace(endOf(found->second.deadline()), id);
+    }
+    return settle(id, deadline, now);
+}
+
+const AttemptRecord *AttemptTable::find(const AttemptId &id) const
+{
+    const auto found = m_records.find(id);
+    return found == m_records.end() ? nullptr : &found->second;
+}
+
+AttemptReport AttemptTable::fenceUnseen(const AttemptId &id, TimePoint deadline, TimePoint now)
+{
+    // The attempt may have been here: it ended so long ago that its record is gone, or it was forgotten early. The
+    // deadline given here may be later than the one it came with, by the clocks' error.
+    const bool mayBeForgotten = now >= deadline || deadline - ClockErrorLimit <= m_forgottenUntil;
+    if (mayBeForgotten || m_fenced.size() >= m_limits.fences()) {
+        return AttemptReport().withStatus(AttemptStatus::Forgotten);
+    }
+    m_records.emplace(id, AttemptRecord().withPhase(AttemptPhase::Fenced).withDeadline(deadline));
+    m_fenced.emplace(endOf(deadline), id);
+    return AttemptReport().withStatus(AttemptStatus::Fenced);
+}
+
+void AttemptTable::expire(TimePoint now)
+{
+    while (!m_outcomes.empty()) {
+        const AttemptRecord *oldest = find(m_outcomes.front());
+        const bool isKept = oldest != nullptr && now < oldest->outcomeUntil();
+        if (isKept && m_outcomeBytes <= m_limits.outcomeBytes()) {
+            break;
+        }
+        dropOldestOutcome();
+    }
+    while (!m_finished.empty() && m_finished.begin()->first <= now) {
+        forget(m_finished.begin(), m_finished);
+    }
+    while (!m_fenced.empty() && m_fenced.begin()->first <= now) {
+        forget(m_fenced.begin(), m_fenced);
+    }
+    while (m_finished.size() > m_limits.finished()) {
+        forgetEarly();
+    }
+}
+
+void AttemptTable::forget(std::set<Expiry>::iterator entry, std::set<Expiry> &expiries)
+{
+    const auto found = m_records.find(entry->second);
+    if (found->second.outcome().state() == CallState::Answered) {
+        m_outcomeBytes -= found->second.outcome().body().size();
+    }
+    m_records.erase(found);
+    expiries.erase(entry);
+}
+
+void AttemptTable::forgetEarly()
+{
+    const TimePoint deadline = find(m_finished.begin()->second)->deadline();
+    m_forgottenUntil = std::max(m_forgottenUntil, deadline);
+    forget(m_finished.begin(), m_finished);
+}
+
+void AttemptTable::dropOldestOutcome()
+{
+    const auto found = m_records.find(m_outcomes.front());
+    m_outcomes.pop_front();
+    if (found == m_records.end()) {
+        return;
+    }
+    m_outcomeBytes -= found->second.outcome().body().size();
+    found->second = found->second.withOutcome(withoutBody(found->second.outcome()));
+}
+
+} // namespace fescuepond
--- /dev/null
+++ b/tests/servers/settlement/attempttabletest.cpp
@@ -0,0 +1,231 @@
+// Random interleavings of everything that can happen to an attempt, in virtual time.
+
+#include "servers/settlement/attempttable.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <array>
+#include <vector>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+constexpr std::size_t AttemptCount = 12;
+constexpr Duration Step = std::chrono::milliseconds(100);
+
+const CallOutcome answer = CallOutcome().withState(CallState::Answered).withBody(Body("twelve bytes"));
+
+/// What the test knows to be true of an attempt.
+struct Truth {
+    TimePoint deadline; ///< In true time; messages carry it up to ClockErrorLimit too late.
+    bool hasArrived = false;
+    bool isWaiting = false;
+    bool isRunning = false;
+    bool hasRun = false;
+    bool wasReportedFenced = false;
+};
+
+/// One target and the attempts that are sent to it. Each operation checks what it learns against the truth.
+class Scene
+{
+public:
+    explicit Scene(const AttemptLimits &limits)
+        : m_table(limits)
+    {
+        for (Truth &truth : m_truths) {
+            truth.deadline = m_now + Step * *rc::gen::inRange(1, 60);
+        }
+    }
+
+    void arrive(std::size_t i)
+    {
+        if (m_truths[i].hasArrived) {
+            return;
+        }
+        m_truths[i].hasArrived = true;
+        m_truths[i].isWaiting = m_table.arrive(id(i), seenDeadline(i), m_now).arrival() == Arrival::Run;
+    }
+    void begin(std::size_t i)
+    {
+        if (m_truths[i].isWaiting && !m_truths[i].isRunning && m_table.begin(id(i))) {
+            RC_ASSERT(!m_truths[i].wasReportedFenced);
+            m_truths[i].isRunning = true;
+            m_truths[i].hasRun = true;
+        }
+    }
+    void finish(std::size_t i)
+    {
+        if (!m_truths[i].isWaiting) {
+            return;
+        }
+        const CallOutcome outcome = m_truths[i].isRunning ? answer : CallOutcome::notRun(Reason::Overload, "");
+        m_table.finish(id(i), outcome, m_now);
+        m_truths[i].isWaiting = false;
+        m_truths[i].isRunning = false;
+    }
+    void settle(std::size_t i)
+    {
+        learn(i, m_table.settle(id(i), seenDeadline(i), m_now));
+    }
+    void cancel(std::size_t i)
+    {
+        learn(i, m_table.cancel(id(i), seenDeadline(i), m_now));
+    }
+    void wait(std::size_t steps)
+    {
+        m_now += Step * static_cast<int>(steps);
+    }
+    const AttemptTable &table() const
+    {
+        return m_table;
+    }
+
+private:
+    static AttemptId id(std::size_t i)
+    {
+        return AttemptId(1, i + 1);
+    }
+    TimePoint seenDeadline(std::size_t i) const
+    {
+        return m_truths[i].deadline + ClockErrorLimit * *rc::gen::inRange(0, 5) / 4;
+    }
+    void learn(std::size_t i, const AttemptReport &report)
+    {
+        Truth &truth = m_truths[i];
+        if (report.status() == AttemptStatus::Fenced) {
+            RC_ASSERT(!truth.hasRun);
+            truth.wasReportedFenced = true;
+        }
+        if (report.status() == AttemptStatus::Finished) {
+            RC_ASSERT(truth.hasRun == (report.outcome().state() != CallState::NotRun));
+        }
+        if (report.status() == AttemptStatus::Running) {
+            RC_ASSERT(truth.isWaiting);
+        }
+    }
+
+    TimePoint m_now = ManualClock().now();
+    AttemptTable m_table;
+    std::array<Truth, AttemptCount> m_truths;
+};
+
+using Operation = void (Scene::*)(std::size_t);
+constexpr std::array<Operation, 8> Operations = {&Scene::arrive,
+                                                 &Scene::arrive,
+                                                 &Scene::begin,
+                                                 &Scene::begin,
+                                                 &Scene::finish,
+                                                 &Scene::settle,
+                                                 &Scene::cancel,
+                                                 &Scene::wait};
+
+void runRandomly(const AttemptLimits &limits)
+{
+    Scene scene(limits);
+    const int steps = *rc::gen::inRange(1, 200);
+    for (int step = 0; step < steps; ++step) {
+        const Operation operation = Operations.at(*rc::gen::inRange<std::size_t>(0, Operations.size()));
+        (scene.*operation)(*rc::gen::inRange<std::size_t>(0, AttemptCount));
+        RC_ASSERT(scene.table().size() <= AttemptCount);
+    }
+}
+
+const TimePoint start = ManualClock().now();
+const AttemptId attempt(1, 1);
+
+TimePoint after(int milliseconds)
+{
+    return start + std::chrono::milliseconds(milliseconds);
+}
+
+} // namespace
+
+RC_GTEST_PROP(AttemptTableProperty, NoAttemptRunsThatWasReportedFencedNorIsFencedOnceItRan, ())
+{
+    runRandomly(AttemptLimits::standard());
+}
+
+RC_GTEST_PROP(AttemptTableProperty, HoldsAlsoWhenTheTableIsFull, ())
+{
+    runRandomly(AttemptLimits().withFences(9).withFinished(1).withOutcomeBytes(30).withOutcomeKeepTime(
+        std::chrono::seconds(1)));
+}
+
+TEST(AttemptTable, FenceHoldsUntilTheDeadlineRefusesTheAttempt)
+{
+    AttemptTable table;
+    EXPECT_EQ(table.settle(attempt, after(1000), after(0)).status(), AttemptStatus::Fenced);
+    for (const int now : {1, 999, 1999, 2000, 60'000}) {
+        EXPECT_EQ(table.arrive(attempt, after(2000), after(now)).arrival(), Arrival::Refuse) << now;
+    }
+    EXPECT_EQ(table.size(), 0);
+}
+
+TEST(AttemptTable, FullTableClaimsNothing)
+{
+    AttemptTable fullOfFences(AttemptLimits::standard().withFences(1));
+    EXPECT_EQ(fullOfFences.settle(AttemptId(1, 1), after(9000), after(0)).status(), AttemptStatus::Fenced);
+    EXPECT_EQ(fullOfFences.settle(AttemptId(1, 2), after(9000), after(0)).status(), AttemptStatus::Forgotten);
+
+    AttemptTable fullOfFinished(AttemptLimits::standard().withFinished(0));
+    fullOfFinished.arrive(attempt, after(5000), after(0));
+    EXPECT_TRUE(fullOfFinished.begin(attempt));
+    fullOfFinished.finish(attempt, answer, after(10));
+    EXPECT_EQ(fullOfFinished.settle(attempt, after(5000), after(20)).status(), AttemptStatus::Forgotten);
+    EXPECT_EQ(fullOfFinished.settle(attempt, after(5999), after(20)).status(), AttemptStatus::Forgotten);
+}
+
+TEST(AttemptTable, CopyOfAnAttemptNeverRuns)
+{
+    AttemptTable table;
+    EXPECT_EQ(table.arrive(attempt, after(1000), after(0)).arrival(), Arrival::Run);
+    EXPECT_EQ(table.arrive(attempt, after(1000), after(1)).arrival(), Arrival::Join);
+    EXPECT_TRUE(table.begin(attempt));
+    EXPECT_FALSE(table.begin(attempt));
+    table.finish(attempt, answer, after(2));
+    EXPECT_EQ(table.arrive(attempt, after(1000), after(3)).outcome(), answer);
+}
+
+TEST(AttemptTable, CancelledAttemptThatWaitsNeverRunsAndOneThatRunsIsLeftToFinish)
+{
+    AttemptTable table;
+    table.arrive(attempt, after(1000), after(0));
+    EXPECT_EQ(table.cancel(attempt, after(1000), after(1)).status(), AttemptStatus::Fenced);
+    EXPECT_FALSE(table.begin(attempt));
+    table.finish(attempt, CallOutcome::notRun(Reason::Cancelled, ""), after(2));
+
+    const AttemptId running(1, 2);
+    table.arrive(running, after(1000), after(0));
+    EXPECT_TRUE(table.begin(running));
+    EXPECT_EQ(table.cancel(running, after(1000), after(1)).status(), AttemptStatus::Running);
+    table.finish(running, answer, after(2));
+    EXPECT_EQ(table.settle(running, after(1000), after(3)).outcome(), answer);
+}
+
+TEST(AttemptTable, BodiesOfAnswersAreBounded)
+{
+    AttemptTable table(AttemptLimits::standard().withOutcomeBytes(2 * answer.body().size()));
+    for (std::uint64_t i = 1; i <= 5; ++i) {
+        table.arrive(AttemptId(1, i), after(1000), after(0));
+        table.begin(AttemptId(1, i));
+        table.finish(AttemptId(1, i), answer, after(1));
+    }
+    EXPECT_LE(table.outcomeBytes(), 2 * answer.body().size());
+    EXPECT_EQ(table.settle(AttemptId(1, 1), after(1000), after(2)).outcome().state(), CallState::OutcomeUnknown);
+    EXPECT_EQ(table.settle(AttemptId(1, 5), after(1000), after(2)).outcome(), answer);
+}
+
+TEST(AttemptTableDeathTest, OutcomeOfAFencedAttemptThatRanEndsTheProgram)
+{
+    GTEST_FLAG_SET(death_test_style, "threadsafe");
+    AttemptTable table;
+    table.arrive(attempt, after(1000), after(0));
+    table.cancel(attempt, after(1000), after(1));
+    EXPECT_DEATH(table.finish(attempt, answer, after(2)), "fenced_attempt_never_runs");
+}
+
+} // namespace fescuepond
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -213,7 +213,8 @@
     const std::string base = m_folder + "/" + node.options.name + "-" + std::to_string(++m_processCount);
     std::ofstream settings(base + ".yaml");
     settings << "name: " << node.options.name << "\nservice: " << node.options.service
-             << "\nzone: " << node.options.zone << "\nbackend_address: " << node.backend
+             << "\nzone: " << node.options.zone << "\nbackend_address: "
+             << (node.options.backendAddress.empty() ? node.backend : node.options.backendAddress)
              << "\nplatform_address: " << m_platform << '\n';
     for (const char *listener : {"front", "local", "peer", "operator"}) {
         settings << listener << "_address: 127.0.0.1:0\n";
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -39,6 +39,7 @@
     std::string zone = "zone-a";
     std::vector<std::string> backendFlags; ///< Further flags of the backend stand-in.
     std::vector<std::string> settings; ///< Further lines of the settings file.
+    std::string backendAddress; ///< Where the node finds its backend server; empty: at its own address.
 };
 
 /// One node and its backend server.
--- /dev/null
+++ b/tests/system/settlementtest.cpp
@@ -0,0 +1,189 @@
+// What a caller is told when the connection between two nodes is lost, goes silent or spoils an answer.
+
+#include "tests/support/fleet.h"
+#include "tests/support/relay.h"
+
+#include <gtest/gtest.h>
+
+#include <future>
+#include <thread>
+
+namespace fescuepond::test
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr const char *Yard = R"(
+service: yard
+kinds:
+  - {name: stock, method: GET, path: /stock/*, rank: 5, idempotent: true, deadline_ms: 4000, retries: 0}
+  - {name: book, method: POST, path: /book/*, rank: 1, idempotent: false, deadline_ms: 4000, retries: 0}
+)";
+constexpr const char *Dispatch = R"(
+service: dispatch
+kinds:
+  - {name: slots, method: GET, path: /slots/*, rank: 5, idempotent: true, deadline_ms: 4000, retries: 0}
+)";
+/// Longer than the service time of the backend server, shorter than the deadline.
+constexpr auto ShortWhile = 300ms;
+
+/// Callers use the node of dispatch; the yard's node is reached through a relay.
+class Settlement : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        ASSERT_EQ(m_fleet.publish({Yard, Dispatch}), 0);
+        m_yard = &m_fleet.addNode({.name = "yard-a",
+                                   .service = "yard",
+                                   .backendFlags = {"--service_ms=1000", "--fixed"},
+                                   .settings = {"peer_advertised_address: " + m_relay.address()}});
+        m_relay.setTarget(m_yard->peer);
+        m_entry = &m_fleet.addNode({.name = "dispatch-a", .service = "dispatch"});
+        ASSERT_TRUE(m_fleet.waitUntilReady(2));
+        setServiceMs(0);
+        ASSERT_EQ(read().outcome(), "answered");
+        setServiceMs(1000);
+    }
+
+    void setServiceMs(int milliseconds) const
+    {
+        HttpCall call;
+        call.method = "POST";
+        call.path = "/set?service_ms=" + std::to_string(milliseconds);
+        sendHttp(m_yard->backendControl, call);
+    }
+
+    HttpReply read(const std::string &path = "/stock/sleepers") const
+    {
+        HttpCall call;
+        call.host = "yard";
+        call.path = path;
+        return sendHttp(m_entry->front, call);
+    }
+
+    std::future<HttpReply> book(const std::string &name) const
+    {
+        HttpCall call;
+        call.method = "POST";
+        call.host = "yard";
+        call.path = "/book/" + name;
+        call.headers["Idempotency-Key"] = "key-of-" + name;
+        call.body = "two trucks";
+        return std::async(std::launch::async, [address = m_entry->front, call] {
+            return sendHttp(address, call);
+        });
+    }
+
+    std::size_t timesRun(const std::string &name) const
+    {
+        std::size_t count = 0;
+        for (const std::string &line : m_yard->journalLines("begin")) {
+            count += line.find("/book/" + name) == std::string::npos ? 0 : 1;
+        }
+        return count;
+    }
+
+    Relay m_relay;
+    Fleet m_fleet;
+    FleetNode *m_yard = nullptr;
+    FleetNode *m_entry = nullptr;
+};
+
+} // namespace
+
+TEST_F(Settlement, AnswerIsFetchedWhenTheConnectionIsCutWhileTheCallRuns)
+{
+    auto reply = book("monday");
+    std::this_thread::sleep_for(ShortWhile);
+    m_relay.cut();
+    const HttpReply received = reply.get();
+    EXPECT_EQ(received.outcome(), "answered") << received.body;
+    EXPECT_NE(received.body.find("/book/monday"), std::string::npos) << received.body;
+    EXPECT_EQ(timesRun("monday"), 1);
+}
+
+TEST_F(Settlement, AnswerIsFetchedWhenTheConnectionGoesSilentWhileTheCallRuns)
+{
+    auto reply = book("tuesday");
+    std::this_thread::sleep_for(ShortWhile);
+    m_relay.freeze(Way::ToCaller);
+    EXPECT_EQ(reply.get().outcome(), "answered");
+    EXPECT_EQ(timesRun("tuesday"), 1);
+    setServiceMs(0);
+    EXPECT_EQ(read().outcome(), "answered");
+}
+
+TEST_F(Settlement, CallThatNeverArrivedIsNotRunEvenWhenItArrivesLate)
+{
+    m_relay.freeze(Way::ToTarget);
+    const HttpReply received = book("wednesday").get();
+    EXPECT_EQ(received.outcome(), "not-run") << received.body;
+    m_relay.thaw();
+    std::this_thread::sleep_for(1s);
+    EXPECT_EQ(timesRun("wednesday"), 0);
+}
+
+TEST_F(Settlement, CallThatArrivesAfterItsDeadlineAndAfterItsFenceIsNotRun)
+{
+    m_relay.freeze(Way::ToTarget);
+    EXPECT_EQ(book("thursday").get().outcome(), "not-run");
+    std::this_thread::sleep_for(5500ms);
+    m_relay.thaw();
+    std::this_thread::sleep_for(1s);
+    EXPECT_EQ(timesRun("thursday"), 0);
+}
+
+TEST_F(Settlement, NewIncarnationOfTheTargetDoesNotClaimThatACallWasNotRun)
+{
+    auto reply = book("friday");
+    std::this_thread::sleep_for(ShortWhile);
+    m_fleet.restartNode(*m_yard);
+    m_relay.setTarget(m_yard->peer);
+    EXPECT_EQ(reply.get().outcome(), "outcome-unknown");
+    EXPECT_EQ(timesRun("friday"), 1);
+}
+
+TEST_F(Settlement, SpoiltAnswerIsFetchedAgain)
+{
+    m_relay.corruptAnswers("/book/saturday", "/book/holidays");
+    auto reply = book("saturday");
+    std::this_thread::sleep_for(ShortWhile);
+    // The first answer is on its way at 1 s; what is fetched again at about that time is spoilt too.
+    std::this_thread::sleep_for(1s);
+    m_relay.corruptAnswers("", "");
+    const HttpReply received = reply.get();
+    EXPECT_EQ(received.outcome(), "answered") << received.body;
+    EXPECT_NE(received.body.find("/book/saturday"), std::string::npos) << received.body;
+    EXPECT_EQ(timesRun("saturday"), 1);
+}
+
+TEST_F(Settlement, TruncatedAndDuplicatedAnswersAreNeverGivenToACaller)
+{
+    setServiceMs(0);
+    m_relay.truncateAnswersAfter(700);
+    for (int i = 0; i < 10; ++i) {
+        const HttpReply received = read();
+        EXPECT_NE(received.outcome(), "") << received.status;
+        if (received.outcome() == "answered") {
+            EXPECT_NE(received.body.find("/stock/sleepers"), std::string::npos) << received.body;
+        }
+    }
+    m_relay.truncateAnswersAfter(0);
+    m_relay.setDuplicateAnswers(true);
+    for (int i = 0; i < 10; ++i) {
+        const HttpReply received = read("/stock/ballast-" + std::to_string(i));
+        EXPECT_NE(received.outcome(), "");
+        if (received.outcome() == "answered") {
+            EXPECT_NE(received.body.find("ballast-" + std::to_string(i) + " "), std::string::npos) << received.body;
+        }
+    }
+    m_relay.setDuplicateAnswers(false);
+    m_relay.cut();
+    EXPECT_EQ(read().outcome(), "answered");
+}
+
+} // namespace fescuepond::test
