Read a call that comes without its sender's clock

Cause: the ledger carries a call in a request of its own topic, where no hello relates the clocks, and did not compile with the new signature. Change: decode() without a PeerClock takes the deadline from the time that was left.

--- a/modules/peer/peerclock.cpp
+++ b/modules/peer/peerclock.cpp
@@ -38,9 +38,13 @@
 
 TimePoint fromWire(const WireDeadline &deadline, const PeerClock &clock, TimePoint now)
 {
-    const TimePoint byRemaining = now + clamped(deadline.remainingNs());
     const TimePoint byClock = clock.heardAt() + clamped(difference(deadline.senderClockNs(), clock.theirsNs()));
-    return std::min(byRemaining, byClock);
+    return std::min(fromWire(deadline, now), byClock);
+}
+
+TimePoint fromWire(const WireDeadline &deadline, TimePoint now)
+{
+    return now + clamped(deadline.remainingNs());
 }
 
 } // namespace fescuepond
