Bound retries across the whole call tree by one allowance

Cause: retries at each hop multiply; the thin path sent no retries at all and had no bound to show. Change: entry stage 'retry' over servers/retry: the allowance goes down with an attempt and comes back with the answer; only the hop next to a failure retries; budget of a tenth of successes for each edge.

--- a/core/pipeline/callsinflight.cpp
+++ b/core/pipeline/callsinflight.cpp
@@ -2,28 +2,41 @@
 
 #include "core/pipeline/callsinflight.h"
 
-#include <algorithm>
-
 namespace fescuepond
 {
 
+namespace
+{
+
+constexpr int FirstServerError = 500;
+
+bool isFailure(const CallOutcome &outcome)
+{
+    return outcome.state() != CallState::Answered || outcome.status() >= FirstServerError;
+}
+
+} // namespace
+
 void CallsInFlight::add(const CallContext &context)
 {
     m_table.locked([&](Table &table) {
-        table.insert_or_assign(context.callId(), context);
+        table.insert_or_assign(context.callId(), Entry{context});
     });
 }
 
-int CallsInFlight::remove(const CallId &callId)
+CallOutcome CallsInFlight::remove(const CallId &callId, const CallOutcome &outcome)
 {
     return m_table.locked([&](Table &table) {
         const auto found = table.find(callId);
         if (found == table.end()) {
-            return 0;
+            return outcome.withUnusedAllowance(0);
         }
-        const int left = found->second.retryAllowance();
+        const Entry entry = found->second;
         table.erase(found);
-        return left;
+        const bool isFailedBelow =
+            entry.m_hasFailedChild && outcome.state() == CallState::Answered && isFailure(outcome);
+        const CallOutcome ended = isFailedBelow ? outcome.withReason(Reason::FailedBelow) : outcome;
+        return ended.withUnusedAllowance(entry.m_context.retryAllowance());
     });
 }
 
@@ -31,30 +44,35 @@
 {
     return m_table.locked([&](const Table &table) -> std::optional<CallContext> {
         const auto found = table.find(callId);
-        return found == table.end() ? std::nullopt : std::optional(found->second);
+        return found == table.end() ? std::nullopt : std::optional(found->second.m_context);
     });
 }
 
-int CallsInFlight::takeAllowance(const CallId &callId, int wanted)
+int CallsInFlight::takeAllowance(const CallId &callId)
 {
     return m_table.locked([&](Table &table) {
         const auto found = table.find(callId);
         if (found == table.end()) {
             return 0;
         }
-        const int taken = std::clamp(wanted, 0, found->second.retryAllowance());
-        found->second = found->second.withRetryAllowance(found->second.retryAllowance() - taken);
+        CallContext &context = found->second.m_context;
+        // Half, rounded up: a chain passes its last retry down to the end, and siblings called at once get some too.
+        const int taken = (context.retryAllowance() + 1) / 2;
+        context = context.withRetryAllowance(context.retryAllowance() - taken);
         return taken;
     });
 }
 
-void CallsInFlight::returnAllowance(const CallId &callId, int unused)
+void CallsInFlight::childEnded(const CallId &callId, const CallOutcome &outcome)
 {
     m_table.locked([&](Table &table) {
         const auto found = table.find(callId);
-        if (found != table.end()) {
-            found->second = found->second.withRetryAllowance(found->second.retryAllowance() + unused);
+        if (found == table.end()) {
+            return;
         }
+        CallContext &context = found->second.m_context;
+        context = context.withRetryAllowance(context.retryAllowance() + outcome.unusedAllowance());
+        found->second.m_hasFailedChild = found->second.m_hasFailedChild || isFailure(outcome);
     });
 }
 
--- a/core/pipeline/callsinflight.h
+++ b/core/pipeline/callsinflight.h
@@ -19,18 +19,22 @@
 {
 public:
     void add(const CallContext &context);
-    /// Removes a call and returns what is left of its retry allowance.
-    int remove(const CallId &callId);
+    /// Removes a call; completes its outcome with what is left of its retry allowance and with what its children said.
+    CallOutcome remove(const CallId &callId, const CallOutcome &outcome);
     /// The context of the call, or nothing when it doesn't run here.
     std::optional<CallContext> find(const CallId &callId) const;
-    /// Takes up to `wanted` retries from the call's allowance and returns how many were taken.
-    int takeAllowance(const CallId &callId, int wanted);
-    /// Gives unused retries back; ignored when the call has ended.
-    void returnAllowance(const CallId &callId, int unused);
+    /// Takes the part of the call's retry allowance that one child call gets and returns it.
+    int takeAllowance(const CallId &callId);
+    /// A child call ended: its unused retries come back. Ignored when the call itself has ended.
+    void childEnded(const CallId &callId, const CallOutcome &outcome);
     std::size_t size() const;
 
 private:
-    using Table = std::unordered_map<CallId, CallContext>;
+    struct Entry {
+        CallContext m_context; ///< Its retry allowance is what is left after the children took theirs.
+        bool m_hasFailedChild = false;
+    };
+    using Table = std::unordered_map<CallId, Entry>;
     SharedTable<Table> m_table{LockRank::CallsInFlight};
 };
 
--- a/core/values/call.cpp
+++ b/core/values/call.cpp
@@ -43,6 +43,7 @@
                                          "key-home-gone",
                                          "platform-unavailable",
                                          "cancelled",
+                                         "failed-below",
                                          "internal"};
     return Names.at(static_cast<std::size_t>(reason));
 }
--- a/core/values/call.h
+++ b/core/values/call.h
@@ -78,6 +78,7 @@
     KeyHomeGone,
     PlatformUnavailable,
     Cancelled,
+    FailedBelow, ///< Answered, but a call that the backend server made had failed.
     Internal,
 };
 
--- a/modules/local/localplugin.cpp
+++ b/modules/local/localplugin.cpp
@@ -65,10 +65,10 @@
             });
             return;
         }
-        const int allowance = m_calls->takeAllowance(*parentId, parent->retryAllowance());
+        const int allowance = m_calls->takeAllowance(*parentId);
         call = call.withContext(childOf(*parent).withKey(key).withRetryAllowance(allowance));
         m_pipeline->submit(call, [this, respond, parentId](const CallOutcome &outcome) {
-            m_calls->returnAllowance(*parentId, outcome.unusedAllowance());
+            m_calls->childEnded(*parentId, outcome);
             respond(toResponse(outcome));
         });
     }
--- /dev/null
+++ b/modules/retry/retryplugin.cpp
@@ -0,0 +1,108 @@
+// Entry stage that sends a call again when its attempt failed and the policy allows a retry.
+
+#include "core/kernel/kernel.h"
+#include "core/kernel/sharedtable.h"
+#include "core/pipeline/callpipeline.h"
+#include "servers/retry/retrypolicy.h"
+
+#include <map>
+#include <memory>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+/// One call between its first attempt and its end. Only one worker at a time holds it.
+struct RetriedCall {
+    CallRequest m_call;
+    Next m_next;
+    Done m_done;
+    RetryAllowance m_allowance;
+    TimePoint m_sentAt{};
+};
+
+class RetryPlugin final : public Plugin, public CallStage
+{
+public:
+    Result<void> start(Kernel &kernel) override
+    {
+        m_kernel = &kernel;
+        kernel.require<EntryPipeline>().add(EntryPlace::Retry, *this);
+        return {};
+    }
+
+    void handle(const CallRequest &call, const Next &next, Done done) override
+    {
+        const RetryAllowance allowance(call.context().retryAllowance());
+        sendAttempt(std::make_shared<RetriedCall>(RetriedCall{call, next, std::move(done), allowance}));
+    }
+
+private:
+    using Budgets = std::map<std::string, RetryBudget>;
+
+    void sendAttempt(const std::shared_ptr<RetriedCall> &retried)
+    {
+        retried->m_allowance = retried->m_allowance.afterSending();
+        retried->m_sentAt = m_kernel->clock().now();
+        const CallContext context = retried->m_call.context().withRetryAllowance(retried->m_allowance.given());
+        m_kernel->metrics().count("fescuepond_attempts_total", {{"service", retried->m_call.service()}});
+        retried->m_next(retried->m_call.withContext(context), [this, retried](const CallOutcome &outcome) {
+            attemptEnded(retried, outcome);
+        });
+    }
+
+    void attemptEnded(const std::shared_ptr<RetriedCall> &retried, const CallOutcome &outcome)
+    {
+        // What was not run made no calls either, so all that went down with it is left.
+        const bool isNotRun = outcome.state() == CallState::NotRun;
+        const int unused = isNotRun ? retried->m_allowance.given() : outcome.unusedAllowance();
+        retried->m_allowance = retried->m_allowance.afterEnding(unused);
+        if (outcome.reason() == Reason::BackendLost) {
+            const CallContext context = retried->m_call.context();
+            retried->m_call = retried->m_call.withContext(context.withCrashCount(context.crashCount() + 1));
+        }
+        const RetryVerdict verdict = decide(*retried, outcome);
+        if (verdict == RetryVerdict::Retry) {
+            sendAttempt(retried);
+            return;
+        }
+        if (verdict != RetryVerdict::Success) {
+            m_kernel->metrics().count("fescuepond_not_retried_total", {{"reason", toString(verdict)}});
+        }
+        retried->m_done(outcome.withUnusedAllowance(retried->m_allowance.left()));
+    }
+
+    RetryVerdict decide(const RetriedCall &retried, const CallOutcome &outcome)
+    {
+        const TimePoint now = m_kernel->clock().now();
+        const CallContext &context = retried.m_call.context();
+        const auto attempt = FailedAttempt()
+                                 .withOutcome(outcome)
+                                 .withIdempotent(context.idempotent())
+                                 .withAllowance(retried.m_allowance)
+                                 .withTook(now - retried.m_sentAt)
+                                 .withRemaining(context.deadline() - now)
+                                 .withCrashCount(context.crashCount());
+        return m_budgets.locked([&](Budgets &budgets) {
+            RetryBudget &budget = budgets[retried.m_call.service()];
+            const RetryVerdict verdict = decideRetry(attempt, budget);
+            if (verdict == RetryVerdict::Success) {
+                budget = budget.afterSuccess();
+            } else if (verdict == RetryVerdict::Retry) {
+                budget = budget.afterRetry();
+            }
+            return verdict;
+        });
+    }
+
+    Kernel *m_kernel = nullptr;
+    SharedTable<Budgets> m_budgets{LockRank::Retries}; ///< By service; services are few and declared.
+};
+
+const auto registration = registerPlugin<RetryPlugin>("retry", {"pipelines"});
+
+} // namespace
+
+} // namespace fescuepond
--- /dev/null
+++ b/servers/retry/retrypolicy.cpp
@@ -0,0 +1,113 @@
+// Whether a call whose attempt failed is sent again: a table of the failures that a retry can help with.
+
+#include "servers/retry/retrypolicy.h"
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+constexpr double BudgetCapacity = 10.0;
+constexpr double TokensForSuccess = 0.1;
+/// A request is not sent to a third backend server after it took two with it.
+constexpr int MostCrashes = 2;
+
+/// A failure that another target may not show. Overload is not among them: a retry would add to it.
+struct RetryableFailure {
+    CallState state;
+    Reason reason;
+    bool needsIdempotent; ///< The call may have run.
+};
+
+constexpr std::array RetryableFailures = {
+    RetryableFailure{CallState::NotRun, Reason::ConnectionLost, false},
+    RetryableFailure{CallState::NotRun, Reason::BackendUnreachable, false},
+    RetryableFailure{CallState::NotRun, Reason::Leaving, false},
+    RetryableFailure{CallState::OutcomeUnknown, Reason::ConnectionLost, true},
+    RetryableFailure{CallState::OutcomeUnknown, Reason::BackendLost, true},
+};
+
+/// Statuses of a backend server's own failure. 503 says that it is overloaded.
+constexpr std::array RetryableStatuses = {500, 502, 504};
+
+bool isServerError(const CallOutcome &outcome)
+{
+    constexpr int FirstServerError = 500;
+    return outcome.status() >= FirstServerError;
+}
+
+/// A backend server answered that it failed, and no call below it had failed: this hop is next to the failure.
+bool isOwnServerError(const CallOutcome &outcome)
+{
+    const bool isListed =
+        std::find(RetryableStatuses.begin(), RetryableStatuses.end(), outcome.status()) != RetryableStatuses.end();
+    return isListed && outcome.reason() != Reason::FailedBelow;
+}
+
+bool isRetryable(const FailedAttempt &attempt)
+{
+    const CallOutcome &outcome = attempt.outcome();
+    if (attempt.crashCount() >= MostCrashes) {
+        return false;
+    }
+    if (outcome.state() == CallState::Answered) {
+        return attempt.idempotent() && isOwnServerError(outcome);
+    }
+    return std::any_of(RetryableFailures.begin(), RetryableFailures.end(), [&](const RetryableFailure &failure) {
+        const bool isSame = failure.state == outcome.state() && failure.reason == outcome.reason();
+        return isSame && (attempt.idempotent() || !failure.needsIdempotent);
+    });
+}
+
+} // namespace
+
+RetryBudget::RetryBudget()
+    : m_tokens(BudgetCapacity)
+{
+}
+
+RetryBudget RetryBudget::afterSuccess() const
+{
+    return withTokens(std::min(m_tokens + TokensForSuccess, BudgetCapacity));
+}
+
+RetryBudget RetryBudget::afterRetry() const
+{
+    return withTokens(std::max(m_tokens - 1.0, 0.0));
+}
+
+bool RetryBudget::permitsRetry() const
+{
+    return m_tokens >= 1.0;
+}
+
+RetryVerdict decideRetry(const FailedAttempt &attempt, const RetryBudget &budget)
+{
+    const bool isSuccess = attempt.outcome().state() == CallState::Answered && !isServerError(attempt.outcome());
+    if (isSuccess) {
+        return RetryVerdict::Success;
+    }
+    if (!isRetryable(attempt)) {
+        return RetryVerdict::NotRetryable;
+    }
+    if (!attempt.allowance().permitsRetry()) {
+        return RetryVerdict::NoAllowance;
+    }
+    if (attempt.remaining() <= std::max(attempt.took(), Duration::zero())) {
+        return RetryVerdict::NoTime;
+    }
+    return budget.permitsRetry() ? RetryVerdict::Retry : RetryVerdict::NoBudget;
+}
+
+const char *toString(RetryVerdict verdict)
+{
+    static constexpr std::array Names = {"retry", "success", "not-retryable", "no-allowance", "no-budget", "no-time"};
+    return Names.at(static_cast<std::size_t>(verdict));
+}
+
+} // namespace fescuepond
--- a/tests/standins/backendstandin.cpp
+++ b/tests/standins/backendstandin.cpp
@@ -4,8 +4,12 @@
 // writes a journal of what it ran: a line "begin CALL METHOD PATH BODY" when a request starts and "end CALL" when its
 // answer is ready. Requests with these paths are special:
 //     /crash...     ends the process at once
-// Control port: POST /set?local=ADDRESS | /set?service_ms=N | /set?load=N (report this load) | /set?silent=1 (never
-// answer again)
+// Control port, POST /set?NAME=VALUE:
+//     local=ADDRESS     the node's local listener
+//     service_ms=N      mean service time
+//     load=N            report this load
+//     silent=1          never answer again
+//     fail=1            run each request, then answer 500
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -161,6 +165,7 @@
     const std::vector<DownstreamCall> downstream = parseDownstream(FLAGS_downstream);
     std::atomic<int> reportedLoad = ReportUnset;
     std::atomic<bool> isSilent = false;
+    std::atomic<bool> isFailing = false;
 
     std::string localAddress()
     {
@@ -229,6 +234,9 @@
                 status = HTTPResponse::HTTP_BAD_GATEWAY;
             }
         }
+        if (m_backend.isFailing) {
+            status = HTTPResponse::HTTP_INTERNAL_SERVER_ERROR;
+        }
         m_backend.slots.release();
         m_backend.journal.write(fmt::format("end {}", callId));
         while (m_backend.isSilent) {
@@ -271,6 +279,8 @@
                 m_backend.reportedLoad = std::stoi(value);
             } else if (name == "silent") {
                 m_backend.isSilent = value == "1";
+            } else if (name == "fail") {
+                m_backend.isFailing = value == "1";
             }
         }
         response.sendBuffer("ok\n", 3);
--- /dev/null
+++ b/tests/system/retrytest.cpp
@@ -0,0 +1,56 @@
+// Retries over a chain of real processes.
+
+#include "tests/support/fleet.h"
+
+#include <gtest/gtest.h>
+
+namespace fescuepond::test
+{
+
+namespace
+{
+
+constexpr int Allowance = 3;
+
+std::string declaration(const std::string &service)
+{
+    return "service: " + service
+        + "\nkinds:\n  - {name: read, method: GET, path: /*, rank: 5, idempotent: true, deadline_ms: 8000, retries: "
+        + std::to_string(Allowance) + "}\n";
+}
+
+void setBackend(const FleetNode &node, const std::string &query)
+{
+    HttpCall call;
+    call.method = "POST";
+    call.path = "/set?" + query;
+    sendHttp(node.backendControl, call);
+}
+
+} // namespace
+
+TEST(RetrySystem, ChainWithEveryServiceFailingStaysWithinTheAllowance)
+{
+    Fleet fleet;
+    ASSERT_EQ(fleet.publish({declaration("top"), declaration("middle"), declaration("bottom")}), 0);
+    FleetNode &top = fleet.addNode({.name = "top", .service = "top", .backendFlags = {"--downstream=GET middle /x"}});
+    FleetNode &middle =
+        fleet.addNode({.name = "middle", .service = "middle", .backendFlags = {"--downstream=GET bottom /x"}});
+    FleetNode &bottom = fleet.addNode({.name = "bottom", .service = "bottom"});
+    ASSERT_TRUE(fleet.waitUntilReady(3));
+    for (const FleetNode *node : {&top, &middle, &bottom}) {
+        setBackend(*node, "fail=1");
+    }
+
+    const HttpReply reply = sendHttp(top.front, {.path = "/x"});
+
+    EXPECT_EQ(reply.status, 500);
+    const std::size_t ran =
+        top.journalLines("begin").size() + middle.journalLines("begin").size() + bottom.journalLines("begin").size();
+    EXPECT_EQ(top.journalLines("begin").size(), 1) << "only the hop next to the failure retries";
+    EXPECT_EQ(middle.journalLines("begin").size(), 1);
+    EXPECT_GT(bottom.journalLines("begin").size(), 1);
+    EXPECT_LE(ran, 3 + Allowance);
+}
+
+} // namespace fescuepond::test
