Quarantine requests that crash backend servers

Cause: a request that crashes each backend server which runs it takes one after another as its caller sends it again. Change: target stage 'quarantine' over servers/quarantine: losses by fingerprint, one suspect at a time, news pushed to the service's targets before the outcome travels on. Seen to fail first: with the stage off, 'ctest -R QuarantineSystem' printed '(running) >= (1), actual: 0 vs 1: a third backend server was lost'. Two faults found on the way: the push raced the caller's next request, and a call refused by the dead server's port counted as answered and cleared the suspect (news lines showed cleared=1 right after the loss); the latter has a unit test. After: 15 repeats of the tests pass.

--- a/modules/peer/peersender.cpp
+++ b/modules/peer/peersender.cpp
@@ -118,7 +118,8 @@
         m_loop.io()
             .provider->getTimer()
             .timeoutAfter(toKj(timeout), kj::mv(answered))
-            .catch_([](kj::Exception &&) -> std::optional<std::string> {
+            .catch_([address](kj::Exception &&error) -> std::optional<std::string> {
+                Event("peer_ask_failed").with("address", address).with("error", error.getDescription().cStr());
                 return std::nullopt;
             })
             .then([this, reply](std::optional<std::string> answer) {
--- /dev/null
+++ b/modules/quarantine/quarantineplugin.cpp
@@ -0,0 +1,236 @@
+// Target stage that keeps requests which crash backend servers from taking one after another.
+//
+// What a node learns of a suspect is pushed at once to the other targets of its service: they are the only ones that
+// the request can be sent to next.
+
+#include "core/kernel/eventlog.h"
+#include "core/kernel/kernel.h"
+#include "core/kernel/sharedtable.h"
+#include "core/pipeline/interfaces.h"
+#include "modules/quarantine/suspicionencoding.h"
+#include "servers/quarantine/suspectgate.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+/// Longest time for which the outcome of a call is held back until the other targets know of the loss.
+constexpr Duration PushTimeout = std::chrono::milliseconds(500);
+
+/// A call that waits at the gate.
+struct WaitingCall {
+    CallRequest m_call;
+    Next m_next;
+    Done m_done;
+    TimerService::SubscriptionId m_deadline = 0;
+};
+
+class QuarantinePlugin final : public Plugin, public CallStage
+{
+public:
+    Result<void> start(Kernel &kernel) override
+    {
+        m_kernel = &kernel;
+        m_membership = &kernel.require<Membership>();
+        m_peers = &kernel.require<PeerMessages>();
+        m_peers->setHandler(PeerTopic::Quarantine, [this](const std::string &request, const PeerReply &reply) {
+            takeNews(request);
+            reply(std::string());
+        });
+        kernel.require<TargetPipeline>().add(TargetPlace::Quarantine, *this);
+        kernel.metrics().gauge("fescuepond_quarantined_fingerprints", {}, [this] {
+            return static_cast<double>(m_table.locked([](const Table &table) {
+                return table.m_gate.quarantinedCount();
+            }));
+        });
+        return {};
+    }
+
+    std::size_t workInFlight() const override
+    {
+        return m_table.locked([](const Table &table) {
+            return table.m_waiting.size();
+        });
+    }
+
+    void handle(const CallRequest &call, const Next &next, Done done) override
+    {
+        const auto gateCall = GateCall()
+                                  .withAttempt(call.context().attemptId())
+                                  .withFingerprint(fingerprintOf(call))
+                                  .withCarriedLosses(call.context().crashCount());
+        const GateDecision decision = m_table.locked([&](Table &table) {
+            const GateDecision decided = table.m_gate.arrive(gateCall, m_kernel->clock().now());
+            if (decided == GateDecision::Wait) {
+                table.m_waiting.emplace(gateCall.attempt(), WaitingCall{call, next, done, subscribe(call.context())});
+            }
+            return decided;
+        });
+        if (decision == GateDecision::Run) {
+            run(call, next, std::move(done));
+        } else if (decision == GateDecision::Refuse) {
+            refuse(call, done);
+        }
+    }
+
+private:
+    using Continuation = std::function<void()>;
+    struct Table {
+        SuspectGate m_gate;
+        std::map<AttemptId, WaitingCall> m_waiting; ///< The calls that wait in m_gate.
+    };
+
+    TimerService::SubscriptionId subscribe(const CallContext &context)
+    {
+        return m_kernel->timers().once(context.deadline(), [this, attempt = context.attemptId()] {
+            deadlinePassed(attempt);
+        });
+    }
+
+    void deadlinePassed(const AttemptId &attempt)
+    {
+        const auto waiting = m_table.locked([&](Table &table) -> std::optional<WaitingCall> {
+            if (!table.m_gate.withdraw(attempt)) {
+                return std::nullopt;
+            }
+            return takeWaiting(table, attempt);
+        });
+        if (waiting) {
+            waiting->m_done(CallOutcome::notRun(Reason::DeadlineExceeded, "the deadline passed while the call waited"));
+        }
+    }
+
+    static WaitingCall takeWaiting(Table &table, const AttemptId &attempt)
+    {
+        const auto found = table.m_waiting.find(attempt);
+        WaitingCall taken = std::move(found->second);
+        table.m_waiting.erase(found);
+        return taken;
+    }
+
+    void run(const CallRequest &call, const Next &next, Done done)
+    {
+        next(call, [this, call, done = std::move(done)](const CallOutcome &outcome) {
+            callEnded(call, outcome, [done, outcome] {
+                done(outcome);
+            });
+        });
+    }
+
+    void refuse(const CallRequest &call, const Done &done)
+    {
+        m_kernel->metrics().count("fescuepond_quarantine_refusals_total", {{"kind", call.context().kind()}});
+        done(CallOutcome::notRun(Reason::Quarantined, "two backend servers were lost while they ran this request"));
+    }
+
+    /// `finish` is called once the other targets have the news, so that the request can't be sent to one that hasn't.
+    void callEnded(const CallRequest &call, const CallOutcome &outcome, const Continuation &finish)
+    {
+        const RunEnd runEnd = runEndOf(outcome);
+        std::vector<WaitingCall> toRun;
+        std::vector<WaitingCall> toRefuse;
+        const Suspicions changed = m_table.locked([&](Table &table) {
+            const GateEnd end = table.m_gate.ended(call.context().attemptId(), runEnd, m_kernel->clock().now());
+            takeReleased(table, end.released, toRun, toRefuse);
+            return end.changed;
+        });
+        release(toRun, toRefuse);
+        if (changed.empty()) {
+            finish();
+            return;
+        }
+        if (runEnd == RunEnd::BackendLost) {
+            Event("backend_lost").with("suspects", changed.size());
+            m_kernel->metrics().count("fescuepond_backend_losses_total");
+        }
+        push(changed, finish);
+    }
+
+    static void takeReleased(Table &table,
+                             const std::vector<GateRelease> &released,
+                             std::vector<WaitingCall> &toRun,
+                             std::vector<WaitingCall> &toRefuse)
+    {
+        for (const GateRelease &one : released) {
+            auto &group = one.decision() == GateDecision::Run ? toRun : toRefuse;
+            group.push_back(takeWaiting(table, one.attempt()));
+        }
+    }
+
+    void release(const std::vector<WaitingCall> &toRun, const std::vector<WaitingCall> &toRefuse)
+    {
+        for (const WaitingCall &waiting : toRun) {
+            m_kernel->timers().cancel(waiting.m_deadline);
+            run(waiting.m_call, waiting.m_next, waiting.m_done);
+        }
+        for (const WaitingCall &waiting : toRefuse) {
+            m_kernel->timers().cancel(waiting.m_deadline);
+            refuse(waiting.m_call, waiting.m_done);
+        }
+    }
+
+    void push(const Suspicions &changed, const Continuation &finish)
+    {
+        const std::string news = encodeSuspicions(changed);
+        const Member self = m_membership->self();
+        const auto targets = m_membership->targetsOf(self.service());
+        // This function counts as one more, so that `finish` isn't called while the news still goes out.
+        const auto outstanding = std::make_shared<std::atomic<std::size_t>>(1);
+        const auto acknowledged = [outstanding, finish] {
+            if (--*outstanding == 0) {
+                finish();
+            }
+        };
+        for (const Member &member : *targets) {
+            if (member.name() == self.name()) {
+                continue;
+            }
+            ++*outstanding;
+            m_peers->ask(member.peerAddress(),
+                         PeerTopic::Quarantine,
+                         news,
+                         PushTimeout,
+                         [acknowledged, name = member.name()](const auto &reply) {
+                             if (!reply) {
+                                 Event("quarantine_news_lost").with("target", name);
+                             }
+                             acknowledged();
+                         });
+        }
+        acknowledged();
+    }
+
+    void takeNews(const std::string &bytes)
+    {
+        const auto records = decodeSuspicions(bytes);
+        if (!records) {
+            Event("quarantine_news_invalid").with("bytes", bytes.size());
+            return;
+        }
+        std::vector<WaitingCall> toRun;
+        std::vector<WaitingCall> toRefuse;
+        m_table.locked([&](Table &table) {
+            takeReleased(table, table.m_gate.merge(*records, m_kernel->clock().now()), toRun, toRefuse);
+        });
+        release(toRun, toRefuse);
+    }
+
+    Kernel *m_kernel = nullptr;
+    Membership *m_membership = nullptr;
+    PeerMessages *m_peers = nullptr;
+    SharedTable<Table> m_table{LockRank::Quarantine};
+};
+
+const auto registration = registerPlugin<QuarantinePlugin>("quarantine", {"pipelines", "membership", "peer"});
+
+} // namespace
+
+} // namespace fescuepond
--- /dev/null
+++ b/modules/quarantine/suspicionencoding.h
@@ -0,0 +1,17 @@
+// Suspicions as messages between nodes.
+
+#pragma once
+
+#include "servers/quarantine/suspicion.h"
+
+#include <optional>
+#include <string>
+
+namespace fescuepond
+{
+
+std::string encodeSuspicions(const Suspicions &suspicions);
+/// Nothing when the bytes are not such a message.
+std::optional<Suspicions> decodeSuspicions(const std::string &bytes);
+
+} // namespace fescuepond
--- /dev/null
+++ b/servers/quarantine/suspectgate.cpp
@@ -0,0 +1,108 @@
+// The gate before a backend server that keeps suspects apart.
+
+#include "servers/quarantine/suspectgate.h"
+
+#include "core/kernel/invariant.h"
+
+#include <algorithm>
+
+namespace fescuepond
+{
+
+RunEnd runEndOf(const CallOutcome &outcome)
+{
+    if (outcome.reason() == Reason::BackendLost) {
+        return RunEnd::BackendLost;
+    }
+    return outcome.state() == CallState::Answered ? RunEnd::Answered : RunEnd::NoEvidence;
+}
+
+GateDecision SuspectGate::arrive(const GateCall &call, TimePoint now)
+{
+    const GateDecision decision = decide(call, now);
+    if (decision == GateDecision::Wait) {
+        m_waiting.push_back(call);
+    }
+    return decision;
+}
+
+GateDecision SuspectGate::decide(const GateCall &call, TimePoint now)
+{
+    const Treatment treatment = m_table.treatmentOf(call.fingerprint(), call.carriedLosses(), now);
+    if (treatment == Treatment::Refuse) {
+        return GateDecision::Refuse;
+    }
+    if (treatment == Treatment::RunAsOnlySuspect) {
+        if (m_suspect) {
+            return GateDecision::Wait;
+        }
+        m_suspect = call.attempt();
+    }
+    m_running.emplace(call.attempt(), Running{call.fingerprint(), LossId()});
+    return GateDecision::Run;
+}
+
+GateEnd SuspectGate::ended(const AttemptId &attempt, RunEnd runEnd, TimePoint now)
+{
+    GateEnd end;
+    const auto found = m_running.find(attempt);
+    invariant(found != m_running.end(), "a call that ends has run");
+    // All calls that ran when the backend server was lost belong to one loss, though each ends on its own.
+    const bool isNewLoss = runEnd == RunEnd::BackendLost && found->second.m_loss.isNone();
+    if (isNewLoss) {
+        end.changed = recordLoss(now);
+    }
+    if (runEnd == RunEnd::Answered) {
+        end.changed = m_table.answered(found->second.m_fingerprint);
+    }
+    m_running.erase(found);
+    if (m_suspect == attempt) {
+        m_suspect.reset();
+        end.released = decideWaiting(now);
+    }
+    return end;
+}
+
+Suspicions SuspectGate::recordLoss(TimePoint now)
+{
+    const LossId loss = LossId::random();
+    std::vector<Fingerprint> fingerprints;
+    for (auto &[attempt, running] : m_running) {
+        if (running.m_loss.isNone()) {
+            running.m_loss = loss;
+            fingerprints.push_back(running.m_fingerprint);
+        }
+    }
+    return m_table.backendLost(loss, fingerprints, now);
+}
+
+bool SuspectGate::withdraw(const AttemptId &attempt)
+{
+    return m_waiting.remove_if([&](const GateCall &call) {
+        return call.attempt() == attempt;
+    }) > 0;
+}
+
+std::vector<GateRelease> SuspectGate::merge(const Suspicions &records, TimePoint now)
+{
+    m_table.merge(records, now);
+    return decideWaiting(now);
+}
+
+std::vector<GateRelease> SuspectGate::decideWaiting(TimePoint now)
+{
+    std::vector<GateRelease> released;
+    for (auto call = m_waiting.begin(); call != m_waiting.end();) {
+        const GateDecision decision = decide(*call, now);
+        if (decision == GateDecision::Wait) {
+            ++call;
+            continue;
+        }
+        released.push_back(GateRelease().withAttempt(call->attempt()).withDecision(decision));
+        call = m_waiting.erase(call);
+    }
+    invariant(m_waiting.empty() || m_suspect.has_value(), "suspects only wait while one runs");
+    return released;
+}
+
+} // namespace fescuepond
