Add benchmarks of added latency and of the cost of a call

benchmarks/latency: the same request direct, through one node and through two, alternating in one run. benchmarks/callcost: processor time by least squares over six rates.

--- /dev/null
+++ b/benchmarks/callcost/callcost.cpp
@@ -0,0 +1,164 @@
+// Measures what a call costs the node where it enters and the node of its target: processor time for each call, from
+// the slope over several rates, and memory.
+
+#include "benchmarks/support/processusage.h"
+#include "benchmarks/support/timedconnection.h"
+#include "tests/support/fleet.h"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <memory>
+#include <thread>
+#include <vector>
+
+DEFINE_int32(seconds, 8, "Time at each rate.");
+DEFINE_int32(connections, 8, "Connections, each with a thread of its own.");
+DEFINE_int32(service_ms, 2, "Service time of the backend server, in milliseconds.");
+
+using namespace fescuepond::test;
+using fescuepond::benchmark::ProcessUsage;
+using fescuepond::benchmark::TimedConnection;
+using fescuepond::benchmark::usageOf;
+
+namespace
+{
+
+using Clock = std::chrono::steady_clock;
+
+constexpr const char *YardDeclaration = R"(
+service: yard
+kinds:
+  - {name: read, method: GET, path: /*, rank: 5, idempotent: true, deadline_ms: 5000, retries: 1}
+)";
+constexpr const char *DeskDeclaration = R"(
+service: desk
+kinds:
+  - {name: read, method: GET, path: /*, rank: 5, idempotent: true, deadline_ms: 5000, retries: 1}
+)";
+/// Calls a second. A node of the capacity page's fleet carries 138 a second on average.
+constexpr std::array Rates = {0, 50, 100, 200, 400, 800};
+
+/// Sends calls at `rate` for the time of one measurement; returns how many were sent.
+int sendCalls(const std::string &address, int rate)
+{
+    if (rate == 0) {
+        std::this_thread::sleep_for(std::chrono::seconds(FLAGS_seconds));
+        return 0;
+    }
+    const int perConnection = rate * FLAGS_seconds / FLAGS_connections;
+    const auto interval = std::chrono::duration_cast<Clock::duration>(
+        std::chrono::duration<double>(static_cast<double>(FLAGS_connections) / rate));
+    std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(FLAGS_connections));
+    for (int i = 0; i < FLAGS_connections; ++i) {
+        threads.emplace_back([&] {
+            TimedConnection connection(address, "yard");
+            auto due = Clock::now();
+            for (int sent = 0; sent < perConnection; ++sent) {
+                due += interval;
+                std::this_thread::sleep_until(due);
+                connection.get("/stock/sleepers");
+            }
+        });
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    return perConnection * FLAGS_connections;
+}
+
+/// Slope and value at zero of the least-squares line.
+struct Line {
+    double slope = 0;
+    double atZero = 0;
+};
+
+Line fit(const std::vector<double> &x, const std::vector<double> &y)
+{
+    const auto n = static_cast<double>(x.size());
+    double sumX = 0;
+    double sumY = 0;
+    double sumXX = 0;
+    double sumXY = 0;
+    for (std::size_t i = 0; i < x.size(); ++i) {
+        sumX += x[i];
+        sumY += y[i];
+        sumXX += x[i] * x[i];
+        sumXY += x[i] * y[i];
+    }
+    const double slope = (n * sumXY - sumX * sumY) / (n * sumXX - sumX * sumX);
+    return {slope, (sumY - slope * sumX) / n};
+}
+
+/// Processor time of one node at each rate.
+struct NodeSeries {
+    const char *role;
+    const FleetNode *node;
+    std::vector<double> coreShare = {};
+};
+
+void measure(NodeSeries &entry, NodeSeries &target, std::vector<double> &rates)
+{
+    fmt::print("{:>8} {:>14} {:>14} {:>12} {:>12} {:>8}\n",
+               "calls/s",
+               "entry core %",
+               "target core %",
+               "entry MB",
+               "target MB",
+               "threads");
+    for (const int rate : Rates) {
+        const ProcessUsage entryBefore = usageOf(entry.node->process->id());
+        const ProcessUsage targetBefore = usageOf(target.node->process->id());
+        const auto begin = Clock::now();
+        const int sent = sendCalls(entry.node->front, rate);
+        const double seconds = std::chrono::duration<double>(Clock::now() - begin).count();
+        const ProcessUsage entryAfter = usageOf(entry.node->process->id());
+        const ProcessUsage targetAfter = usageOf(target.node->process->id());
+        rates.push_back(sent / seconds);
+        entry.coreShare.push_back((entryAfter.processorSeconds - entryBefore.processorSeconds) / seconds);
+        target.coreShare.push_back((targetAfter.processorSeconds - targetBefore.processorSeconds) / seconds);
+        fmt::print("{:>8.0f} {:>14.2f} {:>14.2f} {:>12.1f} {:>12.1f} {:>8}\n",
+                   rates.back(),
+                   100 * entry.coreShare.back(),
+                   100 * target.coreShare.back(),
+                   entryAfter.residentMegabytes,
+                   targetAfter.residentMegabytes,
+                   targetAfter.threads);
+        std::fflush(stdout);
+    }
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    Fleet fleet;
+    fleet.publish({YardDeclaration, DeskDeclaration});
+    const FleetNode &yard =
+        fleet.addNode({.name = "yard-a",
+                       .service = "yard",
+                       .backendFlags = {"--fixed", "--service_ms=" + std::to_string(FLAGS_service_ms)}});
+    const FleetNode &desk = fleet.addNode({.name = "desk-a", .service = "desk"});
+    if (!fleet.waitUntilReady(2)) {
+        fmt::print(stderr, "the nodes did not become ready\n");
+        return 1;
+    }
+    NodeSeries entry{"entry node", &desk};
+    NodeSeries target{"target's node", &yard};
+    std::vector<double> rates;
+    measure(entry, target, rates);
+    for (const NodeSeries *series : {&entry, &target}) {
+        const Line line = fit(rates, series->coreShare);
+        constexpr double MicrosPerSecond = 1e6;
+        fmt::print("{}: {:.0f} us of processor time for each call, {:.2f}% of a core with no calls\n",
+                   series->role,
+                   line.slope * MicrosPerSecond,
+                   100 * line.atZero);
+    }
+    return 0;
+}
--- /dev/null
+++ b/benchmarks/latency/latency.cpp
@@ -0,0 +1,143 @@
+// Measures the latency that the system adds to a call.
+//
+// The same request goes to the backend server directly, through the target's own node, and through an entry node and
+// the target's node, in turn and at one rate, all in one run on one machine.
+
+#include "benchmarks/support/timedconnection.h"
+#include "tests/support/fleet.h"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <memory>
+#include <thread>
+#include <vector>
+
+DEFINE_int32(requests, 4000, "Requests measured on each path.");
+DEFINE_int32(rate, 300, "Requests a second over all paths together.");
+DEFINE_int32(connections, 4, "Connections of each path, each with a thread of its own.");
+DEFINE_int32(service_ms, 2, "Service time of the backend server, in milliseconds.");
+DEFINE_int32(warmup, 200, "Requests on each path before those that are measured.");
+
+using namespace fescuepond::test;
+using fescuepond::benchmark::TimedConnection;
+
+namespace
+{
+
+using Clock = std::chrono::steady_clock;
+
+constexpr const char *Declarations = R"(
+service: yard
+kinds:
+  - {name: read, method: GET, path: /*, rank: 5, idempotent: true, deadline_ms: 5000, retries: 1}
+)";
+constexpr const char *OtherDeclarations = R"(
+service: desk
+kinds:
+  - {name: read, method: GET, path: /*, rank: 5, idempotent: true, deadline_ms: 5000, retries: 1}
+)";
+
+struct Path {
+    const char *name;
+    std::string address;
+};
+
+using Samples = std::vector<double>;
+
+/// Times requests on all paths in turn over one connection each; returns the samples of each path.
+std::vector<Samples> measure(const std::vector<Path> &paths)
+{
+    std::vector<std::unique_ptr<TimedConnection>> connections;
+    connections.reserve(paths.size());
+    for (const Path &path : paths) {
+        connections.push_back(std::make_unique<TimedConnection>(path.address, "yard"));
+    }
+    std::vector<Samples> samples(paths.size());
+    const auto interval = std::chrono::duration_cast<Clock::duration>(
+        std::chrono::duration<double>(static_cast<double>(FLAGS_connections) / FLAGS_rate));
+    const int perConnection = FLAGS_requests / FLAGS_connections;
+    const int warmup = FLAGS_warmup / FLAGS_connections;
+    auto due = Clock::now();
+    for (int round = 0; round < warmup + perConnection; ++round) {
+        for (std::size_t path = 0; path < paths.size(); ++path) {
+            due += interval;
+            std::this_thread::sleep_until(due);
+            const auto took = connections[path]->get("/stock/sleepers");
+            if (round >= warmup) {
+                samples[path].push_back(took.count());
+            }
+        }
+    }
+    return samples;
+}
+
+double quantile(const Samples &sorted, double q)
+{
+    const auto index = static_cast<std::size_t>(q * static_cast<double>(sorted.size() - 1));
+    return sorted[index];
+}
+
+void print(const std::vector<Path> &paths, std::vector<Samples> &samples)
+{
+    constexpr std::array Quantiles = {0.5, 0.99, 0.999};
+    fmt::print("{:<12} {:>8} {:>30} {:>30}\n", "path", "samples", "latency us p50/p99/p99.9", "added us p50/p99/p99.9");
+    for (Samples &path : samples) {
+        std::sort(path.begin(), path.end());
+    }
+    for (std::size_t path = 0; path < paths.size(); ++path) {
+        std::string latency;
+        std::string added;
+        for (const double q : Quantiles) {
+            const double value = quantile(samples[path], q);
+            latency += fmt::format(" {:>8.0f}", value);
+            added += fmt::format(" {:>8.0f}", value - quantile(samples[0], q));
+        }
+        fmt::print("{:<12} {:>8} {:>30} {:>30}\n", paths[path].name, samples[path].size(), latency, added);
+    }
+}
+
+std::vector<Samples> measureOnAllConnections(const std::vector<Path> &paths)
+{
+    std::vector<std::vector<Samples>> parts(static_cast<std::size_t>(FLAGS_connections));
+    std::vector<std::thread> threads;
+    threads.reserve(parts.size());
+    for (auto &part : parts) {
+        threads.emplace_back([&] {
+            part = measure(paths);
+        });
+    }
+    std::vector<Samples> samples(paths.size());
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        threads[i].join();
+        for (std::size_t path = 0; path < paths.size(); ++path) {
+            samples[path].insert(samples[path].end(), parts[i][path].begin(), parts[i][path].end());
+        }
+    }
+    return samples;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    Fleet fleet;
+    fleet.publish({Declarations, OtherDeclarations});
+    const FleetNode &yard =
+        fleet.addNode({.name = "yard-a",
+                       .service = "yard",
+                       .backendFlags = {"--fixed", "--service_ms=" + std::to_string(FLAGS_service_ms)}});
+    const FleetNode &desk = fleet.addNode({.name = "desk-a", .service = "desk"});
+    if (!fleet.waitUntilReady(2)) {
+        fmt::print(stderr, "the nodes did not become ready\n");
+        return 1;
+    }
+    const std::vector<Path> paths = {{"direct", yard.backend}, {"one node", yard.front}, {"two nodes", desk.front}};
+    std::vector<Samples> samples = measureOnAllConnections(paths);
+    print(paths, samples);
+    return 0;
+}
