Run a request that may not be repeated at most once, at the home of its key

Cause: nothing kept a non-idempotent request from running again when its caller sent it again. Change: the Key stage of the entry pipeline. Each key has one home, the incarnation that holds its record: a ticket names it, a key of the caller's choice is bound to it by a conditional create at the platform, a child call's key is derived from its parent's at the node beside the backend server. The ledger (servers/ledger) decides per submission: start, wait, answer, refuse; a watermark bounds it. A planned stop hands the records to one successor.

--- a/core/pipeline/headernames.h
+++ b/core/pipeline/headernames.h
@@ -20,4 +20,7 @@
 /// Key for a non-idempotent request, chosen by the caller.
 constexpr std::string_view IdempotencyKey = "Idempotency-Key";
 
+/// A front request for this path issues tickets, one a line; `?count=N` asks for several.
+constexpr std::string_view TicketsPath = "/.fescuepond/tickets";
+
 } // namespace fescuepond::header
--- a/core/pipeline/interfaces.h
+++ b/core/pipeline/interfaces.h
@@ -52,6 +52,15 @@
     virtual void send(const Member &target, const CallRequest &call, Done done) = 0;
 };
 
+/// Issues tickets: keys for requests that may run at most once, whose home is this node.
+class TicketIssuer
+{
+public:
+    virtual ~TicketIssuer() = default;
+    /// Up to `count` tickets; none when this node hands its keys over.
+    virtual std::vector<std::string> issueTickets(std::size_t count) = 0;
+};
+
 /// What a callee knows of an attempt.
 enum class AttemptStatus {
     Fenced, ///< It never ran here and never will.
--- a/modules/front/frontplugin.cpp
+++ b/modules/front/frontplugin.cpp
@@ -6,10 +6,14 @@
 #include "core/kernel/kernel.h"
 #include "core/pipeline/callpipeline.h"
 #include "core/pipeline/headernames.h"
+#include "core/pipeline/interfaces.h"
 #include "modules/http/callencoding.h"
 #include "modules/http/httplistener.h"
+#include "servers/ledger/key.h"
 
 #include <Poco/Net/IPAddress.h>
+#include <Poco/NumberParser.h>
+#include <Poco/URI.h>
 
 #include <memory>
 
@@ -26,6 +30,7 @@
     {
         m_kernel = &kernel;
         m_pipeline = &kernel.require<EntryPipeline>();
+        m_tickets = &kernel.require<TicketIssuer>();
         m_listener =
             std::make_unique<HttpListener>(kernel, "front", [this](const HttpRequest &request, HttpRespond respond) {
                 handle(request, std::move(respond));
@@ -51,13 +56,36 @@
 private:
     void handle(const HttpRequest &request, HttpRespond respond)
     {
-        const CallContext context = CallContext().withKey(request.header(header::IdempotencyKey));
+        if (request.target().starts_with(header::TicketsPath)) {
+            respond(tickets(request));
+            return;
+        }
+        const KeyName key = keyOfRoot(request.header(header::Ticket), request.header(header::IdempotencyKey));
+        const CallContext context = CallContext().withKey(key.toString());
         const CallRequest call = toCall(request, serviceOf(request)).withContext(context);
         m_pipeline->submit(call, [respond = std::move(respond)](const CallOutcome &outcome) {
             respond(toResponse(outcome));
         });
     }
 
+    /// Fresh tickets, one a line.
+    HttpResponse tickets(const HttpRequest &request)
+    {
+        constexpr unsigned MostTickets = 1000;
+        unsigned count = 1;
+        for (const auto &[name, value] : Poco::URI(request.target()).getQueryParameters()) {
+            const bool isCount = name == "count" && Poco::NumberParser::tryParseUnsigned(value, count);
+            if (!isCount || count > MostTickets) {
+                return HttpResponse(400, "text/plain", "ask for count=1 to count=1000\n");
+            }
+        }
+        std::string text;
+        for (const std::string &ticket : m_tickets->issueTickets(count)) {
+            text += ticket + "\n";
+        }
+        return HttpResponse(200, "text/plain", text);
+    }
+
     /// The service named by the Host header; an IP or no name at all means the node's own.
     std::string serviceOf(const HttpRequest &request) const
     {
@@ -69,10 +97,11 @@
 
     Kernel *m_kernel = nullptr;
     EntryPipeline *m_pipeline = nullptr;
+    TicketIssuer *m_tickets = nullptr;
     std::unique_ptr<HttpListener> m_listener;
 };
 
-const auto registration = registerPlugin<FrontPlugin>("front", {"pipelines", "classification", "routing"});
+const auto registration = registerPlugin<FrontPlugin>("front", {"pipelines", "classification", "routing", "ledger"});
 
 } // namespace
 
--- /dev/null
+++ b/modules/ledger/keybinder.h
@@ -0,0 +1,55 @@
+// Binds keys that callers chose to their homes, at the platform.
+//
+// A new key costs one conditional create. A key that this node has seen bound costs no call at all. Objects that this
+// node made are removed after their lifetime, at a bounded rate; then the key counts as new.
+
+#pragma once
+
+#include "core/kernel/kernel.h"
+#include "core/kernel/sharedtable.h"
+#include "core/pipeline/interfaces.h"
+#include "servers/ledger/binding.h"
+
+#include <deque>
+#include <functional>
+#include <string>
+#include <unordered_map>
+
+namespace fescuepond
+{
+
+class KeyBinder
+{
+public:
+    /// Called with action Use or Refuse.
+    using Bound = std::function<void(const BindingDecision &)>;
+
+    KeyBinder(Kernel &kernel, Platform &platform);
+
+    void bind(const KeyBinding &proposed, const Bound &bound);
+
+private:
+    struct OwnObject {
+        TimePoint m_madeAt;
+        std::string m_name;
+        ObjectVersion m_version;
+    };
+    struct Table {
+        std::unordered_map<std::string, Ticket> m_known; ///< By scoped key.
+        std::deque<std::string> m_order; ///< Has exactly the keys of m_known, the oldest first.
+        std::deque<OwnObject> m_ownObjects; ///< The oldest first.
+    };
+
+    void follow(const BindingDecision &decision, const KeyBinding &proposed, int writesLeft, const Bound &bound);
+    void write(const KeyBinding &proposed, int writesLeft, const Bound &bound);
+    void read(const KeyBinding &proposed, int writesLeft, const Bound &bound);
+    void finish(const BindingDecision &decision, const Bound &bound);
+    void rememberOwnObject(const PlatformObject &object);
+    void removeOldObjects();
+
+    Kernel &m_kernel;
+    Platform &m_platform;
+    SharedTable<Table> m_table{LockRank::KeyRecords};
+};
+
+} // namespace fescuepond
--- /dev/null
+++ b/modules/ledger/ledgerencoding.h
@@ -0,0 +1,83 @@
+// Between the ledger's values and its messages to other nodes and objects at the platform.
+
+#pragma once
+
+#include "modules/ledger/ledger.capnp.h"
+#include "servers/ledger/binding.h"
+#include "servers/ledger/keyrecord.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <kj/array.h>
+
+#include <optional>
+#include <string>
+
+namespace fescuepond
+{
+
+/// The bytes of a message, as the body of a peer request.
+std::string toBytes(capnp::MessageBuilder &message);
+
+/// Reads a message from the body of a peer request.
+class MessageBytes
+{
+public:
+    explicit MessageBytes(const std::string &bytes);
+    template<typename Root>
+    typename Root::Reader root()
+    {
+        return m_reader.getRoot<Root>();
+    }
+
+private:
+    kj::Array<capnp::word> m_words; ///< A copy: the reader needs aligned memory.
+    capnp::FlatArrayMessageReader m_reader;
+};
+
+/// A call for the home of `place`; no home: for the callee to take as its entry node would.
+std::string encodeKeyedCall(const KeyPlace &place, const CallRequest &call, TimePoint now);
+
+/// The answer of the node that was taken for a key's home.
+enum class KeyedReplyKind {
+    Outcome,
+    NotHome,
+    Moved,
+};
+class KeyedReply
+{
+    FESCUEPOND_FIELD(KeyedReplyKind, kind, withKind);
+    FESCUEPOND_FIELD(CallOutcome, outcome, withOutcome); ///< Set with Outcome.
+    FESCUEPOND_FIELD(std::string, address, withAddress); ///< Set with Moved: where the home's records are.
+
+public:
+    friend auto operator<=>(const KeyedReply &, const KeyedReply &) = default;
+};
+std::string encodeKeyedReply(const KeyedReply &reply);
+/// Nothing when the message is damaged.
+std::optional<KeyedReply> decodeKeyedReply(const std::string &bytes);
+
+/// Part of a home's records: `count` of them from `first` on.
+std::string encodeRecordsPart(const HomeSnapshot &snapshot, std::size_t first, std::size_t count);
+std::string encodeRecordsCommit(const HomeSnapshot &snapshot);
+std::string encodeMoved(const Incarnation &home, const std::string &address);
+std::string encodeLocate(const Incarnation &home);
+/// Nothing when a record is damaged.
+std::optional<KeyRecords> decodeRecords(capnp::List<wire::KeyRecord>::Reader reader);
+
+class KeyRecordsReply
+{
+    FESCUEPOND_FIELD(bool, accepted, withAccepted);
+    FESCUEPOND_FIELD(std::string, address, withAddress);
+
+public:
+    friend auto operator<=>(const KeyRecordsReply &, const KeyRecordsReply &) = default;
+};
+std::string encodeRecordsReply(const KeyRecordsReply &reply);
+std::optional<KeyRecordsReply> decodeRecordsReply(const std::string &bytes);
+
+/// The platform's object for a key, as JSON.
+std::string toJson(const KeyBinding &binding);
+std::optional<KeyBinding> bindingFromJson(const std::string &text);
+
+} // namespace fescuepond
--- a/modules/local/localplugin.cpp
+++ b/modules/local/localplugin.cpp
@@ -9,6 +9,7 @@
 #include "core/pipeline/headernames.h"
 #include "modules/http/callencoding.h"
 #include "modules/http/httplistener.h"
+#include "servers/ledger/key.h"
 
 #include <memory>
 
@@ -30,6 +31,21 @@
         .withDepth(parent.depth() + 1);
 }
 
+/// What the backend server adds to the key of a child call.
+std::string ownKey(const HttpRequest &request)
+{
+    return keyOfRoot(request.header(header::Ticket), request.header(header::IdempotencyKey)).toString();
+}
+
+/// The key of a call whose parent does not run here. If it names one, the parent has ended, and the call must not run
+/// a second time as a request of its own: its key stays that of a child, which the ledger refuses.
+std::string orphanKey(const HttpRequest &request, const CallRequest &call)
+{
+    const auto parentId = CallId::parse(request.header(header::Call));
+    return parentId ? keyOfChild(CallContext().withCallId(*parentId), call, ownKey(request)).toString()
+                    : ownKey(request);
+}
+
 class LocalPlugin final : public Plugin
 {
 public:
@@ -58,15 +74,16 @@
         const auto parentId = CallId::parse(request.header(header::Call));
         const auto parent = parentId ? m_calls->find(*parentId) : std::nullopt;
         CallRequest call = toCall(request, request.host());
-        const std::string key = request.header(header::IdempotencyKey);
         if (!parent) {
-            m_pipeline->submit(call.withContext(CallContext().withKey(key)), [respond](const CallOutcome &outcome) {
-                respond(toResponse(outcome));
-            });
+            m_pipeline->submit(call.withContext(CallContext().withKey(orphanKey(request, call))),
+                               [respond](const CallOutcome &outcome) {
+                                   respond(toResponse(outcome));
+                               });
             return;
         }
         const int allowance = m_calls->takeAllowance(*parentId, parent->retryAllowance());
-        call = call.withContext(childOf(*parent).withKey(key).withRetryAllowance(allowance));
+        const KeyName key = keyOfChild(*parent, call, ownKey(request));
+        call = call.withContext(childOf(*parent).withKey(key.toString()).withRetryAllowance(allowance));
         m_pipeline->submit(call, [this, respond, parentId](const CallOutcome &outcome) {
             m_calls->returnAllowance(*parentId, outcome.unusedAllowance());
             respond(toResponse(outcome));
@@ -78,7 +95,7 @@
     std::unique_ptr<HttpListener> m_listener;
 };
 
-const auto registration = registerPlugin<LocalPlugin>("local", {"pipelines", "classification", "routing"});
+const auto registration = registerPlugin<LocalPlugin>("local", {"pipelines", "classification", "routing", "ledger"});
 
 } // namespace
 
--- /dev/null
+++ b/servers/ledger/homeledger.cpp
@@ -0,0 +1,227 @@
+// The ledger of one home: start at most once, keep the outcome, forget with a watermark.
+
+#include "servers/ledger/homeledger.h"
+
+#include "core/kernel/eventlog.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+/// Ends the program when an invariant of the ledger does not hold: running on could start a key twice.
+void require(bool condition, const char *invariant, const Incarnation &home, KeySerial serial)
+{
+    if (!condition) {
+        Event("invariant_violated").with("invariant", invariant).with("home", home.toString()).with("serial", serial);
+        std::abort();
+    }
+}
+
+SubmissionDecision answer(CallOutcome outcome)
+{
+    return SubmissionDecision().withVerdict(SubmissionVerdict::Answer).withOutcome(std::move(outcome));
+}
+
+SubmissionDecision verdict(SubmissionVerdict verdict)
+{
+    return SubmissionDecision().withVerdict(verdict);
+}
+
+SubmissionDecision repeat(const KeyRecord &record, const Fingerprint &fingerprint)
+{
+    if (record.fingerprint() != fingerprint) {
+        return answer(CallOutcome::notRun(Reason::BadRequest, "the key was used for another request"));
+    }
+    return record.state() == KeyState::Running ? verdict(SubmissionVerdict::Wait) : answer(record.outcome());
+}
+
+CallOutcome tooOld(const char *detail)
+{
+    return CallOutcome::unknown(Reason::KeyTooOld, detail);
+}
+
+} // namespace
+
+HomeLedger::HomeLedger(Incarnation home, KeyLimits limits, IsInFlight isInFlight, TimePoint now)
+    : m_home(home)
+    , m_limits(limits)
+    , m_isInFlight(std::move(isInFlight))
+    , m_marks{{now, m_nextSerial}}
+{
+}
+
+HomeLedger::HomeLedger(const HomeSnapshot &snapshot, KeyLimits limits, IsInFlight isInFlight, TimePoint now)
+    : m_home(snapshot.home())
+    , m_limits(limits)
+    , m_isInFlight(std::move(isInFlight))
+    , m_nextSerial(snapshot.nextSerial())
+    , m_watermark(snapshot.watermark())
+    , m_marks{{now, snapshot.nextSerial()}}
+{
+    for (const KeyRecord &record : snapshot.records()) {
+        require(record.state() == KeyState::Ended, "a record handed over has ended", m_home, record.serial());
+        require(record.serial() < m_nextSerial, "a record's serial was issued", m_home, record.serial());
+        m_records.emplace(record.serial(), record.withChangedAt(now));
+        m_answerBytes += record.outcome().body().size();
+    }
+}
+
+KeySerial HomeLedger::issue()
+{
+    return m_isClosed ? 0 : m_nextSerial++;
+}
+
+KeySerial HomeLedger::serialOfChild(const std::string &derivedName)
+{
+    const auto found = m_children.find(derivedName);
+    return found == m_children.end() ? issue() : found->second;
+}
+
+SubmissionDecision HomeLedger::submit(KeySerial serial,
+                                      const Fingerprint &fingerprint,
+                                      const std::string &derivedName,
+                                      TimePoint deadline,
+                                      TimePoint now)
+{
+    const auto found = m_records.find(serial);
+    if (found != m_records.end()) {
+        return repeat(found->second, fingerprint);
+    }
+    if (serial < m_watermark) {
+        return answer(tooOld("the key is older than the records that its home keeps"));
+    }
+    if (m_isClosed) {
+        return verdict(SubmissionVerdict::Closed);
+    }
+    if (serial >= m_nextSerial) {
+        return answer(CallOutcome::notRun(Reason::BadRequest, "the ticket was never issued"));
+    }
+    if (deadline <= now) {
+        return answer(CallOutcome::notRun(Reason::DeadlineExceeded, "the deadline passed before the call was run"));
+    }
+    if (!derivedName.empty() && !m_isInFlight(parentOfChildKey(derivedName))) {
+        return answer(CallOutcome::notRun(Reason::Cancelled, "the call that this one belongs to has ended"));
+    }
+    if (!makeRoom()) {
+        return answer(CallOutcome::notRun(Reason::Overload, "the home of the key holds too many recent keys"));
+    }
+    return start(serial, fingerprint, derivedName, now);
+}
+
+SubmissionDecision
+HomeLedger::start(KeySerial serial, const Fingerprint &fingerprint, const std::string &derivedName, TimePoint now)
+{
+    // Making room may have moved the watermark past this key.
+    if (serial < m_watermark) {
+        return answer(tooOld("the key is older than the records that its home keeps"));
+    }
+    const auto [record, isNew] = m_records.emplace(serial,
+                                                   KeyRecord()
+                                                       .withSerial(serial)
+                                                       .withFingerprint(fingerprint)
+                                                       .withState(KeyState::Running)
+                                                       .withChangedAt(now)
+                                                       .withDerivedName(derivedName));
+    require(isNew && !m_isClosed, "a key starts at most once", m_home, serial);
+    if (!derivedName.empty()) {
+        const bool isOnlyChild = m_children.emplace(derivedName, serial).second;
+        require(isOnlyChild, "a derived key has one record", m_home, serial);
+    }
+    ++m_running;
+    return verdict(SubmissionVerdict::Start);
+}
+
+void HomeLedger::end(KeySerial serial, const CallOutcome &outcome, TimePoint now)
+{
+    const auto found = m_records.find(serial);
+    const bool isRunning = found != m_records.end() && found->second.state() == KeyState::Running;
+    require(isRunning, "a started key ends once", m_home, serial);
+    --m_running;
+    if (outcome.state() == CallState::NotRun) {
+        erase(found);
+        return;
+    }
+    const bool isKept = outcome.body().size() <= m_limits.maxAnswerBytesEach();
+    const CallOutcome kept = isKept ? outcome : tooOld("the call ran; its answer is too long to be kept");
+    found->second = found->second.withState(KeyState::Ended).withOutcome(kept).withChangedAt(now);
+    m_answerBytes += kept.body().size();
+}
+
+void HomeLedger::expire(TimePoint now)
+{
+    if (m_marks.back().m_nextSerial < m_nextSerial) {
+        m_marks.push_back({now, m_nextSerial});
+    }
+    while (!m_marks.empty() && m_marks.front().m_at + m_limits.lifetime() <= now) {
+        m_watermark = std::max(m_watermark, m_marks.front().m_nextSerial);
+        m_marks.pop_front();
+    }
+    if (m_marks.empty()) {
+        m_marks.push_back({now, m_nextSerial});
+    }
+    for (auto record = m_records.begin(); record != m_records.end();) {
+        const bool isOld = record->second.changedAt() + m_limits.lifetime() <= now;
+        record = isOld && isEvictable(record->second) ? evict(record) : std::next(record);
+    }
+}
+
+void HomeLedger::close()
+{
+    m_isClosed = true;
+}
+
+HomeSnapshot HomeLedger::snapshot(TimePoint now) const
+{
+    require(m_isClosed, "only a closed ledger is handed over", m_home, m_nextSerial);
+    KeyRecords records;
+    for (const auto &[serial, record] : m_records) {
+        const bool isEnded = record.state() == KeyState::Ended;
+        const CallOutcome outcome = isEnded
+            ? record.outcome()
+            : CallOutcome::unknown(Reason::KeyHomeGone, "the key's home stopped while the call ran");
+        records.push_back(record.withState(KeyState::Ended).withOutcome(outcome).withChangedAt(now));
+    }
+    return HomeSnapshot()
+        .withHome(m_home)
+        .withWatermark(m_watermark)
+        .withNextSerial(m_nextSerial)
+        .withRecords(std::move(records));
+}
+
+bool HomeLedger::makeRoom()
+{
+    const auto isFull = [this] {
+        return m_records.size() >= m_limits.maxRecords() || m_answerBytes > m_limits.maxAnswerBytes();
+    };
+    auto record = m_records.begin();
+    while (isFull() && record != m_records.end()) {
+        record = isEvictable(record->second) ? evict(record) : std::next(record);
+    }
+    return m_records.size() < m_limits.maxRecords();
+}
+
+bool HomeLedger::isEvictable(const KeyRecord &record) const
+{
+    const std::string &child = record.derivedName();
+    return record.state() == KeyState::Ended && (child.empty() || !m_isInFlight(parentOfChildKey(child)));
+}
+
+HomeLedger::Records::iterator HomeLedger::erase(Records::iterator record)
+{
+    m_answerBytes -= record->second.outcome().body().size();
+    m_children.erase(record->second.derivedName());
+    return m_records.erase(record);
+}
+
+HomeLedger::Records::iterator HomeLedger::evict(Records::iterator record)
+{
+    m_watermark = std::max(m_watermark, record->first + 1);
+    return erase(record);
+}
+
+} // namespace fescuepond
--- /dev/null
+++ b/servers/ledger/homelocation.h
@@ -0,0 +1,45 @@
+// Where to look for a home, and who can take one over.
+
+#pragma once
+
+#include "core/kernel/clock.h"
+#include "core/values/member.h"
+#include "servers/ledger/key.h"
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace fescuepond
+{
+
+/// Homes that have handed over, and the address of the node that has their records. Bounded by count: the oldest
+/// entry goes first.
+class MovedHomes
+{
+public:
+    explicit MovedHomes(std::size_t limit);
+    void add(const Incarnation &home, const std::string &address);
+    std::optional<std::string> find(const Incarnation &home) const;
+    std::size_t size() const
+    {
+        return m_addresses.size();
+    }
+
+private:
+    std::size_t m_limit;
+    std::unordered_map<Incarnation, std::string> m_addresses;
+    std::deque<Incarnation> m_order; ///< Has exactly the keys of m_addresses, the oldest first.
+};
+
+/// The address at which a ticket's home is to be asked.
+std::string addressOfHome(const Ticket &ticket, const MovedHomes &moved, const Members &members);
+
+/// Members that can take the records of `self` over, the best first: those of its zone, then the others.
+Members successorsOf(const Member &self, const Members &members);
+
+/// Members that may know where a home has gone, at most `count`; `seed` spreads the load over all.
+Members membersToAsk(const Member &self, const Members &members, std::size_t count, std::uint64_t seed);
+
+} // namespace fescuepond
--- /dev/null
+++ b/servers/ledger/key.cpp
@@ -0,0 +1,143 @@
+// Keys: their texts, and the digests by which children and platform objects are named.
+
+#include "servers/ledger/key.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <initializer_list>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 4> OriginPrefixes = {"none:", "opaque:", "ticket:", "derived:"};
+constexpr int HexBase = 16;
+
+/// A digest of several texts that no other division into texts shares.
+template<typename Digest>
+Digest digestOf(std::initializer_list<std::string_view> parts)
+{
+    std::string joined;
+    for (const std::string_view part : parts) {
+        joined += fmt::format("{}:", part.size());
+        joined += part;
+    }
+    const XXH128_hash_t hash = XXH3_128bits(joined.data(), joined.size());
+    return Digest(hash.high64, hash.low64);
+}
+
+/// Takes the text up to the next dot off the front of `rest`.
+std::string_view takePart(std::string_view &rest)
+{
+    const auto dot = rest.find('.');
+    const std::string_view part = rest.substr(0, dot);
+    rest = dot == std::string_view::npos ? std::string_view() : rest.substr(dot + 1);
+    return part;
+}
+
+std::string replaced(std::string text, char from, char to)
+{
+    std::replace(text.begin(), text.end(), from, to);
+    return text;
+}
+
+std::optional<KeySerial> parseSerial(std::string_view text)
+{
+    KeySerial serial = 0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), serial, HexBase);
+    const bool isWhole = result.ec == std::errc() && result.ptr == text.data() + text.size();
+    return isWhole && serial > 0 ? std::optional(serial) : std::nullopt;
+}
+
+} // namespace
+
+std::string KeyName::toString() const
+{
+    if (m_origin == KeyOrigin::None) {
+        return {};
+    }
+    return std::string(OriginPrefixes.at(static_cast<std::size_t>(m_origin))) + m_text;
+}
+
+KeyName KeyName::parse(std::string_view text)
+{
+    for (const KeyOrigin origin : {KeyOrigin::Opaque, KeyOrigin::Ticket, KeyOrigin::Derived}) {
+        const std::string_view prefix = OriginPrefixes.at(static_cast<std::size_t>(origin));
+        if (text.starts_with(prefix)) {
+            return KeyName().withOrigin(origin).withText(std::string(text.substr(prefix.size())));
+        }
+    }
+    return {};
+}
+
+KeyName keyOfRoot(const std::string &ticket, const std::string &idempotencyKey)
+{
+    if (!ticket.empty()) {
+        return KeyName().withOrigin(KeyOrigin::Ticket).withText(ticket);
+    }
+    if (!idempotencyKey.empty()) {
+        return KeyName().withOrigin(KeyOrigin::Opaque).withText(idempotencyKey);
+    }
+    return {};
+}
+
+KeyName keyOfChild(const CallContext &parent, const CallRequest &call, const std::string &ownKey)
+{
+    const std::string parentKey = parent.key().empty() ? parent.callId().toString() : parent.key();
+    const auto digest = digestOf<Fingerprint>({parentKey, fingerprintOf(call).toString(), ownKey});
+    return KeyName()
+        .withOrigin(KeyOrigin::Derived)
+        .withText(fmt::format("{}.{}", parent.callId().toString(), digest.toString()));
+}
+
+CallId parentOfChildKey(const std::string &derivedText)
+{
+    return CallId::parse(derivedText.substr(0, derivedText.find('.'))).value_or(CallId());
+}
+
+std::string KeyPlace::toString() const
+{
+    return fmt::format("{}.{:x}", m_home.toString(), m_serial);
+}
+
+std::string Ticket::toString() const
+{
+    return fmt::format("{}.{}.{}", m_place.toString(), replaced(m_address, '.', '_'), m_nodeName);
+}
+
+std::optional<Ticket> Ticket::parse(std::string_view text)
+{
+    const auto home = Incarnation::parse(takePart(text));
+    const auto serial = parseSerial(takePart(text));
+    const std::string address = replaced(std::string(takePart(text)), '_', '.');
+    if (!home || !serial || address.empty() || text.empty()) {
+        return std::nullopt;
+    }
+    return Ticket()
+        .withPlace(KeyPlace().withHome(*home).withSerial(*serial))
+        .withAddress(address)
+        .withNodeName(std::string(text));
+}
+
+Fingerprint fingerprintOf(const CallRequest &call)
+{
+    return digestOf<Fingerprint>({call.service(), call.method(), call.path(), call.body().bytes()});
+}
+
+std::string scopedKey(const CallRequest &call, const KeyName &name)
+{
+    return fmt::format("{}/{}/{}", call.service(), call.context().kind(), name.text());
+}
+
+std::string bindingObjectName(const std::string &scopedKey)
+{
+    return digestOf<Fingerprint>({scopedKey}).toString();
+}
+
+} // namespace fescuepond
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -229,11 +229,12 @@
         return valueIn(node.process->waitForLine("event=listening listener=" + listener), "address");
     };
     node.front = addressOf("front");
+    node.local = addressOf("local");
     node.peer = addressOf("peer");
     node.operatorAddress = addressOf("operator");
     HttpCall call;
     call.method = "POST";
-    call.path = "/set?local=" + addressOf("local");
+    call.path = "/set?local=" + node.local;
     sendHttp(node.backendControl, call);
 }
 
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -45,6 +45,7 @@
 struct FleetNode {
     NodeOptions options;
     std::string front;
+    std::string local;
     std::string peer;
     std::string operatorAddress;
     std::string backend;
--- /dev/null
+++ b/tests/support/keyhistory.cpp
@@ -0,0 +1,85 @@
+// History checker for requests that may run at most once.
+
+#include "tests/support/keyhistory.h"
+
+#include <sstream>
+
+namespace fescuepond::test
+{
+
+void KeyHistory::submitted(const std::string &key, const HttpReply &reply)
+{
+    const std::lock_guard guard(m_mutex);
+    Key &entry = m_keys[key];
+    ++entry.m_outcomes[reply.outcome()];
+    entry.m_lastOutcome = reply.outcome();
+    if (reply.outcome() == "answered") {
+        entry.m_answers.insert(reply.body);
+    }
+}
+
+std::vector<std::string> KeyHistory::violations(const std::vector<const FleetNode *> &nodes) const
+{
+    const std::map<std::string, int> begins = beginsByBody(nodes);
+    const std::lock_guard guard(m_mutex);
+    std::vector<std::string> found;
+    for (const auto &[name, key] : m_keys) {
+        const auto count = begins.find(name);
+        check(name, key, count == begins.end() ? 0 : count->second, found);
+    }
+    return found;
+}
+
+void KeyHistory::check(const std::string &name, const Key &key, int begins, std::vector<std::string> &found) const
+{
+    const std::string counted = "key " + name + " began " + std::to_string(begins) + " times";
+    const bool isAnswered = !key.m_answers.empty();
+    const bool isNotRun = key.m_outcomes.size() == 1 && key.m_outcomes.contains("not-run");
+    if (begins > 1) {
+        found.push_back(counted);
+    }
+    if (isAnswered && begins != 1) {
+        found.push_back(counted + " and was answered");
+    }
+    if (isNotRun && begins != 0) {
+        found.push_back(counted + " and was refused as not run");
+    }
+    if (key.m_lastOutcome.empty()) {
+        found.push_back("key " + name + " has no outcome at its caller");
+    }
+    if (key.m_answers.size() > 1) {
+        found.push_back("key " + name + " has answers that differ");
+    }
+}
+
+std::map<std::string, int> KeyHistory::outcomes() const
+{
+    const std::lock_guard guard(m_mutex);
+    std::map<std::string, int> sum;
+    for (const auto &[name, key] : m_keys) {
+        for (const auto &[outcome, count] : key.m_outcomes) {
+            sum[outcome] += count;
+        }
+    }
+    return sum;
+}
+
+std::map<std::string, int> beginsByBody(const std::vector<const FleetNode *> &nodes)
+{
+    std::map<std::string, int> begins;
+    for (const FleetNode *node : nodes) {
+        for (const std::string &line : node->journalLines("begin")) {
+            std::istringstream words(line);
+            std::string begin;
+            std::string call;
+            std::string method;
+            std::string path;
+            std::string body;
+            words >> begin >> call >> method >> path >> body;
+            ++begins[body];
+        }
+    }
+    return begins;
+}
+
+} // namespace fescuepond::test
--- /dev/null
+++ b/tests/system/atmostoncetest.cpp
@@ -0,0 +1,338 @@
+// Requests that may not be repeated, as real processes: the same key sent again in every way, while things fail.
+
+#include "tests/support/fleet.h"
+#include "tests/support/keyhistory.h"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <sstream>
+#include <thread>
+
+namespace fescuepond::test
+{
+
+namespace
+{
+
+constexpr const char *Dispatch = R"(
+service: dispatch
+kinds:
+  - {name: book, method: POST, path: /book, rank: 5, idempotent: false, deadline_ms: 2000, retries: 2}
+  - {name: slots, method: GET, path: /slots, rank: 5, idempotent: true, deadline_ms: 2000, retries: 2}
+)";
+constexpr const char *Yard = R"(
+service: yard
+kinds:
+  - {name: pour, method: POST, path: /pour, rank: 5, idempotent: false, deadline_ms: 2000, retries: 2}
+)";
+
+HttpCall booking(const std::string &key)
+{
+    HttpCall call;
+    call.method = "POST";
+    call.host = "dispatch";
+    call.path = "/book";
+    call.body = key;
+    return call;
+}
+
+HttpCall withKey(const std::string &key)
+{
+    HttpCall call = booking(key);
+    call.headers["Idempotency-Key"] = key;
+    return call;
+}
+
+HttpCall withTicket(const std::string &ticket)
+{
+    HttpCall call = booking(ticket);
+    call.headers["X-Fescuepond-Ticket"] = ticket;
+    return call;
+}
+
+std::string reasonOf(const HttpReply &reply)
+{
+    const auto found = reply.headers.find("x-fescuepond-reason");
+    return found == reply.headers.end() ? "" : found->second;
+}
+
+} // namespace
+
+/// Three dispatch nodes, one in each availability zone.
+class AtMostOnce : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        ASSERT_EQ(m_fleet.publish({Dispatch, Yard}), 0);
+        for (const char *zone : {"a", "b", "c"}) {
+            m_nodes.push_back(&m_fleet.addNode({.name = std::string("dispatch-") + zone,
+                                                .service = "dispatch",
+                                                .zone = std::string("zone-") + zone,
+                                                .backendFlags = {"--fixed", "--service_ms=20"}}));
+        }
+        ASSERT_TRUE(m_fleet.waitUntilReady(m_nodes.size()));
+    }
+
+    HttpReply send(const FleetNode &entry, const HttpCall &call)
+    {
+        HttpReply reply = sendHttp(entry.front, call);
+        m_history.submitted(call.body, reply);
+        return reply;
+    }
+
+    /// Sends the same call to several nodes at once.
+    void sendAtOnce(const std::vector<FleetNode *> &entries, const HttpCall &call)
+    {
+        std::vector<std::thread> callers;
+        callers.reserve(entries.size());
+        for (const FleetNode *entry : entries) {
+            callers.emplace_back([this, entry, &call] {
+                send(*entry, call);
+            });
+        }
+        for (std::thread &caller : callers) {
+            caller.join();
+        }
+    }
+
+    std::string freshTicket(const FleetNode &node) const
+    {
+        HttpCall call;
+        call.path = "/.fescuepond/tickets";
+        std::istringstream lines(sendHttp(node.front, call).body);
+        std::string ticket;
+        std::getline(lines, ticket);
+        return ticket;
+    }
+
+    void setServiceTime(int milliseconds) const
+    {
+        for (const FleetNode *node : m_nodes) {
+            HttpCall call;
+            call.method = "POST";
+            call.path = "/set?service_ms=" + std::to_string(milliseconds);
+            sendHttp(node->backendControl, call);
+        }
+    }
+
+    void expectCleanHistory() const
+    {
+        for (const std::string &violation : m_history.violations({m_nodes.begin(), m_nodes.end()})) {
+            ADD_FAILURE() << violation;
+        }
+    }
+
+    Fleet m_fleet;
+    std::vector<FleetNode *> m_nodes;
+    KeyHistory m_history;
+};
+
+TEST_F(AtMostOnce, SameKeyAtThreeZonesAtOnceRunsOnce)
+{
+    constexpr int Keys = 20;
+    const int createsBefore = m_fleet.platformCounts()["put"];
+    for (int i = 0; i < Keys; ++i) {
+        sendAtOnce(m_nodes, withKey("key-" + std::to_string(i)));
+    }
+    expectCleanHistory();
+    EXPECT_EQ(m_history.outcomes()["answered"], 3 * Keys);
+    // One conditional create for each node that the key was sent to, and no more.
+    EXPECT_LE(m_fleet.platformCounts()["put"] - createsBefore, 3 * Keys);
+}
+
+TEST_F(AtMostOnce, SameTicketAtThreeZonesAtOnceRunsOnceWithoutThePlatform)
+{
+    std::vector<std::string> tickets;
+    for (const FleetNode *node : m_nodes) {
+        tickets.push_back(freshTicket(*node));
+    }
+    m_fleet.setPlatformMode("down=1");
+    for (const std::string &ticket : tickets) {
+        sendAtOnce(m_nodes, withTicket(ticket));
+    }
+    expectCleanHistory();
+    EXPECT_EQ(m_history.outcomes()["answered"], 9);
+}
+
+TEST_F(AtMostOnce, AnswersCarryATicketForTheNextRequest)
+{
+    HttpCall read;
+    read.host = "dispatch";
+    read.path = "/slots";
+    HttpReply reply = sendHttp(m_nodes[0]->front, read);
+    ASSERT_TRUE(reply.headers.contains("x-fescuepond-ticket"));
+    reply = send(*m_nodes[1], withTicket(reply.headers["x-fescuepond-ticket"]));
+    EXPECT_EQ(reply.outcome(), "answered");
+    EXPECT_TRUE(reply.headers.contains("x-fescuepond-ticket"));
+    expectCleanHistory();
+}
+
+TEST_F(AtMostOnce, ResendAfterACallersTimeoutGetsTheFirstAnswer)
+{
+    setServiceTime(700);
+    HttpCall impatient = withKey("slow-booking");
+    impatient.timeout = std::chrono::milliseconds(200);
+    EXPECT_EQ(send(*m_nodes[0], impatient).status, 0);
+    EXPECT_EQ(send(*m_nodes[1], withKey("slow-booking")).outcome(), "answered");
+    EXPECT_EQ(send(*m_nodes[2], withKey("slow-booking")).outcome(), "answered");
+    expectCleanHistory();
+}
+
+TEST_F(AtMostOnce, KeyOfAKilledHomeIsUnknownAndRunsNoMore)
+{
+    const std::string ticket = freshTicket(*m_nodes[0]);
+    const std::string unused = freshTicket(*m_nodes[0]);
+    ASSERT_EQ(send(*m_nodes[0], withKey("opaque")).outcome(), "answered");
+    ASSERT_EQ(send(*m_nodes[1], withTicket(ticket)).outcome(), "answered");
+    m_nodes[0]->process->signal(SIGKILL);
+    m_nodes[0]->process->wait(std::chrono::seconds(5));
+
+    for (const HttpCall &call : {withKey("opaque"), withTicket(ticket), withTicket(unused)}) {
+        for (const FleetNode *entry : {m_nodes[1], m_nodes[2]}) {
+            const HttpReply reply = send(*entry, call);
+            EXPECT_EQ(reply.outcome(), "outcome-unknown");
+            EXPECT_EQ(reasonOf(reply), "key-home-gone");
+        }
+    }
+    expectCleanHistory();
+    EXPECT_EQ(beginsByBody({m_nodes.begin(), m_nodes.end()})[unused], 0);
+}
+
+TEST_F(AtMostOnce, ANewIncarnationAtTheSameAddressIsNotTheHome)
+{
+    const std::string ticket = freshTicket(*m_nodes[0]);
+    ASSERT_EQ(send(*m_nodes[0], withTicket(ticket)).outcome(), "answered");
+    m_nodes[0]->process->signal(SIGKILL);
+    m_nodes[0]->process->wait(std::chrono::seconds(5));
+    m_fleet.restartNode(*m_nodes[0]);
+    ASSERT_TRUE(m_fleet.waitUntilReady(m_nodes.size()));
+    EXPECT_EQ(reasonOf(send(*m_nodes[0], withTicket(ticket))), "key-home-gone");
+    expectCleanHistory();
+}
+
+TEST_F(AtMostOnce, ChosenKeysAreRefusedAsNotRunDuringAPlatformOutage)
+{
+    ASSERT_EQ(send(*m_nodes[0], withKey("before")).outcome(), "answered");
+    m_fleet.setPlatformMode("down=1");
+    EXPECT_EQ(send(*m_nodes[0], withKey("before")).outcome(), "answered");
+    const HttpReply refused = send(*m_nodes[1], withKey("during"));
+    EXPECT_EQ(refused.outcome(), "not-run");
+    EXPECT_EQ(reasonOf(refused), "platform-unavailable");
+    expectCleanHistory();
+    m_fleet.setPlatformMode("");
+    EXPECT_EQ(send(*m_nodes[2], withKey("during")).outcome(), "answered");
+    expectCleanHistory();
+}
+
+TEST_F(AtMostOnce, ALostAnswerToTheCreateIsReadBack)
+{
+    m_fleet.setPlatformMode("lose=1");
+    EXPECT_EQ(send(*m_nodes[0], withKey("lost")).outcome(), "answered");
+    EXPECT_EQ(send(*m_nodes[1], withKey("lost")).outcome(), "answered");
+    expectCleanHistory();
+}
+
+TEST_F(AtMostOnce, OnlyThePausedHomeMayRunItsKeysAfterItWakes)
+{
+    const std::string used = freshTicket(*m_nodes[0]);
+    const std::string unused = freshTicket(*m_nodes[0]);
+    ASSERT_EQ(send(*m_nodes[0], withTicket(used)).outcome(), "answered");
+    m_nodes[0]->process->signal(SIGSTOP);
+    EXPECT_EQ(send(*m_nodes[1], withTicket(used)).outcome(), "outcome-unknown");
+    EXPECT_EQ(send(*m_nodes[2], withTicket(unused)).outcome(), "outcome-unknown");
+    EXPECT_EQ(beginsByBody({m_nodes.begin(), m_nodes.end()})[unused], 0);
+    m_nodes[0]->process->signal(SIGCONT);
+    EXPECT_EQ(send(*m_nodes[1], withTicket(used)).outcome(), "answered");
+    EXPECT_EQ(send(*m_nodes[2], withTicket(unused)).outcome(), "answered");
+    EXPECT_EQ(send(*m_nodes[0], withTicket(unused)).outcome(), "answered");
+    expectCleanHistory();
+}
+
+TEST_F(AtMostOnce, APlannedStopHandsTheRecordsToASuccessor)
+{
+    const std::string used = freshTicket(*m_nodes[0]);
+    const std::string unused = freshTicket(*m_nodes[0]);
+    ASSERT_EQ(send(*m_nodes[0], withTicket(used)).outcome(), "answered");
+    ASSERT_EQ(send(*m_nodes[0], withKey("opaque")).outcome(), "answered");
+    m_nodes[0]->process->signal(SIGTERM);
+    EXPECT_EQ(m_nodes[0]->process->wait(std::chrono::seconds(20)), 0);
+
+    m_fleet.setPlatformMode("down=1");
+    sendAtOnce({m_nodes[1], m_nodes[2]}, withTicket(used));
+    sendAtOnce({m_nodes[1], m_nodes[2]}, withTicket(unused));
+    m_fleet.setPlatformMode("");
+    sendAtOnce({m_nodes[1], m_nodes[2]}, withKey("opaque"));
+    expectCleanHistory();
+    EXPECT_EQ(m_history.outcomes()["answered"], 8);
+}
+
+TEST_F(AtMostOnce, ANodeThatStartsAfterAHandOverFindsTheSuccessor)
+{
+    const std::string used = freshTicket(*m_nodes[0]);
+    ASSERT_EQ(send(*m_nodes[0], withTicket(used)).outcome(), "answered");
+    m_nodes[0]->process->signal(SIGTERM);
+    EXPECT_EQ(m_nodes[0]->process->wait(std::chrono::seconds(20)), 0);
+    m_fleet.restartNode(*m_nodes[0]);
+    ASSERT_TRUE(m_fleet.waitUntilReady(m_nodes.size()));
+    EXPECT_EQ(send(*m_nodes[0], withTicket(used)).outcome(), "answered");
+    expectCleanHistory();
+}
+
+TEST_F(AtMostOnce, AKeyIsGoodForOneRequestOnly)
+{
+    ASSERT_EQ(send(*m_nodes[0], withKey("one")).outcome(), "answered");
+    HttpCall other = withKey("one");
+    other.body = "other";
+    const HttpReply reply = send(*m_nodes[1], other);
+    EXPECT_EQ(reply.status, 400);
+    EXPECT_EQ(reply.outcome(), "not-run");
+    EXPECT_EQ(sendHttp(m_nodes[1]->front, withTicket("no ticket")).status, 400);
+    expectCleanHistory();
+}
+
+TEST_F(AtMostOnce, ABackendsOwnResendOfAChildCallRunsOnce)
+{
+    const FleetNode &yard = m_fleet.addNode({.name = "yard-a", .service = "yard", .backendFlags = {"--service_ms=5"}});
+    ASSERT_TRUE(m_fleet.waitUntilReady(m_nodes.size() + 1));
+    setServiceTime(1000);
+    std::thread parent([this] {
+        send(*m_nodes[0], withKey("parent"));
+    });
+    std::string callId;
+    const FleetNode *target = nullptr;
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (callId.empty() && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        for (const FleetNode *node : m_nodes) {
+            for (const std::string &line : node->journalLines("begin")) {
+                std::istringstream words(line);
+                words >> callId >> callId;
+                target = node;
+            }
+        }
+    }
+    ASSERT_NE(target, nullptr);
+    HttpCall child;
+    child.method = "POST";
+    child.host = "yard";
+    child.path = "/pour";
+    child.headers["X-Fescuepond-Call"] = callId;
+    const HttpReply first = sendHttp(target->local, child);
+    const HttpReply second = sendHttp(target->local, child);
+    EXPECT_EQ(first.outcome(), "answered");
+    EXPECT_EQ(second.outcome(), "answered");
+    EXPECT_EQ(yard.journalLines("begin").size(), 1);
+    // A key of the backend's own tells two equal calls apart that are both meant.
+    child.headers["Idempotency-Key"] = "second truck";
+    EXPECT_EQ(sendHttp(target->local, child).outcome(), "answered");
+    EXPECT_EQ(yard.journalLines("begin").size(), 2);
+    parent.join();
+    // The parent has ended: its record of children is gone, so no further child is taken.
+    EXPECT_EQ(sendHttp(target->local, child).outcome(), "not-run");
+    EXPECT_EQ(yard.journalLines("begin").size(), 2);
+    expectCleanHistory();
+}
+
+} // namespace fescuepond::test
