Let a planned stop tell the others, wait a grace, then refuse and drain

Cause: the thin path closed the front listener and stopped at once when no call was at the backend server; calls on their way from other nodes, and answers not yet written, were lost. The front listener closes connections with their next answer, lets handshakes that have begun complete before it closes (SYN is filtered first), and closes idle connections last. A call that arrives after the grace is refused as leaving, not run. Test: PlannedStop.RollingRestartUnderLoadCutsOffNoRequest, six nodes, two services, three zones, 12 callers.

--- a/core/kernel/kernel.cpp
+++ b/core/kernel/kernel.cpp
@@ -88,12 +88,25 @@
     for (const StartedPlugin &started : m_started) {
         started.m_plugin->beginDrain();
     }
+    pause(m_settings.leaveGrace());
+    Event("drain_refuses_new_work").with("grace_ms", m_settings.leaveGrace().count());
+    for (const StartedPlugin &started : m_started) {
+        started.m_plugin->refuseNewWork();
+    }
     const bool drained = waitForWorkInFlight();
     stopAll();
     Event("node_stopped").with("drained", drained);
     return drained;
 }
 
+void Kernel::pause(Duration time)
+{
+    std::unique_lock lock(m_mutex);
+    m_wake.wait_for(lock, time, [] {
+        return false;
+    });
+}
+
 bool Kernel::waitForWorkInFlight()
 {
     const TimePoint limit = m_clock.now() + m_settings.drainTimeout();
@@ -105,8 +118,7 @@
         if (inFlight == 0) {
             return true;
         }
-        std::unique_lock lock(m_mutex);
-        m_wake.wait_for(lock, DrainPollInterval);
+        pause(DrainPollInterval);
     }
     for (const StartedPlugin &started : m_started) {
         if (started.m_plugin->workInFlight() > 0) {
--- a/core/kernel/kernel.h
+++ b/core/kernel/kernel.h
@@ -70,8 +70,9 @@
     void requestStop();
     /// Whether a planned stop has begun.
     bool isDraining() const;
-    /// A planned stop: lets all plug-ins drain for at most the settings' drain time, then stops them. Returns false
-    /// when work was still in flight at that time.
+    /// A planned stop: tells the others, takes what still arrives for the settings' grace, then refuses new work, waits
+    /// for the work in flight for at most the settings' drain time, and stops all plug-ins. Returns false when work was
+    /// still in flight at that time.
     bool drainAndStop();
 
 private:
@@ -82,6 +83,8 @@
 
     void *lookUp(std::type_index type, const char *name) const;
     bool waitForWorkInFlight();
+    /// Sleeps for `time`; nothing ends it early.
+    void pause(Duration time);
     void stopAll();
 
     const NodeSettings m_settings;
--- a/core/settings/nodesettings.cpp
+++ b/core/settings/nodesettings.cpp
@@ -36,6 +36,11 @@
          "ms",
          "Longest time in which a caller may send one request."},
         {"drain_timeout_ms", &NodeSettings::withDrainTimeout, "30000", "ms", "Longest time of a planned stop."},
+        {"leave_grace_ms",
+         &NodeSettings::withLeaveGrace,
+         "2000",
+         "ms",
+         "Time in which a node that leaves still takes new work."},
         {"platform_timeout_ms", &NodeSettings::withPlatformTimeout, "1000", "ms", "Longest wait for the platform."},
     });
     return rows;
--- a/core/settings/nodesettings.h
+++ b/core/settings/nodesettings.h
@@ -40,6 +40,7 @@
     FESCUEPOND_FIELD(std::size_t, maxHeaderBytes, withMaxHeaderBytes);
     FESCUEPOND_FIELD(Milliseconds, requestReadTimeout, withRequestReadTimeout);
     FESCUEPOND_FIELD(Milliseconds, drainTimeout, withDrainTimeout);
+    FESCUEPOND_FIELD(Milliseconds, leaveGrace, withLeaveGrace);
     FESCUEPOND_FIELD(Milliseconds, platformTimeout, withPlatformTimeout);
 
 public:
--- a/modules/front/frontplugin.cpp
+++ b/modules/front/frontplugin.cpp
@@ -39,6 +39,10 @@
     {
         m_listener->beginDrain();
     }
+    void refuseNewWork() override
+    {
+        m_listener->refuseConnections();
+    }
     std::size_t workInFlight() const override
     {
         return m_listener->requestsInFlight();
--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -14,8 +14,12 @@
 #include <Poco/Net/PollSet.h>
 #include <Poco/Net/ServerSocket.h>
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
 #include <array>
 #include <atomic>
+#include <cerrno>
 #include <map>
 #include <optional>
 #include <thread>
@@ -30,6 +34,10 @@
 constexpr std::size_t ReadChunkBytes = 16384;
 constexpr long PollTimeoutMicroseconds = 250'000;
 constexpr Duration EmptySetPause = std::chrono::milliseconds(50);
+/// In which a connection whose handshake had begun is completed by the system.
+constexpr Duration HandshakeTime = std::chrono::milliseconds(200);
+/// In which the first request of a connection that was taken last arrives.
+constexpr Duration IdleGrace = std::chrono::milliseconds(500);
 constexpr int StatusBadRequest = 400;
 constexpr int StatusBodyTooLarge = 413;
 constexpr int StatusHeaderTooLarge = 431;
@@ -110,6 +118,26 @@
     return body;
 }
 
+/// Makes the system drop requests for new connections, silently: the caller's system repeats them a second later and is
+/// then refused. Connections whose handshake has begun are still completed.
+void refuseHandshakes(const Poco::Net::ServerSocket &socket)
+{
+    constexpr std::uint32_t FlagsOffset = 13;
+    constexpr std::uint32_t SynFlag = 0x02;
+    constexpr std::uint32_t Drop = 0;
+    constexpr std::uint32_t Keep = 0xFFFFFFFF;
+    std::array<sock_filter, 4> program = {{
+        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, FlagsOffset),
+        BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, SynFlag, 0, 1),
+        BPF_STMT(BPF_RET | BPF_K, Drop),
+        BPF_STMT(BPF_RET | BPF_K, Keep),
+    }};
+    const sock_fprog filter = {program.size(), program.data()};
+    if (setsockopt(socket.impl()->sockfd(), SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter)) != 0) {
+        Event("handshakes_not_refused").with("error", errno);
+    }
+}
+
 } // namespace
 
 namespace detail
@@ -178,6 +206,14 @@
         m_draining = true;
     }
 
+    void refuseConnections()
+    {
+        m_draining = true;
+        // Counts as one request until the idle connections are closed, so that the node doesn't stop before.
+        ++m_inFlight;
+        m_refusing = true;
+    }
+
     void stop()
     {
         m_draining = true;
@@ -208,11 +244,18 @@
     void pollLoop()
     {
         bool isListening = true;
+        bool mayHaveIdle = true;
+        TimePoint idleEnd;
         while (!m_stopped) {
-            if (isListening && m_draining) {
-                m_pollSet.remove(m_serverSocket);
-                m_serverSocket.close();
+            if (isListening && m_refusing) {
+                closeListener();
                 isListening = false;
+                idleEnd = m_kernel.clock().now() + IdleGrace;
+            }
+            if (!isListening && mayHaveIdle && m_kernel.clock().now() >= idleEnd) {
+                closeIdleConnections();
+                mayHaveIdle = false;
+                --m_inFlight;
             }
             if (m_pollSet.empty()) {
                 std::this_thread::sleep_for(EmptySetPause);
@@ -228,6 +271,36 @@
         }
     }
 
+    /// Closes the listening socket so that no connection that a caller takes for open is reset.
+    void closeListener()
+    {
+        refuseHandshakes(m_serverSocket);
+        std::this_thread::sleep_for(HandshakeTime);
+        while (m_serverSocket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+            accept();
+        }
+        m_pollSet.remove(m_serverSocket);
+        m_serverSocket.close();
+    }
+
+    /// Closes connections on which nothing has arrived; the others are served first.
+    void closeIdleConnections()
+    {
+        const ParkedConnections parked = m_parked.locked([](const ParkedConnections &table) {
+            return table;
+        });
+        for (const auto &entry : parked) {
+            const Poco::Net::Socket &socket = entry.first;
+            if (socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+                continue;
+            }
+            m_pollSet.remove(socket);
+            m_parked.locked([&](ParkedConnections &table) {
+                table.erase(socket);
+            });
+        }
+    }
+
     void accept()
     {
         try {
@@ -412,7 +485,8 @@
     Poco::Net::PollSet m_pollSet;
     SharedTable<ParkedConnections> m_parked{LockRank::HttpConnections};
     std::atomic<std::size_t> m_inFlight = 0;
-    std::atomic<bool> m_draining = false;
+    std::atomic<bool> m_draining = false; ///< Each response closes its connection.
+    std::atomic<bool> m_refusing = false; ///< No new connections; implies m_draining.
     std::atomic<bool> m_stopped = false;
     std::thread m_thread;
 };
@@ -449,6 +523,11 @@
     m_state->beginDrain();
 }
 
+void HttpListener::refuseConnections()
+{
+    m_state->refuseConnections();
+}
+
 std::size_t HttpListener::requestsInFlight() const
 {
     return m_state->requestsInFlight();
--- a/modules/http/httplistener.h
+++ b/modules/http/httplistener.h
@@ -39,8 +39,10 @@
     Result<void> start(const std::string &address);
     /// The address that it listens on, with the port that was given.
     std::string address() const;
-    /// Takes no new connections; connections that are open are served, each until its next response.
+    /// Connections are still taken and served, each until its next response, which asks the caller to close it.
     void beginDrain();
+    /// Takes no new connections and closes idle ones. Those that were taken are served.
+    void refuseConnections();
     /// Requests that were read and have no response written yet.
     std::size_t requestsInFlight() const;
     /// Connections that are open.
--- a/modules/local/localplugin.cpp
+++ b/modules/local/localplugin.cpp
@@ -10,6 +10,7 @@
 #include "modules/http/callencoding.h"
 #include "modules/http/httplistener.h"
 
+#include <atomic>
 #include <memory>
 
 namespace fescuepond
@@ -43,6 +44,10 @@
             });
         return m_listener->start(kernel.settings().localAddress());
     }
+    void refuseNewWork() override
+    {
+        m_refusing = true;
+    }
     std::size_t workInFlight() const override
     {
         return m_listener->requestsInFlight();
@@ -59,6 +64,10 @@
         const auto parent = parentId ? m_calls->find(*parentId) : std::nullopt;
         CallRequest call = toCall(request, request.host());
         const std::string key = request.header(header::IdempotencyKey);
+        if (!parent && m_refusing) {
+            respond(toResponse(CallOutcome::notRun(Reason::Leaving, "this node is leaving")));
+            return;
+        }
         if (!parent) {
             m_pipeline->submit(call.withContext(CallContext().withKey(key)), [respond](const CallOutcome &outcome) {
                 respond(toResponse(outcome));
@@ -73,6 +82,8 @@
         });
     }
 
+    /// New root requests are refused; calls of requests that run here go on.
+    std::atomic<bool> m_refusing = false;
     EntryPipeline *m_pipeline = nullptr;
     CallsInFlight *m_calls = nullptr;
     std::unique_ptr<HttpListener> m_listener;
--- /dev/null
+++ b/tests/system/plannedstoptest.cpp
@@ -0,0 +1,97 @@
+// Planned stops as real processes: a rolling restart under load, and the time until a target that leaves is left alone.
+
+#include "tests/support/callers.h"
+#include "tests/support/fleet.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <csignal>
+#include <iostream>
+
+namespace fescuepond::test
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr const char *Dispatch = R"(
+service: dispatch
+kinds:
+  - {name: slots, method: GET, path: /slots/*, rank: 5, idempotent: false, deadline_ms: 8000, retries: 0}
+)";
+constexpr const char *Yard = R"(
+service: yard
+kinds:
+  - {name: stock, method: GET, path: /stock/*, rank: 5, idempotent: false, deadline_ms: 8000, retries: 0}
+)";
+constexpr milliseconds StopLimit(10'000);
+constexpr std::array Zones = {"zone-a", "zone-b", "zone-c"};
+
+/// Two services in three zones; each request to dispatch makes a call to yard. No retries hide what goes wrong.
+struct TwoServices {
+    TwoServices()
+    {
+        fleet.publish({Dispatch, Yard});
+        for (const std::string zone : Zones) {
+            yard.push_back(&fleet.addNode({.name = "yard-" + zone, .service = "yard", .zone = zone}));
+            dispatch.push_back(&fleet.addNode({.name = "dispatch-" + zone,
+                                               .service = "dispatch",
+                                               .zone = zone,
+                                               .backendFlags = {"--downstream=GET yard /stock/sleepers"}}));
+        }
+    }
+    std::vector<std::string> fronts() const
+    {
+        std::vector<std::string> addresses;
+        for (std::size_t zone = 0; zone < Zones.size(); ++zone) {
+            addresses.push_back(dispatch[zone]->front);
+            addresses.push_back(yard[zone]->front);
+        }
+        return addresses;
+    }
+
+    Fleet fleet;
+    std::vector<FleetNode *> dispatch;
+    std::vector<FleetNode *> yard;
+};
+
+HttpCall slotsRequest()
+{
+    HttpCall call;
+    call.host = "dispatch";
+    call.path = "/slots/monday";
+    return call;
+}
+
+} // namespace
+
+TEST(PlannedStop, RollingRestartUnderLoadCutsOffNoRequest)
+{
+    TwoServices services;
+    ASSERT_TRUE(services.fleet.waitUntilReady(6));
+    Callers callers(slotsRequest(), services.fronts(), 12, milliseconds(5));
+
+    for (std::size_t zone = 0; zone < Zones.size(); ++zone) {
+        for (FleetNode *node : {services.dispatch[zone], services.yard[zone]}) {
+            node->process->signal(SIGTERM);
+        }
+        for (FleetNode *node : {services.dispatch[zone], services.yard[zone]}) {
+            EXPECT_EQ(node->process->wait(StopLimit), 0) << node->process->output();
+            services.fleet.restartNode(*node);
+        }
+        callers.setAddresses(services.fronts());
+        EXPECT_TRUE(services.fleet.waitUntilReady(6));
+    }
+
+    const CallCounts counts = callers.stop();
+    RecordProperty("counts", counts.toString());
+    std::cout << counts.toString() << '\n';
+    EXPECT_GT(counts.answered, 100);
+    EXPECT_EQ(counts.cut, 0) << counts.toString();
+    EXPECT_EQ(counts.failedTotal(), 0) << counts.toString();
+}
+
+} // namespace fescuepond::test
