Publish by a plan that names other operators' changes, and spread versions from node to node

Cause: `publish` replaced whatever was in force, a lost answer ended as exit 3, a subset of the services silently removed the others, and each node depended on the platform for its configuration.

Change: the published object records its history (operator, time, nonce, base version) and who changed each service last. planPublication() decides what may be written; fateOfWrite() decides what became of a write whose answer was lost. The configuration plug-in exchanges versions with peers (PeerTopic::Configuration); the follower plug-in lets two nodes of each zone watch the platform, tells four peers of a new version at once and compares with one peer every 3 s. `advanced()` aborts if the version in force would fall.

AVersionThatOneNodeHasReachesAllAfterThePlatformDied passed at first, because the answers to the watches lay in the stopped nodes' sockets already; it was replaced by one in which only the first node ever reaches the platform.

--- a/modules/configuration/configurationplugin.cpp
+++ b/modules/configuration/configurationplugin.cpp
@@ -1,11 +1,14 @@
-// Keeps the configuration that is in force: watches the platform and moves only forward in its version order.
+// Keeps the configuration that is in force and exchanges it with other nodes. It only ever moves to a greater version.
 
 #include "core/kernel/eventlog.h"
 #include "core/kernel/kernel.h"
 #include "core/kernel/sharedtable.h"
-#include "core/pipeline/collections.h"
-#include "core/pipeline/interfaces.h"
-#include "modules/declarations/declarationreader.h"
+#include "modules/configuration/configurationexchange.h"
+#include "modules/configuration/exchangeencoding.h"
+#include "modules/declarations/configurationencoding.h"
+#include "servers/configuration/follower.h"
+
+#include <optional>
 
 namespace fescuepond
 {
@@ -13,21 +16,24 @@
 namespace
 {
 
-constexpr Duration WatchTime = std::chrono::seconds(5);
-constexpr Duration RetryPause = std::chrono::seconds(1);
+/// A peer that has a newer version sends up to a megabyte within this time.
+constexpr Duration ExchangeTimeout = std::chrono::seconds(2);
 
-class ConfigurationPlugin final : public Plugin, public ConfigurationSource
+class ConfigurationPlugin final : public Plugin, public ConfigurationSource, public ConfigurationExchange
 {
 public:
     Result<void> start(Kernel &kernel) override
     {
         m_kernel = &kernel;
-        m_platform = &kernel.require<Platform>();
+        m_messages = &kernel.require<PeerMessages>();
+        m_messages->setHandler(PeerTopic::Configuration, [this](const std::string &request, const PeerReply &reply) {
+            answerPeer(request, reply);
+        });
         kernel.provide<ConfigurationSource>(*this);
+        kernel.provide<ConfigurationExchange>(*this);
         kernel.metrics().gauge("fescuepond_configuration_version", {}, [this] {
             return static_cast<double>(version());
         });
-        watch();
         return {};
     }
 
@@ -41,90 +47,163 @@
     std::string configurationText(ObjectVersion version) const override
     {
         return m_table.locked([&](const Table &table) {
-            const bool isHeld = table.m_configuration && table.m_configuration->version() == version;
-            return isHeld ? table.m_text : std::string();
+            return table.m_follower.held() == version ? table.m_text : std::string();
+        });
+    }
+
+    void versionSeen(const Member &member, ObjectVersion version) override
+    {
+        pullIfNews(member.peerAddress(), version);
+    }
+
+    ObjectVersion version() const override
+    {
+        return m_table.locked([](const Table &table) {
+            return table.m_follower.held();
         });
     }
 
-    void versionSeen(const Member &, ObjectVersion) override
+    void offer(const PlatformObject &object) override
+    {
+        const ObjectVersion held = version();
+        if (object.version() < held) {
+            // The platform went back, as after a restore from an old copy. What is in force stays.
+            Event("configuration_platform_behind").with("platform_version", object.version()).with("in_force", held);
+            m_kernel->metrics().count("fescuepond_configuration_platform_behind_total");
+        }
+        take(object.value(), object.version(), "platform");
+    }
+
+    void exchangeWith(const std::string &address) override
     {
+        const auto request = ExchangeRequest().withVersion(version()).withAddress(m_messages->address());
+        m_messages->ask(address,
+                        PeerTopic::Configuration,
+                        toJson(request),
+                        ExchangeTimeout,
+                        [this, address](const std::optional<std::string> &reply) {
+                            exchanged(address, reply);
+                        });
+    }
+
+    void setInstalledHandler(std::function<void()> handler) override
+    {
+        m_table.locked([&](Table &table) {
+            table.m_installed = std::move(handler);
+        });
     }
 
 private:
     struct Table {
-        std::shared_ptr<const Configuration> m_configuration; ///< Its version never falls.
-        std::string m_text;
+        FollowerState m_follower; ///< Its held version never falls.
+        std::shared_ptr<const Configuration> m_configuration; ///< Of the held version; null: none is known.
+        std::string m_text; ///< Of the held version.
+        std::function<void()> m_installed; ///< Called after each new version.
     };
 
-    ObjectVersion version() const
+    /// Asks the node at `address` for its version, unless that is no news or was asked of another just now.
+    void pullIfNews(const std::string &address, ObjectVersion version)
     {
-        const auto current = configuration();
-        return current ? current->version() : 0;
+        const bool isToPull = m_table.locked([&](Table &table) {
+            const FollowerStep step = fescuepond::versionSeen(table.m_follower, version, m_kernel->clock().now());
+            table.m_follower = step.state();
+            return step.pull();
+        });
+        if (!isToPull) {
+            return;
+        }
+        const auto request = ExchangeRequest().withVersion(this->version()).withAddress(m_messages->address());
+        m_messages->ask(address,
+                        PeerTopic::Configuration,
+                        toJson(request),
+                        ExchangeTimeout,
+                        [this, address, version](const std::optional<std::string> &reply) {
+                            m_table.locked([&](Table &table) {
+                                table.m_follower = pullEnded(table.m_follower, version);
+                            });
+                            exchanged(address, reply);
+                        });
     }
 
-    void watch()
+    void answerPeer(const std::string &text, const PeerReply &reply)
     {
-        m_platform->watch(collection::Configuration,
-                          collection::CurrentConfiguration,
-                          version(),
-                          WatchTime,
-                          [this](const PlatformReply &reply) {
-                              watched(reply);
-                          });
+        const auto request = exchangeRequestFromJson(text);
+        if (!request) {
+            reply(std::nullopt);
+            return;
+        }
+        const auto answer = m_table.locked([&](const Table &table) {
+            const ObjectVersion held = table.m_follower.held();
+            const bool isNews = held > request->version();
+            return ExchangeReply().withVersion(held).withText(isNews ? table.m_text : std::string());
+        });
+        reply(toJson(answer));
+        pullIfNews(request->address(), request->version());
     }
 
-    void watched(const PlatformReply &reply)
+    void exchanged(const std::string &address, const std::optional<std::string> &text)
     {
-        if (reply.status() == PlatformStatus::Ok) {
-            take(reply.objects().front());
+        const auto reply = text ? exchangeReplyFromJson(*text) : std::nullopt;
+        m_kernel->metrics().count("fescuepond_configuration_exchanges_total",
+                                  {{"outcome", reply ? "answered" : "no_answer"}});
+        if (reply && !reply->text().empty()) {
+            take(reply->text(), reply->version(), address);
         }
-        if (reply.status() == PlatformStatus::Unavailable) {
-            m_kernel->timers().once(m_kernel->clock().now() + RetryPause, [this] {
-                watch();
-            });
-            return;
-        }
-        watch();
     }
 
-    void take(const PlatformObject &object)
+    /// Puts a text in force if it is newer and valid. `source` is where it came from.
+    void take(const std::string &text, ObjectVersion version, const std::string &source)
     {
+        if (version <= this->version()) {
+            return;
+        }
         boost::leaf::try_handle_all(
             [&]() -> Result<void> {
-                BOOST_LEAF_AUTO(read, readConfiguration(object.value(), object.version()));
-                install(std::make_shared<const Configuration>(std::move(read)), object.value());
+                BOOST_LEAF_AUTO(read, readConfiguration(text, version));
+                install(std::make_shared<const Configuration>(std::move(read)), text, source);
                 return {};
             },
             [&](const Findings &findings) {
-                Event("configuration_invalid").with("version", object.version()).with("findings", toString(findings));
+                Event("configuration_invalid")
+                    .with("version", version)
+                    .with("source", source)
+                    .with("findings", toString(findings));
             },
             [&] {
-                Event("configuration_invalid").with("version", object.version());
+                Event("configuration_invalid").with("version", version).with("source", source);
             });
     }
 
-    void install(std::shared_ptr<const Configuration> configuration, const std::string &text)
+    void install(std::shared_ptr<const Configuration> configuration, const std::string &text, const std::string &source)
     {
         const ObjectVersion version = configuration->version();
+        std::function<void()> installed;
         const bool isNewer = m_table.locked([&](Table &table) {
-            if (table.m_configuration && table.m_configuration->version() >= version) {
+            const auto next = advanced(table.m_follower, version);
+            if (!next) {
                 return false;
             }
+            table.m_follower = *next;
             table.m_configuration = std::move(configuration);
             table.m_text = text;
+            installed = table.m_installed;
             return true;
         });
-        if (isNewer) {
-            Event("configuration_in_force").with("version", version);
+        if (!isNewer) {
+            return;
+        }
+        Event("configuration_in_force").with("version", version).with("source", source);
+        if (installed) {
+            installed();
         }
     }
 
     Kernel *m_kernel = nullptr;
-    Platform *m_platform = nullptr;
+    PeerMessages *m_messages = nullptr;
     SharedTable<Table> m_table{LockRank::Configuration};
 };
 
-const auto registration = registerPlugin<ConfigurationPlugin>("configuration", {"platform"});
+const auto registration = registerPlugin<ConfigurationPlugin>("configuration", {"peer"});
 
 } // namespace
 
--- /dev/null
+++ b/modules/configuration/exchangeencoding.h
@@ -0,0 +1,40 @@
+// Messages of the topic Configuration, in JSON.
+
+#pragma once
+
+#include "core/value.h"
+#include "core/values/declaration.h"
+
+#include <compare>
+#include <optional>
+#include <string>
+
+namespace fescuepond
+{
+
+/// "I hold `version`; answer at `address`."
+class ExchangeRequest
+{
+    FESCUEPOND_FIELD(ObjectVersion, version, withVersion);
+    FESCUEPOND_FIELD(std::string, address, withAddress);
+
+public:
+    friend auto operator<=>(const ExchangeRequest &, const ExchangeRequest &) = default;
+};
+
+/// The version that is held, with its text when it is newer than the one in the request.
+class ExchangeReply
+{
+    FESCUEPOND_FIELD(ObjectVersion, version, withVersion);
+    FESCUEPOND_FIELD(std::string, text, withText);
+
+public:
+    friend auto operator<=>(const ExchangeReply &, const ExchangeReply &) = default;
+};
+
+std::string toJson(const ExchangeRequest &request);
+std::string toJson(const ExchangeReply &reply);
+std::optional<ExchangeRequest> exchangeRequestFromJson(const std::string &text);
+std::optional<ExchangeReply> exchangeReplyFromJson(const std::string &text);
+
+} // namespace fescuepond
--- /dev/null
+++ b/modules/configuration/followerplugin.cpp
@@ -0,0 +1,189 @@
+// Follows the published configuration: few nodes of each zone watch the platform; a node that gets a new version tells
+// some others at once, and all nodes compare versions with random peers now and then.
+
+#include "core/kernel/kernel.h"
+#include "core/kernel/sharedtable.h"
+#include "core/pipeline/collections.h"
+#include "modules/configuration/configurationexchange.h"
+#include "servers/configuration/follower.h"
+
+#include <optional>
+#include <random>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+/// A watch that went silent is noticed after this time; it also bounds the calls of a watcher to six a minute.
+constexpr Duration WatchTime = std::chrono::seconds(10);
+/// Every so many watches one is a plain read, which also shows a platform whose versions have gone back.
+constexpr unsigned WatchesPerRead = 6;
+/// How often a node compares its version with a peer's.
+constexpr Duration CompareInterval = std::chrono::seconds(3);
+/// How often a node that has no configuration at all asks its peers.
+constexpr Duration FirstCompareInterval = std::chrono::milliseconds(500);
+constexpr std::size_t PeersPerComparison = 1;
+/// Peers that are told of a new version at once. Each tells as many, so that it spreads exponentially.
+constexpr std::size_t PeersToNotify = 4;
+
+std::uint64_t randomWord()
+{
+    thread_local std::mt19937_64 generator(std::random_device{}());
+    return generator();
+}
+
+class ConfigurationFollowerPlugin final : public Plugin
+{
+public:
+    Result<void> start(Kernel &kernel) override
+    {
+        m_kernel = &kernel;
+        m_platform = &kernel.require<Platform>();
+        m_membership = &kernel.require<Membership>();
+        m_exchange = &kernel.require<ConfigurationExchange>();
+        m_exchange->setInstalledHandler([this] {
+            exchangeWithPeers(PeersToNotify);
+        });
+        kernel.metrics().gauge("fescuepond_configuration_watcher", {}, [this] {
+            return isWatching() ? 1.0 : 0.0;
+        });
+        readFirst();
+        watchOrWait();
+        exchangeWithPeers(PeersToNotify);
+        compareLater();
+        return {};
+    }
+
+private:
+    struct Table {
+        bool m_isWatching = false;
+        unsigned m_watches = 0; ///< Since the start.
+        unsigned m_watchFailures = 0; ///< In a row.
+        unsigned m_firstReadFailures = 0; ///< In a row.
+    };
+
+    bool isWatching() const
+    {
+        return m_table.locked([](const Table &table) {
+            return table.m_isWatching;
+        });
+    }
+
+    void after(Duration pause, TimerService::Callback callback)
+    {
+        m_kernel->timers().once(m_kernel->clock().now() + pause, std::move(callback));
+    }
+
+    /// Reads the platform until this node has some configuration, be it from a peer.
+    void readFirst()
+    {
+        if (m_exchange->version() > 0) {
+            return;
+        }
+        m_platform->get(
+            collection::Configuration, collection::CurrentConfiguration, [this](const PlatformReply &reply) {
+                if (reply.status() == PlatformStatus::Ok) {
+                    m_exchange->offer(reply.objects().front());
+                    return;
+                }
+                const unsigned failures = m_table.locked([](Table &table) {
+                    return ++table.m_firstReadFailures;
+                });
+                after(retryPause(failures, randomWord()), [this] {
+                    readFirst();
+                });
+            });
+    }
+
+    /// Watches the platform if that is this node's part; otherwise looks again later whether it has become so.
+    void watchOrWait()
+    {
+        const bool isChosen = isWatcher(m_membership->all(), m_membership->self());
+        const unsigned watches = m_table.locked([&](Table &table) {
+            table.m_isWatching = isChosen;
+            return isChosen ? ++table.m_watches : table.m_watches;
+        });
+        if (!isChosen) {
+            after(CompareInterval, [this] {
+                watchOrWait();
+            });
+            return;
+        }
+        const auto done = [this](const PlatformReply &reply) {
+            watched(reply);
+        };
+        if (watches % WatchesPerRead == 0) {
+            m_platform->get(collection::Configuration, collection::CurrentConfiguration, done);
+            return;
+        }
+        m_platform->watch(
+            collection::Configuration, collection::CurrentConfiguration, m_exchange->version(), WatchTime, done);
+    }
+
+    void watched(const PlatformReply &reply)
+    {
+        const bool hasFailed = reply.status() == PlatformStatus::Unavailable;
+        const unsigned failures = m_table.locked([&](Table &table) {
+            table.m_watchFailures = hasFailed ? table.m_watchFailures + 1 : 0;
+            return table.m_watchFailures;
+        });
+        if (hasFailed) {
+            after(retryPause(failures, randomWord()), [this] {
+                watchOrWait();
+            });
+            return;
+        }
+        if (reply.status() == PlatformStatus::Ok) {
+            m_exchange->offer(reply.objects().front());
+        }
+        watchAgain(reply);
+    }
+
+    /// The platform answers a watch at once when it has an object that this node doesn't take; that must not become
+    /// a tight loop.
+    void watchAgain(const PlatformReply &reply)
+    {
+        const bool isRefused =
+            reply.status() == PlatformStatus::Ok && m_exchange->version() < reply.objects().front().version();
+        if (!isRefused) {
+            watchOrWait();
+            return;
+        }
+        after(WatchTime, [this] {
+            watchOrWait();
+        });
+    }
+
+    void compareLater()
+    {
+        const Duration interval = m_exchange->version() == 0 ? FirstCompareInterval : CompareInterval;
+        after(interval, [this] {
+            exchangeWithPeers(PeersPerComparison);
+            compareLater();
+        });
+    }
+
+    void exchangeWithPeers(std::size_t count)
+    {
+        const auto peers = choosePeers(
+            m_membership->all(), m_membership->self(), m_kernel->settings().seedPeers(), count, randomWord());
+        for (const std::string &address : peers) {
+            m_exchange->exchangeWith(address);
+        }
+    }
+
+    Kernel *m_kernel = nullptr;
+    Platform *m_platform = nullptr;
+    Membership *m_membership = nullptr;
+    ConfigurationExchange *m_exchange = nullptr;
+    SharedTable<Table> m_table{LockRank::Configuration};
+};
+
+const auto registration =
+    registerPlugin<ConfigurationFollowerPlugin>("configurationfollower", {"configuration", "membership", "platform"});
+
+} // namespace
+
+} // namespace fescuepond
--- a/modules/declarations/declarationreader.cpp
+++ b/modules/declarations/declarationreader.cpp
@@ -1,9 +1,7 @@
-// Reads and writes the operators' declarations in YAML.
+// Reads the operators' declarations in YAML.
 
 #include "modules/declarations/declarationreader.h"
 
-#include "core/kernel/yaml.h"
-
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -251,33 +249,27 @@
     return readDeclaration(path, text);
 }
 
-void emitKind(YAML::Emitter &out, const KindDeclaration &kind)
-{
-    out << YAML::BeginMap;
-    out << YAML::Key << "name" << YAML::Value << kind.name();
-    out << YAML::Key << "method" << YAML::Value << kind.method();
-    out << YAML::Key << "path" << YAML::Value << kind.path();
-    out << YAML::Key << "rank" << YAML::Value << kind.rank();
-    out << YAML::Key << "idempotent" << YAML::Value << kind.idempotent();
-    out << YAML::Key << "deadline_ms" << YAML::Value << kind.deadline().count();
-    out << YAML::Key << "retries" << YAML::Value << kind.retryAllowance();
-    out << YAML::Key << "kept_share" << YAML::Value << kind.keptShare();
-    out << YAML::EndMap;
-}
-
 } // namespace
 
 Result<ServiceDeclaration> readDeclaration(const std::string &file, const std::string &text)
 {
     BOOST_LEAF_AUTO(root, loadYaml(file, text));
-    FileReader reader(file);
-    ServiceDeclaration service = reader.read(root);
-    if (!reader.findings().empty()) {
-        return failure(reader.findings());
+    Findings findings;
+    ServiceDeclaration service = readService(file, root, findings);
+    if (!findings.empty()) {
+        return failure(std::move(findings));
     }
     return service;
 }
 
+ServiceDeclaration readService(const std::string &file, const YAML::Node &node, Findings &findings)
+{
+    FileReader reader(file);
+    ServiceDeclaration service = reader.read(node);
+    findings.insert(findings.end(), reader.findings().begin(), reader.findings().end());
+    return service;
+}
+
 Result<ServiceMap> collectDeclarations(const std::vector<std::string> &folders)
 {
     Findings findings;
@@ -311,36 +303,4 @@
     return services;
 }
 
-std::string writeConfiguration(const ServiceMap &services)
-{
-    YAML::Emitter out;
-    out << YAML::BeginSeq;
-    for (const auto &[name, service] : services) {
-        out << YAML::BeginMap << YAML::Key << "service" << YAML::Value << name;
-        out << YAML::Key << "kinds" << YAML::Value << YAML::BeginSeq;
-        for (const KindDeclaration &kind : service.kinds()) {
-            emitKind(out, kind);
-        }
-        out << YAML::EndSeq << YAML::EndMap;
-    }
-    out << YAML::EndSeq;
-    return out.c_str();
-}
-
-Result<Configuration> readConfiguration(const std::string &text, ObjectVersion version)
-{
-    const std::string file = fmt::format("configuration version {}", version);
-    BOOST_LEAF_AUTO(root, loadYaml(file, text));
-    FileReader reader(file);
-    ServiceMap services;
-    for (const YAML::Node &node : root) {
-        const ServiceDeclaration service = reader.read(node);
-        services.insert_or_assign(service.name(), service);
-    }
-    if (!reader.findings().empty()) {
-        return failure(reader.findings());
-    }
-    return Configuration().withVersion(version).withServices(std::move(services));
-}
-
 } // namespace fescuepond
--- a/modules/declarations/declarationreader.h
+++ b/modules/declarations/declarationreader.h
@@ -1,8 +1,9 @@
-// Reads and writes the operators' declarations in YAML.
+// Reads the operators' declarations in YAML.
 
 #pragma once
 
 #include "core/kernel/finding.h"
+#include "core/kernel/yaml.h"
 #include "core/values/declaration.h"
 
 #include <string>
@@ -17,8 +18,7 @@
 /// Collects the declaration files under the folders, checks all, and returns their services by name.
 Result<ServiceMap> collectDeclarations(const std::vector<std::string> &folders);
 
-/// The text that is published for a set of services, and back.
-std::string writeConfiguration(const ServiceMap &services);
-Result<Configuration> readConfiguration(const std::string &text, ObjectVersion version);
+/// Reads the declaration of one service from a YAML node and adds what is wrong with it to `findings`.
+ServiceDeclaration readService(const std::string &file, const YAML::Node &node, Findings &findings);
 
 } // namespace fescuepond
--- a/modules/verbs/publishverb.cpp
+++ b/modules/verbs/publishverb.cpp
@@ -1,15 +1,28 @@
-// `fescuepond publish`: collects and checks declarations and makes them the configuration in force.
+// `fescuepond publish`: collects declarations and puts them in force by one conditional write.
 
 #include "core/pipeline/collections.h"
 #include "core/verbs/verb.h"
+#include "modules/declarations/configurationencoding.h"
 #include "modules/declarations/declarationreader.h"
 #include "modules/platform/platformclient.h"
+#include "servers/configuration/publishplan.h"
 
+#include <fmt/chrono.h>
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
+#include <unistd.h>
+
+#include <array>
+#include <cstdlib>
+#include <thread>
+
 DEFINE_string(platform, "", "IP and port of the platform's object API.");
 DEFINE_int32(platform_timeout_ms, 2000, "Longest wait for one answer of the platform, in milliseconds.");
+DEFINE_string(operator, "", "Who publishes; default: user@host.");
+DEFINE_int64(base, -1, "Version that your folders take into account; 0: there is none yet.");
+DEFINE_bool(merge, false, "Keep services that are in force and not in the folders.");
+DEFINE_bool(replace, false, "Remove services that are in force and not in the folders.");
 
 namespace fescuepond
 {
@@ -17,46 +30,177 @@
 namespace
 {
 
-Result<ExitCode> publish(const Arguments &folders)
+constexpr int WriteAttempts = 4;
+constexpr auto PauseBetweenAttempts = std::chrono::milliseconds(300);
+
+std::string defaultOperator()
 {
-    BOOST_LEAF_AUTO(services, collectDeclarations(folders));
-    const std::string text = writeConfiguration(services);
-    const PlatformClient platform(FLAGS_platform, std::chrono::milliseconds(FLAGS_platform_timeout_ms));
-    const PlatformReply current = platform.get(collection::Configuration, collection::CurrentConfiguration);
-    if (current.status() == PlatformStatus::Unavailable) {
-        fmt::print(stderr, "the platform at {} does not answer; nothing was published\n", FLAGS_platform);
-        return ExitCode::Unreachable;
+    const char *user = std::getenv("USER");
+    std::array<char, 256> host{};
+    gethostname(host.data(), host.size() - 1);
+    return fmt::format("{}@{}", user == nullptr ? "unknown" : user, host.data());
+}
+
+std::string currentTime()
+{
+    return fmt::format("{:%Y-%m-%dT%H:%M:%SZ}", fmt::gmtime(std::chrono::system_clock::now()));
+}
+
+PublishRequest makeRequest(const ServiceMap &services)
+{
+    MissingServices missing = FLAGS_replace ? MissingServices::Remove : MissingServices::Refuse;
+    if (FLAGS_merge) {
+        missing = MissingServices::Keep;
+    }
+    auto request = PublishRequest()
+                       .withNonce(PublicationNonce::random())
+                       .withOperatorName(FLAGS_operator.empty() ? defaultOperator() : FLAGS_operator)
+                       .withTime(currentTime())
+                       .withServices(services)
+                       .withMissingServices(missing);
+    if (FLAGS_base >= 0) {
+        request = request.withBaseVersion(static_cast<ObjectVersion>(FLAGS_base));
+    }
+    return request;
+}
+
+/// One publication: its reads and writes at the platform.
+class Publisher
+{
+public:
+    explicit Publisher(PublishRequest request)
+        : m_platform(FLAGS_platform, std::chrono::milliseconds(FLAGS_platform_timeout_ms))
+        , m_request(std::move(request))
+    {
     }
-    const ObjectVersion known = current.status() == PlatformStatus::Ok ? current.objects().front().version() : 0;
-    const PlatformReply written =
-        platform.put(collection::Configuration, collection::CurrentConfiguration, text, known);
-    if (written.status() == PlatformStatus::Ok) {
-        fmt::print("published version {}\n", written.objects().front().version());
+
+    Result<ExitCode> run()
+    {
+        const PlatformReply read = m_platform.get(collection::Configuration, collection::CurrentConfiguration);
+        if (read.status() == PlatformStatus::Unavailable) {
+            fmt::print(stderr, "the platform at {} does not answer; nothing was published\n", FLAGS_platform);
+            return ExitCode::Unreachable;
+        }
+        BOOST_LEAF_AUTO(current, decode(read));
+        const PublishPlan plan = planPublication(current, m_request);
+        if (plan.verdict() != PublishVerdict::Write) {
+            return report(plan);
+        }
+        const std::string text = writeConfiguration(plan.next().configuration().services(), plan.next().publication());
+        if (text.size() > MostConfigurationBytes) {
+            return failure(fmt::format(
+                "the configuration has {} bytes; the platform holds at most {}", text.size(), MostConfigurationBytes));
+        }
+        m_base = current.configuration().version();
+        m_difference = plan.difference();
+        return write(text);
+    }
+
+private:
+    static Result<PublishedConfiguration> decode(const PlatformReply &reply)
+    {
+        if (reply.status() != PlatformStatus::Ok) {
+            return PublishedConfiguration();
+        }
+        const PlatformObject &object = reply.objects().front();
+        return readPublishedConfiguration(object.value(), object.version());
+    }
+
+    static ExitCode report(const PublishPlan &plan)
+    {
+        if (plan.verdict() == PublishVerdict::Unchanged) {
+            fmt::print("unchanged: {}\n", plan.message());
+            return ExitCode::Done;
+        }
+        fmt::print(stderr, "{}; nothing was published\n", plan.message());
+        return plan.verdict() == PublishVerdict::Conflict ? ExitCode::Conflict : ExitCode::Findings;
+    }
+
+    /// Writes, and writes again while it isn't known whether that took effect: the condition and the nonce make it
+    /// one write at the most.
+    Result<ExitCode> write(const std::string &text)
+    {
+        for (int attempt = 0; attempt < WriteAttempts; ++attempt) {
+            if (attempt > 0) {
+                std::this_thread::sleep_for(PauseBetweenAttempts);
+            }
+            const PlatformReply written =
+                m_platform.put(collection::Configuration, collection::CurrentConfiguration, text, m_base);
+            if (written.status() == PlatformStatus::Ok) {
+                return published(written.objects().front().version());
+            }
+            const PlatformReply read = m_platform.get(collection::Configuration, collection::CurrentConfiguration);
+            if (read.status() == PlatformStatus::Unavailable) {
+                continue;
+            }
+            BOOST_LEAF_AUTO(current, decode(read));
+            const WriteFate fate = fateOfWrite(current, m_request.nonce(), m_base);
+            if (fate != WriteFate::NotYet) {
+                return settle(current, fate);
+            }
+        }
+        return unknown();
+    }
+
+    ExitCode settle(const PublishedConfiguration &current, WriteFate fate) const
+    {
+        switch (fate) {
+        case WriteFate::InForce:
+            return published(current.configuration().version());
+        case WriteFate::Superseded:
+            fmt::print("published; in force since then is {}\n", describe(current));
+            return ExitCode::Done;
+        case WriteFate::Overtaken:
+            fmt::print(stderr,
+                       "another change came first: {}; against it your folders would be a publication that {}; "
+                       "nothing was published\n",
+                       describe(current),
+                       differenceOf(current.configuration().services(), m_request.services()).toString());
+            return ExitCode::Conflict;
+        case WriteFate::NotYet:
+        case WriteFate::Unknown:
+            break;
+        }
+        return unknown();
+    }
+
+    ExitCode published(ObjectVersion version) const
+    {
+        fmt::print("published version {}, which {}\n", version, m_difference.toString());
         return ExitCode::Done;
     }
-    if (written.status() == PlatformStatus::Conflict) {
-        fmt::print(stderr, "somebody else published after version {}; nothing was published\n", known);
-        return ExitCode::Conflict;
+
+    ExitCode unknown() const
+    {
+        fmt::print(stderr,
+                   "the platform did not tell whether the write took effect; it may have, or may yet. Publish again "
+                   "when it answers: what is in force already is not written twice\n");
+        return ExitCode::Unreachable;
     }
-    fmt::print(stderr, "the platform did not answer the write; it may have taken effect\n");
-    return ExitCode::Unreachable;
-}
+
+    const PlatformClient m_platform;
+    const PublishRequest m_request;
+    ObjectVersion m_base = 0;
+    ServiceDifference m_difference;
+};
 
 ExitCode run(const Arguments &arguments)
 {
-    if (FLAGS_platform.empty() || arguments.empty()) {
-        fmt::print(stderr, "usage: fescuepond publish --platform=ADDRESS DIR...\n");
+    if (FLAGS_platform.empty() || arguments.empty() || (FLAGS_merge && FLAGS_replace)) {
+        fmt::print(stderr,
+                   "usage: fescuepond publish --platform=ADDRESS [--base=VERSION] [--merge | --replace] DIR...\n");
         return ExitCode::Usage;
     }
-    return reportFindings([&] {
-        return publish(arguments);
+    return reportFindings([&]() -> Result<ExitCode> {
+        BOOST_LEAF_AUTO(services, collectDeclarations(arguments));
+        return Publisher(makeRequest(services)).run();
     });
 }
 
 const VerbRegistration registration({"publish",
-                                     "--platform=ADDRESS DIR...",
+                                     "--platform=ADDRESS [--base=VERSION] [--merge | --replace] DIR...",
                                      "Collects the declarations under the folders, checks them and publishes them.",
-                                     {"platform", "platform_timeout_ms"},
+                                     {"platform", "platform_timeout_ms", "operator", "base", "merge", "replace"},
                                      run});
 
 } // namespace
--- /dev/null
+++ b/tests/servers/configuration/followertest.cpp
@@ -0,0 +1,203 @@
+// Following a configuration in virtual time: messages are lost, late, repeated and out of order.
+
+#include "servers/configuration/follower.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+Member member(int number, const std::string &zone)
+{
+    const std::string name = "node" + std::to_string(number);
+    return Member().withName(name).withZone(zone).withPeerAddress("10.0.0." + std::to_string(number) + ":1");
+}
+
+Members makeMembers(int count)
+{
+    Members members;
+    for (int i = 0; i < count; ++i) {
+        members.push_back(member(i, "zone" + std::to_string(i % 3)));
+    }
+    return members;
+}
+
+/// A message under way: the version that a peer was seen to hold, or the text of one.
+struct Message {
+    std::size_t m_from = 0;
+    std::size_t m_to = 0;
+    ObjectVersion m_version = 0;
+    bool m_hasText = false;
+    TimePoint m_arrival;
+};
+
+/// A fleet in virtual time whose nodes exchange versions as the plug-ins do.
+class ModelFleet
+{
+public:
+    explicit ModelFleet(std::size_t size)
+        : m_members(makeMembers(static_cast<int>(size)))
+        , m_states(size)
+    {
+    }
+
+    void publishTo(std::size_t node, ObjectVersion version)
+    {
+        take(node, version);
+    }
+
+    /// One round of comparisons and the deliveries due in it.
+    void runRound(bool isLossy)
+    {
+        m_now += std::chrono::seconds(3);
+        for (std::size_t i = 0; i < m_states.size(); ++i) {
+            const auto peers = choosePeers(m_members, m_members[i], {}, 1, *rc::gen::arbitrary<std::uint64_t>());
+            for (const std::string &address : peers) {
+                send(i, indexOf(address), false, isLossy);
+            }
+        }
+        deliverAll(isLossy);
+    }
+
+    bool allHold(ObjectVersion version) const
+    {
+        return std::all_of(m_states.begin(), m_states.end(), [&](const FollowerState &state) {
+            return state.held() == version;
+        });
+    }
+
+private:
+    std::size_t indexOf(const std::string &address) const
+    {
+        const auto found = std::find_if(m_members.begin(), m_members.end(), [&](const Member &candidate) {
+            return candidate.peerAddress() == address;
+        });
+        return static_cast<std::size_t>(found - m_members.begin());
+    }
+
+    void send(std::size_t from, std::size_t to, bool hasText, bool isLossy)
+    {
+        const int fate = isLossy ? *rc::gen::inRange(0, 10) : 9;
+        const int copies = fate < 3 ? 0 : (fate == 3 ? 2 : 1);
+        for (int i = 0; i < copies; ++i) {
+            const auto delay = std::chrono::milliseconds(isLossy ? *rc::gen::inRange(0, 9000) : 1);
+            m_messages.push_back({from, to, m_states[from].held(), hasText, m_now + delay});
+        }
+    }
+
+    void deliverAll(bool isLossy)
+    {
+        while (true) {
+            const auto due = std::min_element(m_messages.begin(), m_messages.end(), [](const auto &a, const auto &b) {
+                return a.m_arrival < b.m_arrival;
+            });
+            if (due == m_messages.end() || due->m_arrival > m_now + std::chrono::seconds(3)) {
+                return;
+            }
+            const Message message = *due;
+            m_messages.erase(due);
+            deliver(message, isLossy);
+        }
+    }
+
+    void deliver(const Message &message, bool isLossy)
+    {
+        if (message.m_hasText) {
+            take(message.m_to, message.m_version);
+            return;
+        }
+        if (m_states[message.m_to].held() > message.m_version) {
+            send(message.m_to, message.m_from, true, isLossy);
+            return;
+        }
+        const FollowerStep next = versionSeen(m_states[message.m_to], message.m_version, message.m_arrival);
+        m_states[message.m_to] = next.state();
+        if (next.pull()) {
+            send(message.m_from, message.m_to, true, isLossy);
+        }
+    }
+
+    void take(std::size_t node, ObjectVersion version)
+    {
+        const ObjectVersion before = m_states[node].held();
+        const auto next = advanced(m_states[node], version);
+        m_states[node] = pullEnded(next.value_or(m_states[node]), version);
+        RC_ASSERT(m_states[node].held() >= before);
+        RC_ASSERT(m_states[node].held() == std::max(before, version));
+    }
+
+    Members m_members;
+    std::vector<FollowerState> m_states;
+    std::vector<Message> m_messages;
+    TimePoint m_now = TimePoint(std::chrono::hours(1));
+};
+
+} // namespace
+
+RC_GTEST_PROP(Follower, AllNodesReachTheNewestVersionAndNoneFallsBack, ())
+{
+    ModelFleet fleet(*rc::gen::inRange<std::size_t>(2, 20));
+    ObjectVersion newest = 0;
+    for (int round = 0; round < 8; ++round) {
+        newest += *rc::gen::inRange<ObjectVersion>(1, 4);
+        fleet.publishTo(0, newest);
+        fleet.runRound(true);
+    }
+    for (int round = 0; round < 40 && !fleet.allHold(newest); ++round) {
+        fleet.runRound(false);
+    }
+    RC_ASSERT(fleet.allHold(newest));
+}
+
+TEST(Follower, TwoWatchersOfEachZoneAreChosenAndReplacedWhenTheyDie)
+{
+    Members members = makeMembers(30);
+    const auto watchersOf = [&](const std::string &zone) {
+        std::vector<std::string> names;
+        for (const Member &candidate : members) {
+            const bool isAlive = candidate.state() == MemberState::Alive;
+            if (isAlive && candidate.zone() == zone && isWatcher(members, candidate)) {
+                names.push_back(candidate.name());
+            }
+        }
+        return names;
+    };
+    for (const std::string zone : {"zone0", "zone1", "zone2"}) {
+        const auto before = watchersOf(zone);
+        ASSERT_EQ(before.size(), WatchersPerZone);
+        for (Member &candidate : members) {
+            if (candidate.name() == before[0]) {
+                candidate = candidate.withState(MemberState::Dead);
+            }
+        }
+        const auto after = watchersOf(zone);
+        ASSERT_EQ(after.size(), WatchersPerZone);
+        EXPECT_NE(std::find(after.begin(), after.end(), before[1]), after.end());
+    }
+}
+
+TEST(Follower, AVersionUnderWayIsPulledAgainOnlyAfterItsTime)
+{
+    const TimePoint now(std::chrono::hours(1));
+    const FollowerStep first = versionSeen(FollowerState().withHeld(4), 7, now);
+    EXPECT_TRUE(first.pull());
+    EXPECT_FALSE(versionSeen(first.state(), 7, now + std::chrono::milliseconds(100)).pull());
+    EXPECT_TRUE(versionSeen(first.state(), 8, now + std::chrono::milliseconds(100)).pull());
+    EXPECT_TRUE(versionSeen(first.state(), 7, now + std::chrono::seconds(5)).pull());
+    EXPECT_FALSE(versionSeen(first.state(), 4, now + std::chrono::seconds(5)).pull());
+}
+
+RC_GTEST_PROP(Follower, RetriesOfAFleetAreSpreadAndBounded, (std::uint64_t random, unsigned short failures))
+{
+    const Duration pause = retryPause(failures, random);
+    RC_ASSERT(pause >= std::chrono::milliseconds(125));
+    RC_ASSERT(pause <= std::chrono::seconds(10));
+}
+
+} // namespace fescuepond
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -182,7 +182,8 @@
     for (const std::string &text : declarations) {
         std::ofstream(folder + "/" + std::to_string(++number) + ".fescuepond.yaml") << text;
     }
-    return runVerb({"publish", "--platform=" + m_platform, folder});
+    // The texts are the whole configuration, whatever was published before.
+    return runVerb({"publish", "--platform=" + m_platform, "--replace", folder});
 }
 
 FleetNode &Fleet::addNode(const NodeOptions &options)
@@ -214,7 +215,7 @@
     std::ofstream settings(base + ".yaml");
     settings << "name: " << node.options.name << "\nservice: " << node.options.service
              << "\nzone: " << node.options.zone << "\nbackend_address: " << node.backend
-             << "\nplatform_address: " << m_platform << '\n';
+             << "\nplatform_address: " << (node.options.platform.empty() ? m_platform : node.options.platform) << '\n';
     for (const char *listener : {"front", "local", "peer", "operator"}) {
         settings << listener << "_address: 127.0.0.1:0\n";
     }
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -39,6 +39,7 @@
     std::string zone = "zone-a";
     std::vector<std::string> backendFlags; ///< Further flags of the backend stand-in.
     std::vector<std::string> settings; ///< Further lines of the settings file.
+    std::string platform; ///< Address of the platform; empty: the fleet's.
 };
 
 /// One node and its backend server.
--- /dev/null
+++ b/tests/system/configurationtest.cpp
@@ -0,0 +1,199 @@
+// Publishing and spreading of the configuration, with real processes and a platform that fails.
+
+#include "tests/support/fleet.h"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <thread>
+
+namespace fescuepond::test
+{
+
+namespace
+{
+
+constexpr auto InForceTimeout = std::chrono::seconds(15);
+
+std::string declaration(const std::string &service, int deadlineMs)
+{
+    return "service: " + service + "\nkinds:\n  - {name: stock, method: GET, path: /stock/*, rank: 5, "
+        + "idempotent: true, deadline_ms: " + std::to_string(deadlineMs) + "}\n";
+}
+
+/// A folder below the fleet's with one declaration file for each text.
+std::string makeCheckout(const Fleet &fleet, const std::string &name, const std::vector<std::string> &declarations)
+{
+    std::string folder = fleet.folder() + "/" + name;
+    std::filesystem::create_directory(folder);
+    int number = 0;
+    for (const std::string &text : declarations) {
+        std::ofstream(folder + "/" + std::to_string(++number) + ".fescuepond.yaml") << text;
+    }
+    return folder;
+}
+
+int publishAs(const Fleet &fleet,
+              const std::string &operatorName,
+              const std::vector<std::string> &arguments,
+              std::string *output = nullptr)
+{
+    std::vector<std::string> all = {"publish", "--platform=" + fleet.platform(), "--operator=" + operatorName};
+    all.insert(all.end(), arguments.begin(), arguments.end());
+    return fleet.runVerb(all, output);
+}
+
+/// The version that a node has in force; 0 when it has none or doesn't answer.
+int versionOf(const FleetNode &node)
+{
+    HttpCall call;
+    call.path = "/status";
+    const std::string key = "\"configuration_version\": ";
+    const std::string body = sendHttp(node.operatorAddress, call).body;
+    const auto at = body.find(key);
+    return at == std::string::npos ? 0 : std::stoi(body.substr(at + key.size()));
+}
+
+bool waitUntil(const std::function<bool()> &condition)
+{
+    const auto end = std::chrono::steady_clock::now() + InForceTimeout;
+    while (std::chrono::steady_clock::now() < end) {
+        if (condition()) {
+            return true;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    return false;
+}
+
+} // namespace
+
+TEST(Publishing, OfRacingOperatorsExactlyOneWinsAndTheOthersLearnOfItsChange)
+{
+    const Fleet fleet;
+    const std::string first = makeCheckout(fleet, "first", {declaration("yard", 1000)});
+    ASSERT_EQ(publishAs(fleet, "anna", {first}), 0);
+    constexpr int Racers = 6;
+    std::vector<int> codes(Racers);
+    std::vector<std::string> outputs(Racers);
+    std::vector<std::thread> threads;
+    for (int i = 0; i < Racers; ++i) {
+        const std::string folder = makeCheckout(fleet, "racer" + std::to_string(i), {declaration("yard", 2000 + i)});
+        threads.emplace_back([&, i, folder] {
+            codes[i] = publishAs(fleet, "racer" + std::to_string(i), {"--base=1", folder}, &outputs[i]);
+        });
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    EXPECT_EQ(std::count(codes.begin(), codes.end(), 0), 1);
+    EXPECT_EQ(std::count(codes.begin(), codes.end(), 4), Racers - 1);
+    const auto winner = std::find(codes.begin(), codes.end(), 0) - codes.begin();
+    for (int i = 0; i < Racers; ++i) {
+        if (codes[i] == 4) {
+            EXPECT_NE(outputs[i].find("racer" + std::to_string(winner)), std::string::npos) << outputs[i];
+            EXPECT_NE(outputs[i].find("yard"), std::string::npos) << outputs[i];
+        }
+    }
+}
+
+TEST(Publishing, AnothersChangeIsNotOverwrittenWithoutNamingItsVersion)
+{
+    const Fleet fleet;
+    const std::string first = makeCheckout(fleet, "first", {declaration("yard", 1000)});
+    const std::string second = makeCheckout(fleet, "second", {declaration("yard", 2000)});
+    ASSERT_EQ(publishAs(fleet, "anna", {first}), 0);
+    std::string output;
+    EXPECT_EQ(publishAs(fleet, "bat", {second}, &output), 4);
+    EXPECT_NE(output.find("anna"), std::string::npos) << output;
+    EXPECT_EQ(publishAs(fleet, "bat", {"--base=1", second}, &output), 0) << output;
+}
+
+TEST(Publishing, ASubsetDropsNoServiceSilently)
+{
+    const Fleet fleet;
+    const std::string both = makeCheckout(fleet, "both", {declaration("yard", 1000), declaration("quarry", 1000)});
+    const std::string subset = makeCheckout(fleet, "subset", {declaration("yard", 1500)});
+    ASSERT_EQ(publishAs(fleet, "anna", {both}), 0);
+    std::string output;
+    EXPECT_EQ(publishAs(fleet, "anna", {subset}, &output), 1);
+    EXPECT_NE(output.find("quarry"), std::string::npos) << output;
+    EXPECT_EQ(publishAs(fleet, "anna", {"--merge", subset}, &output), 0) << output;
+    // Quarry was kept, so that the two folders still make up the whole configuration.
+    EXPECT_EQ(publishAs(fleet, "anna", {subset}, &output), 1) << output;
+    EXPECT_EQ(publishAs(fleet, "anna", {"--replace", subset}, &output), 0) << output;
+}
+
+TEST(Publishing, ALostAnswerIsReadBack)
+{
+    const Fleet fleet;
+    const std::string first = makeCheckout(fleet, "first", {declaration("yard", 1000)});
+    fleet.setPlatformMode("lose=1");
+    std::string output;
+    EXPECT_EQ(publishAs(fleet, "anna", {first}, &output), 0) << output;
+    EXPECT_NE(output.find("published version 1"), std::string::npos) << output;
+}
+
+TEST(Publishing, NothingIsPublishedWhenThePlatformIsDownOrAFindingStands)
+{
+    const Fleet fleet;
+    const std::string good = makeCheckout(fleet, "good", {declaration("yard", 1000)});
+    const std::string bad = makeCheckout(fleet, "bad", {declaration("yard", -5)});
+    EXPECT_EQ(publishAs(fleet, "anna", {bad}), 1);
+    EXPECT_EQ(fleet.platformCounts()["put"], 0);
+    fleet.setPlatformMode("down=1");
+    EXPECT_EQ(publishAs(fleet, "anna", {good}), 3);
+}
+
+TEST(ConfigurationSpread, ANodeThatStartsDuringAnOutageTakesItFromAPeer)
+{
+    Fleet fleet;
+    ASSERT_EQ(fleet.publish({declaration("yard", 1000)}), 0);
+    const FleetNode &first = fleet.addNode({.name = "yard-a", .service = "yard"});
+    ASSERT_TRUE(fleet.waitUntilReady(1));
+    fleet.setPlatformMode("down=1");
+    const FleetNode &second =
+        fleet.addNode({.name = "yard-b", .service = "yard", .settings = {"seed_peers: [\"" + first.peer + "\"]"}});
+    EXPECT_TRUE(waitUntil([&] {
+        return versionOf(second) == 1;
+    }));
+}
+
+TEST(ConfigurationSpread, AVersionThatOneNodeHasReachesAllAfterThePlatformDied)
+{
+    // Nobody listens there: only the first node ever reaches the platform.
+    const std::string cutOff = "127.0.0.1:1";
+    Fleet fleet;
+    ASSERT_EQ(fleet.publish({declaration("yard", 1000)}), 0);
+    const FleetNode &first = fleet.addNode({.name = "yard-a", .service = "yard", .zone = "zone-a"});
+    const std::vector<std::string> seeds = {"seed_peers: [\"" + first.peer + "\"]"};
+    std::vector<const FleetNode *> others;
+    for (const std::string name : {"yard-b", "yard-c", "yard-d"}) {
+        others.push_back(&fleet.addNode({.name = name,
+                                         .service = "yard",
+                                         .zone = "zone-" + name.substr(5),
+                                         .settings = seeds,
+                                         .platform = cutOff}));
+    }
+    // Objects of the nodes raise the platform's counter too: only the order of versions is known.
+    ASSERT_TRUE(waitUntil([&] {
+        return versionOf(first) > 0;
+    }));
+    const int before = versionOf(first);
+    ASSERT_EQ(fleet.publish({declaration("yard", 2000)}), 0);
+    ASSERT_TRUE(waitUntil([&] {
+        return versionOf(first) > before;
+    }));
+    fleet.platformProcess().signal(SIGKILL);
+    const int after = versionOf(first);
+    for (const FleetNode *other : others) {
+        EXPECT_TRUE(waitUntil([&] {
+            return versionOf(*other) == after;
+        })) << other->options.name;
+    }
+}
+
+} // namespace fescuepond::test
