Add the admission queue, limits, path windows and the experiment tool

Decisions as pure code: order of shedding, kept shares, displacement, refusal by deadline, adaptive limit, path window from the room that answers tell. The tool drives them in virtual time on four call graphs.

--- /dev/null
+++ b/benchmarks/experiment/cases.cpp
@@ -0,0 +1,217 @@
+// The table of cases.
+
+#include "benchmarks/experiment/cases.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace fescuepond::experiment
+{
+
+namespace
+{
+
+constexpr double UsualLoad = 0.8;
+constexpr double WarmUpSeconds = 5;
+constexpr double SlowFactor = 4;
+constexpr int HardRetries = 8;
+constexpr double ZonePart = 1.0 / 3;
+/// A flood brings this many times the capacity of the narrowest service on its path.
+constexpr double FloodFactor = 5;
+
+Phase usualPhase(const CallGraph &graph, double load)
+{
+    Phase phase;
+    phase.demand = demandAtLoad(graph, load);
+    phase.timeFactor.assign(graph.services.size(), 1.0);
+    phase.aliveTargets.assign(graph.services.size(), 1.0);
+    phase.coldStart.assign(graph.services.size(), false);
+    return phase;
+}
+
+Phase at(Phase phase, double beginSeconds)
+{
+    phase.beginSeconds = beginSeconds;
+    phase.coldStart.assign(phase.coldStart.size(), false);
+    return phase;
+}
+
+/// The service that holds the fewest slots for each second of its work on the first kind's path, below its entry.
+std::size_t deepService(const CallGraph &graph)
+{
+    return graph.kinds.front().path.back();
+}
+
+/// The most that this kind alone could get of the whole fleet.
+double capacityFor(const CallGraph &graph, std::size_t kind)
+{
+    Phase phase = usualPhase(graph, 0);
+    constexpr double MoreThanFits = 1e6;
+    phase.demand[kind] = MoreThanFits;
+    return idealRates(graph, phase)[kind];
+}
+
+/// Total demand of `factor` times the capacity; the most urgent kind stays as it is.
+Phase overload(const CallGraph &graph, double factor)
+{
+    Phase phase = usualPhase(graph, 1);
+    const double total = std::accumulate(phase.demand.begin(), phase.demand.end(), 0.0);
+    const double urgent = phase.demand.front();
+    const double others = (factor * total - urgent) / (total - urgent);
+    for (std::size_t kind = 1; kind < phase.demand.size(); ++kind) {
+        phase.demand[kind] *= others;
+    }
+    return phase;
+}
+
+Phase flood(const CallGraph &graph, std::size_t kind)
+{
+    Phase phase = usualPhase(graph, UsualLoad);
+    phase.demand[kind] = FloodFactor * capacityFor(graph, kind);
+    return phase;
+}
+
+Phase deepSlow(const CallGraph &graph)
+{
+    Phase phase = usualPhase(graph, UsualLoad);
+    phase.timeFactor[deepService(graph)] = SlowFactor;
+    return phase;
+}
+
+Scenario lasting(const Phase &phase)
+{
+    return {.phases = {phase}};
+}
+
+/// The usual load, then `phase` for the middle half of the measured time, then the usual load again.
+Scenario passing(const CallGraph &graph, Phase phase, double seconds, int attempts = 1)
+{
+    const double begin = WarmUpSeconds + (seconds - WarmUpSeconds) / 4;
+    const double end = WarmUpSeconds + (seconds - WarmUpSeconds) * 3 / 4;
+    Phase usual = usualPhase(graph, UsualLoad);
+    usual.callerAttempts = attempts;
+    phase.callerAttempts = attempts;
+    Phase during = phase;
+    during.beginSeconds = begin;
+    return {.phases = {usual, during, at(usual, end)}, .triggerBegin = begin, .triggerEnd = end};
+}
+
+Scenario steady(const CallGraph &graph, double)
+{
+    return lasting(usualPhase(graph, UsualLoad));
+}
+Scenario demand2(const CallGraph &graph, double)
+{
+    return lasting(overload(graph, 2));
+}
+Scenario demand5(const CallGraph &graph, double)
+{
+    return lasting(overload(graph, 5));
+}
+Scenario demand10(const CallGraph &graph, double)
+{
+    return lasting(overload(graph, 10));
+}
+Scenario slowDeep(const CallGraph &graph, double seconds)
+{
+    return passing(graph, deepSlow(graph), seconds);
+}
+Scenario slowDeepRetries(const CallGraph &graph, double seconds)
+{
+    return passing(graph, deepSlow(graph), seconds, HardRetries);
+}
+Scenario surgeRetries(const CallGraph &graph, double seconds)
+{
+    return passing(graph, overload(graph, 3), seconds, HardRetries);
+}
+Scenario floodLeast(const CallGraph &graph, double seconds)
+{
+    return passing(graph, flood(graph, graph.kinds.size() - 1), seconds);
+}
+Scenario floodMost(const CallGraph &graph, double seconds)
+{
+    return passing(graph, flood(graph, 0), seconds);
+}
+/// The kind in the middle of the order floods; it is bottlenecked below, and the last kind only uses the entry.
+Scenario floodDeep(const CallGraph &graph, double seconds)
+{
+    const std::size_t kind = graph.kinds.size() > 3 ? 2 : 1;
+    return passing(graph, flood(graph, kind), seconds);
+}
+Scenario unequal(const CallGraph &graph, double)
+{
+    Scenario scenario = lasting(overload(graph, 3));
+    scenario.unequalTargets = true;
+    return scenario;
+}
+Scenario slotsTooMany(const CallGraph &graph, double)
+{
+    Scenario scenario = lasting(overload(graph, 3));
+    scenario.declaredSlots = 2;
+    return scenario;
+}
+Scenario speedChanges(const CallGraph &graph, double seconds)
+{
+    Phase slow = overload(graph, 3);
+    const Phase usual = slow;
+    slow.timeFactor[deepService(graph)] = SlowFactor;
+    slow.beginSeconds = WarmUpSeconds + (seconds - WarmUpSeconds) / 4;
+    return {.phases = {usual, slow, at(usual, WarmUpSeconds + (seconds - WarmUpSeconds) / 2)}};
+}
+Scenario coldStart(const CallGraph &graph, double seconds)
+{
+    Phase phase = usualPhase(graph, UsualLoad);
+    phase.coldStart[deepService(graph)] = true;
+    Scenario scenario = passing(graph, phase, seconds);
+    scenario.triggerEnd = scenario.triggerBegin;
+    return scenario;
+}
+Scenario zoneLost(const CallGraph &graph, double seconds)
+{
+    Phase phase = usualPhase(graph, UsualLoad);
+    phase.aliveTargets.assign(graph.services.size(), 1 - ZonePart);
+    return passing(graph, phase, seconds);
+}
+Scenario slowAndFlood(const CallGraph &graph, double seconds)
+{
+    Phase phase = flood(graph, graph.kinds.size() - 1);
+    phase.timeFactor[deepService(graph)] = SlowFactor;
+    return passing(graph, phase, seconds, HardRetries);
+}
+
+} // namespace
+
+const std::vector<Case> &cases()
+{
+    static const std::vector<Case> table = {
+        {"steady", "demand at 80% of capacity", steady},
+        {"demand-2x", "demand at twice the capacity; the most urgent kind as usual", demand2},
+        {"demand-5x", "demand at five times the capacity", demand5},
+        {"demand-10x", "demand at ten times the capacity", demand10},
+        {"slow-deep", "the deepest service takes four times as long for half of the time", slowDeep},
+        {"slow-deep-retries", "the same, with callers that send up to 8 times at once", slowDeepRetries},
+        {"surge-retries", "demand at three times the capacity for half of the time, 8 sendings", surgeRetries},
+        {"flood-least", "a flood of the least urgent kind", floodLeast},
+        {"flood-most", "a flood of the most urgent kind", floodMost},
+        {"flood-deep", "a flood of a kind that is bottlenecked deep below", floodDeep},
+        {"unequal", "three times the capacity; targets take 0.5, 1 and 2 times as long", unequal},
+        {"slots-too-many", "three times the capacity; the settings say twice the real slots", slotsTooMany},
+        {"speed-changes", "three times the capacity; the deepest service slows and recovers", speedChanges},
+        {"cold-start", "all targets of the deepest service restart cold", coldStart},
+        {"zone-lost", "a third of all targets is lost for half of the time", zoneLost},
+        {"slow-and-flood",
+         "the deepest service slows during a flood of the least urgent kind, 8 sendings",
+         slowAndFlood},
+    };
+    return table;
+}
+
+const Case *findCase(const std::string &name)
+{
+    const auto found = std::find_if(cases().begin(), cases().end(), [&](const Case &entry) {
+        return entry.name == name;
+    });
+    return found == cases().end() ? nullptr : &*found;
+}
+
+} // namespace fescuepond::experiment
--- /dev/null
+++ b/benchmarks/experiment/eventqueue.h
@@ -0,0 +1,75 @@
+// Virtual time: a queue of events, run in the order of their time.
+
+#pragma once
+
+#include "core/kernel/clock.h"
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <utility>
+#include <vector>
+
+namespace fescuepond::experiment
+{
+
+/// Time begins one hour after the epoch of TimePoint.
+class EventQueue
+{
+public:
+    using Event = std::function<void()>;
+
+    void at(TimePoint time, Event event)
+    {
+        m_events.push({time, m_nextNumber++, std::move(event)});
+    }
+    void after(double seconds, Event event)
+    {
+        at(m_now + toDuration(seconds), std::move(event));
+    }
+    /// Runs all events up to `end`.
+    void runUntil(TimePoint end)
+    {
+        while (!m_events.empty() && m_events.top().m_time <= end) {
+            Entry entry = m_events.top();
+            m_events.pop();
+            m_now = entry.m_time;
+            entry.m_event();
+        }
+        m_now = end;
+    }
+    TimePoint now() const
+    {
+        return m_now;
+    }
+    double nowSeconds() const
+    {
+        return std::chrono::duration<double>(m_now - begin()).count();
+    }
+    static TimePoint begin()
+    {
+        return TimePoint(std::chrono::hours(1));
+    }
+    static Duration toDuration(double seconds)
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    }
+
+private:
+    struct Entry {
+        TimePoint m_time;
+        std::uint64_t m_number;
+        Event m_event;
+
+        bool operator<(const Entry &other) const
+        {
+            return std::pair(m_time, m_number) > std::pair(other.m_time, other.m_number);
+        }
+    };
+
+    std::priority_queue<Entry> m_events;
+    std::uint64_t m_nextNumber = 0; ///< Events of one time run in the order in which they were added.
+    TimePoint m_now = begin();
+};
+
+} // namespace fescuepond::experiment
--- /dev/null
+++ b/benchmarks/experiment/phase.cpp
@@ -0,0 +1,136 @@
+// The ideal that the slots allow: capacity to the most important whole requests first.
+
+#include "benchmarks/experiment/phase.h"
+
+#include <algorithm>
+#include <limits>
+#include <set>
+
+namespace fescuepond::experiment
+{
+
+namespace
+{
+
+std::vector<double> allSlots(const CallGraph &graph, const Phase &phase)
+{
+    std::vector<double> slots;
+    for (std::size_t service = 0; service < graph.services.size(); ++service) {
+        const ServiceModel &model = graph.services[service];
+        slots.push_back(phase.aliveTargets[service] * model.targets * model.slots);
+    }
+    return slots;
+}
+
+/// The greatest part, up to 1, of the wanted rates that fits the free slots.
+double partThatFits(const CallGraph &graph,
+                    const Phase &phase,
+                    const std::vector<double> &freeSlots,
+                    const std::vector<double> &wanted)
+{
+    std::vector<double> needed(graph.services.size(), 0.0);
+    for (std::size_t kind = 0; kind < graph.kinds.size(); ++kind) {
+        const KindModel &model = graph.kinds[kind];
+        for (std::size_t level = 0; level < model.path.size(); ++level) {
+            needed[model.path[level]] += wanted[kind] * holdSeconds(graph, phase, model, level);
+        }
+    }
+    double part = 1;
+    for (std::size_t service = 0; service < needed.size(); ++service) {
+        if (needed[service] > 0) {
+            part = std::min(part, std::max(0.0, freeSlots[service]) / needed[service]);
+        }
+    }
+    return part;
+}
+
+void addRates(const CallGraph &graph,
+              const Phase &phase,
+              const std::vector<double> &added,
+              std::vector<double> &rates,
+              std::vector<double> &freeSlots)
+{
+    for (std::size_t kind = 0; kind < graph.kinds.size(); ++kind) {
+        const KindModel &model = graph.kinds[kind];
+        rates[kind] += added[kind];
+        for (std::size_t level = 0; level < model.path.size(); ++level) {
+            freeSlots[model.path[level]] -= added[kind] * holdSeconds(graph, phase, model, level);
+        }
+    }
+}
+
+/// What a kind's declared share alone lets through.
+double shareRate(const CallGraph &graph, const Phase &phase, const KindModel &kind)
+{
+    const std::vector<double> slots = allSlots(graph, phase);
+    double rate = std::numeric_limits<double>::max();
+    for (std::size_t level = 0; level < kind.path.size(); ++level) {
+        rate = std::min(rate, kind.keptShare * slots[kind.path[level]] / holdSeconds(graph, phase, kind, level));
+    }
+    return rate;
+}
+
+} // namespace
+
+double holdSeconds(const CallGraph &graph, const Phase &phase, const KindModel &kind, std::size_t level)
+{
+    double seconds = 0;
+    for (std::size_t below = level; below < kind.path.size(); ++below) {
+        const std::size_t service = kind.path[below];
+        seconds += graph.services[service].ownSeconds * phase.timeFactor[service];
+    }
+    const auto hops = static_cast<double>(kind.path.size() - 1 - level);
+    return seconds + 2 * graph.hopSeconds * hops;
+}
+
+std::vector<double> demandAtLoad(const CallGraph &graph, double load)
+{
+    Phase usual;
+    usual.timeFactor.assign(graph.services.size(), 1.0);
+    usual.aliveTargets.assign(graph.services.size(), 1.0);
+    std::vector<double> demand;
+    constexpr double MoreThanFits = 1e6;
+    for (const KindModel &kind : graph.kinds) {
+        demand.push_back(kind.weight * MoreThanFits);
+    }
+    const double part = partThatFits(graph, usual, allSlots(graph, usual), demand);
+    for (double &rate : demand) {
+        rate *= part * load;
+    }
+    return demand;
+}
+
+std::vector<double> idealRates(const CallGraph &graph, const Phase &phase)
+{
+    std::vector<double> rates(graph.kinds.size(), 0.0);
+    std::vector<double> freeSlots = allSlots(graph, phase);
+    std::vector<double> shares(graph.kinds.size(), 0.0);
+    std::set<Rank> ranks;
+    for (std::size_t kind = 0; kind < graph.kinds.size(); ++kind) {
+        ranks.insert(graph.kinds[kind].rank);
+        shares[kind] = std::min(phase.demand[kind], shareRate(graph, phase, graph.kinds[kind]));
+    }
+    addRates(graph, phase, shares, rates, freeSlots);
+    for (const Rank rank : ranks) {
+        std::vector<double> wanted(graph.kinds.size(), 0.0);
+        // Kinds of one rank that don't meet at a full service don't hold each other up: each in turn takes its part.
+        for (std::size_t kind = 0; kind < graph.kinds.size(); ++kind) {
+            wanted[kind] = graph.kinds[kind].rank == rank ? phase.demand[kind] - rates[kind] : 0.0;
+        }
+        const double part = partThatFits(graph, phase, freeSlots, wanted);
+        std::vector<double> added = wanted;
+        std::for_each(added.begin(), added.end(), [part](double &rate) {
+            rate *= part;
+        });
+        addRates(graph, phase, added, rates, freeSlots);
+        for (std::size_t kind = 0; kind < graph.kinds.size(); ++kind) {
+            std::vector<double> rest(graph.kinds.size(), 0.0);
+            rest[kind] = wanted[kind] - added[kind];
+            rest[kind] *= partThatFits(graph, phase, freeSlots, rest);
+            addRates(graph, phase, rest, rates, freeSlots);
+        }
+    }
+    return rates;
+}
+
+} // namespace fescuepond::experiment
--- /dev/null
+++ b/benchmarks/experiment/report.h
@@ -0,0 +1,22 @@
+// Results as CSV, as the table of targets, and as SVG plots.
+
+#pragma once
+
+#include "benchmarks/experiment/result.h"
+
+#include <string>
+#include <vector>
+
+namespace fescuepond::experiment
+{
+
+/// One line for each kind of each run, with a head line.
+std::string toCsv(const std::vector<RunResult> &results);
+/// One line for each graph, case and policy: the mean over the seeds and the spread.
+std::string toTable(const std::vector<RunResult> &results);
+/// One line for each target that the users set: its figure over all runs of the whole policy, and whether it is met.
+std::string toTargets(const std::vector<RunResult> &results);
+/// Bars of goodput in part of the ideal, for each case and policy of one graph.
+std::string toSvg(const std::vector<RunResult> &results, const std::string &graph);
+
+} // namespace fescuepond::experiment
--- /dev/null
+++ b/benchmarks/experiment/simulation.h
@@ -0,0 +1,130 @@
+// Runs one scenario under one policy in virtual time. The decisions are those of the product; callers, backend servers
+// and the way between nodes are small fakes.
+
+#pragma once
+
+#include "benchmarks/experiment/cases.h"
+#include "benchmarks/experiment/eventqueue.h"
+#include "benchmarks/experiment/fakebackend.h"
+#include "benchmarks/experiment/policy.h"
+#include "benchmarks/experiment/result.h"
+#include "servers/admission/admissioncontroller.h"
+#include "servers/pathlimit/pathlimiter.h"
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace fescuepond::experiment
+{
+
+class Simulation
+{
+public:
+    Simulation(const CallGraph &graph, const Scenario &scenario, const Policy &policy, std::uint64_t seed);
+
+    /// Runs for `seconds` of virtual time; the first `warmUpSeconds` are not measured.
+    RunResult run(double seconds, double warmUpSeconds);
+
+private:
+    /// What a caller wants once, however often it sends it.
+    struct UserRequest {
+        std::size_t m_kind = 0;
+        TimePoint m_sentAt;
+        TimePoint m_deadline;
+        int m_attemptsLeft = 0;
+    };
+    /// One sending of a root request.
+    struct Root {
+        std::shared_ptr<UserRequest> m_request;
+        CallContext m_context;
+        double m_slotSeconds = 0; ///< Over all its calls.
+        bool m_isFailed = false; ///< It has ended without an answer in time; calls of it may still run.
+    };
+    struct Answer {
+        bool m_isOk = false;
+        double m_room = 0; ///< Of the narrowest service on its way; 0: unsaid.
+    };
+    using CallDone = std::function<void(const Answer &)>;
+    struct Target;
+    /// One call of one service.
+    struct Call {
+        std::shared_ptr<Root> m_root;
+        std::size_t m_level = 0; ///< In the path of the kind.
+        CallDone m_done; ///< Empty once the call has ended.
+        AdmissionEntry m_entry;
+        Target *m_target = nullptr;
+        bool m_isRunning = false; ///< Given to the backend server.
+        bool m_holdsSlot = false; ///< The backend server has begun it.
+        TimePoint m_slotSince;
+        TimePoint m_startedAt;
+        Duration m_below{};
+        double m_roomBelow = 1;
+    };
+    using CallPointer = std::shared_ptr<Call>;
+    struct Target {
+        std::unique_ptr<AdmissionController> m_admission;
+        std::unique_ptr<FakeBackend> m_backend;
+        std::shared_ptr<PathLimiter> m_pathLimiter; ///< For root requests that enter here.
+        std::unordered_map<EntryId, CallPointer> m_calls; ///< Submitted to m_admission and not ended.
+        std::unordered_map<EntryId, CallPointer> m_entering; ///< Submitted to m_pathLimiter and not ended.
+        TimePoint m_expiryAt = TimePoint::max(); ///< When an event for m_admission is due.
+        TimePoint m_entryExpiryAt = TimePoint::max(); ///< When an event for m_pathLimiter is due.
+        bool m_isAlive = true;
+    };
+
+    const KindModel &kindOf(const Root &root) const;
+    std::size_t serviceOf(const Call &call) const;
+
+    void buildTargets();
+    std::unique_ptr<AdmissionController> makeAdmission(std::size_t service) const;
+    std::shared_ptr<PathLimiter> makePathLimiter() const;
+    void applyPhase(const Phase &phase);
+    void setAlive(std::size_t service, Target &target, bool alive);
+    void restart(std::size_t service, Target &target);
+    void drop(Target &target);
+
+    void scheduleArrival(std::size_t kind, std::uint64_t generation);
+    void arrive(std::size_t kind);
+    void sendRoot(const std::shared_ptr<UserRequest> &request);
+    void rootEnded(const std::shared_ptr<Root> &root, bool isOk);
+    void enter(Target &front, const CallPointer &call);
+    void letIn(Target &front, const CallPointer &call, EntryId id);
+    PathKey pathOf(const Root &root) const;
+    void applyEntry(Target &front, const AdmissionDecisions &decisions);
+    void scheduleEntryExpiry(Target &front);
+
+    void route(const CallPointer &call);
+    Target *chooseTarget(std::size_t service);
+    void submit(const CallPointer &call);
+    void apply(Target &target, const AdmissionDecisions &decisions);
+    void scheduleExpiry(Target &target);
+    void runAtBackend(const CallPointer &call);
+    void runOwnWork(const CallPointer &call);
+    void callBelow(const CallPointer &call, int attemptsLeft);
+    void endRun(const CallPointer &call, bool isOk, bool isLost);
+    void releaseSlot(Call &call);
+    Phase idealPhase(Phase phase) const;
+    bool isMeasured() const;
+    void measureRecovery();
+    void end(const CallPointer &call, const Answer &answer);
+
+    const CallGraph &m_graph;
+    const Scenario &m_scenario;
+    const Policy &m_policy;
+    std::mt19937_64 m_random;
+    EventQueue m_events;
+    std::vector<std::vector<std::unique_ptr<Target>>> m_targets; ///< By service.
+    std::vector<std::uint64_t> m_arrivalGeneration; ///< By kind; raised when its demand changes.
+    Phase m_phase;
+    EntryId m_nextEntry = 1;
+    double m_warmUpSeconds = 0;
+    double m_endSeconds = 0;
+    double m_slotSeconds = 0; ///< Of all calls in the measured time.
+    double m_wastedSlotSeconds = 0; ///< Of calls whose roots failed.
+    RunResult m_result;
+};
+
+} // namespace fescuepond::experiment
--- /dev/null
+++ b/servers/admission/admissioncontroller.h
@@ -0,0 +1,74 @@
+// Admission at a target: which calls the local backend server is given, and which are refused.
+
+#pragma once
+
+#include "servers/admission/admissionqueue.h"
+#include "servers/admission/limitstrategy.h"
+#include "servers/admission/servicetimes.h"
+
+#include <memory>
+#include <optional>
+
+namespace fescuepond
+{
+
+struct AdmissionRules {
+    QueueRules queue;
+    double queueFactor = 0.5; ///< Places in the queue for each slot.
+    bool refuseDoomed = true; ///< Refuses calls whose deadline is nearer than the likely service time.
+};
+
+/// Every submission gets exactly one decision: at once, or from a later function.
+class AdmissionController
+{
+public:
+    AdmissionController(std::unique_ptr<LimitStrategy> limit, AdmissionRules rules);
+
+    AdmissionDecisions submit(const AdmissionEntry &entry, TimePoint now);
+    /// A call that ran has ended.
+    AdmissionDecisions finished(EntryId id, const RunSample &sample, TimePoint now);
+    /// Refuses what can no longer be answered in time.
+    AdmissionDecisions expire(TimePoint now);
+    /// The caller is gone; false when the entry doesn't wait.
+    bool cancel(EntryId id);
+
+    /// When expire() has something to do.
+    std::optional<TimePoint> nextExpiry() const
+    {
+        return m_queue.nextLeaving();
+    }
+    double limit() const
+    {
+        return m_limit->limit();
+    }
+    std::size_t running() const
+    {
+        return m_queue.running();
+    }
+    std::size_t queued() const
+    {
+        return m_queue.queued();
+    }
+    /// See AdmissionQueue::room().
+    double room(const AdmissionEntry &entry) const
+    {
+        return m_queue.room(entry, m_limit->limit());
+    }
+    Duration likelyTime(const std::string &kind) const
+    {
+        return m_times.likely(kind);
+    }
+
+private:
+    std::size_t capacity() const;
+    TimePoint latestStart(const AdmissionEntry &entry) const;
+    void takeFree(AdmissionDecisions &decisions);
+    void refuseDue(AdmissionDecisions &decisions, TimePoint now);
+
+    const AdmissionRules m_rules;
+    std::unique_ptr<LimitStrategy> m_limit;
+    AdmissionQueue m_queue;
+    ServiceTimes m_times;
+};
+
+} // namespace fescuepond
--- /dev/null
+++ b/servers/admission/admissionqueue.cpp
@@ -0,0 +1,171 @@
+// The queue of calls that wait for a slot: order, kept shares, displacement.
+
+#include "servers/admission/admissionqueue.h"
+
+#include "servers/admission/invariant.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fescuepond
+{
+
+AdmissionQueue::AdmissionQueue(QueueRules rules)
+    : m_rules(rules)
+{
+}
+
+AdmissionQueue::KindKey AdmissionQueue::keyOf(const AdmissionEntry &entry)
+{
+    return {entry.order().rank(), entry.rootKind()};
+}
+
+ShedOrder AdmissionQueue::storedOrder(const AdmissionEntry &entry) const
+{
+    return m_rules.firstInFirstOut ? ShedOrder().withEntryId(entry.id()) : entry.order();
+}
+
+std::optional<AdmissionEntry>
+AdmissionQueue::push(const AdmissionEntry &entry, TimePoint leaveAt, std::size_t capacity, double slots)
+{
+    checkInvariant(!m_orders.contains(entry.id()) && !m_running.contains(entry.id()), "an entry is submitted once");
+    const ShedOrder order = storedOrder(entry);
+    m_waiting.emplace(order, Waiting{entry, leaveAt});
+    m_orders.emplace(entry.id(), order);
+    m_leaving.emplace(leaveAt, order);
+    KindUse &kind = m_kinds[keyOf(entry)];
+    kind.m_keptShare = m_rules.keepShares ? entry.keptShare() : 0;
+    kind.m_waiting.insert(order);
+    // A free slot takes an entry at once, so the places in the queue count only what waits beyond the free slots.
+    const double freeSlots = std::max(0.0, std::floor(slots) - static_cast<double>(m_running.size()));
+    if (m_waiting.size() <= capacity + static_cast<std::size_t>(freeSlots)) {
+        return std::nullopt;
+    }
+    const std::optional<ShedOrder> victim = leastImportant(capacity);
+    AdmissionEntry refused = m_waiting.at(*victim).m_entry;
+    erase(*victim);
+    return refused;
+}
+
+std::optional<AdmissionEntry> AdmissionQueue::take(double slots)
+{
+    if (m_waiting.empty() || static_cast<double>(m_running.size()) + 1 > slots) {
+        return std::nullopt;
+    }
+    const ShedOrder *within = bestWithinShares(slots);
+    const ShedOrder order = within != nullptr ? *within : m_waiting.begin()->first;
+    AdmissionEntry entry = m_waiting.at(order).m_entry;
+    ++m_kinds[keyOf(entry)].m_running; // Before the removal, which drops kinds that are not in use.
+    erase(order);
+    m_running.emplace(entry.id(), entry);
+    checkInvariant(static_cast<double>(m_running.size()) <= slots, "no more calls run than the limit says");
+    return entry;
+}
+
+AdmissionEntry AdmissionQueue::finish(EntryId id)
+{
+    const auto found = m_running.find(id);
+    checkInvariant(found != m_running.end(), "only a call that runs can end");
+    AdmissionEntry entry = found->second;
+    m_running.erase(found);
+    const auto kind = m_kinds.find(keyOf(entry));
+    --kind->second.m_running;
+    if (kind->second.m_running == 0 && kind->second.m_waiting.empty()) {
+        m_kinds.erase(kind);
+    }
+    return entry;
+}
+
+bool AdmissionQueue::remove(EntryId id)
+{
+    const auto found = m_orders.find(id);
+    if (found == m_orders.end()) {
+        return false;
+    }
+    erase(ShedOrder(found->second));
+    return true;
+}
+
+std::vector<AdmissionEntry> AdmissionQueue::removeDue(TimePoint now)
+{
+    std::vector<AdmissionEntry> due;
+    while (!m_leaving.empty() && m_leaving.begin()->first <= now) {
+        const ShedOrder order = m_leaving.begin()->second;
+        due.push_back(m_waiting.at(order).m_entry);
+        erase(order);
+    }
+    return due;
+}
+
+std::optional<TimePoint> AdmissionQueue::nextLeaving() const
+{
+    return m_leaving.empty() ? std::nullopt : std::optional(m_leaving.begin()->first);
+}
+
+void AdmissionQueue::erase(const ShedOrder &order)
+{
+    const auto found = m_waiting.find(order);
+    const auto kind = m_kinds.find(keyOf(found->second.m_entry));
+    m_leaving.erase({found->second.m_leaveAt, order});
+    m_orders.erase(found->second.m_entry.id());
+    m_waiting.erase(found);
+    kind->second.m_waiting.erase(order);
+    if (kind->second.m_running == 0 && kind->second.m_waiting.empty()) {
+        m_kinds.erase(kind);
+    }
+}
+
+bool AdmissionQueue::isProtected(const KindUse &kind, std::size_t capacity) const
+{
+    const double places = std::ceil(kind.m_keptShare * static_cast<double>(capacity));
+    return static_cast<double>(kind.m_waiting.size()) <= places;
+}
+
+std::optional<ShedOrder> AdmissionQueue::leastImportant(std::size_t capacity) const
+{
+    std::optional<ShedOrder> worst;
+    for (const auto &[key, kind] : m_kinds) {
+        if (kind.m_waiting.empty() || isProtected(kind, capacity)) {
+            continue;
+        }
+        worst = std::max(worst, std::optional(*kind.m_waiting.rbegin()));
+    }
+    // Shares may add up to the whole queue; then rank alone decides.
+    return worst ? worst : std::optional(m_waiting.rbegin()->first);
+}
+
+const ShedOrder *AdmissionQueue::bestWithinShares(double slots) const
+{
+    const ShedOrder *best = nullptr;
+    for (const auto &[key, kind] : m_kinds) {
+        const bool within = static_cast<double>(kind.m_running) < kind.m_keptShare * slots;
+        if (!within || kind.m_waiting.empty()) {
+            continue;
+        }
+        const ShedOrder &first = *kind.m_waiting.begin();
+        best = best == nullptr || first < *best ? &first : best;
+    }
+    return best;
+}
+
+double AdmissionQueue::occupancy(const KindUse &kind) const
+{
+    return static_cast<double>(kind.m_running + kind.m_waiting.size());
+}
+
+double AdmissionQueue::room(const AdmissionEntry &entry, double slots) const
+{
+    const auto own = m_kinds.find(keyOf(entry));
+    const double ownUse = own == m_kinds.end() ? 0 : occupancy(own->second);
+    const double ownShare = m_rules.keepShares ? entry.keptShare() : 0;
+    double ahead = 0;
+    for (const auto &[key, kind] : m_kinds) {
+        const bool counts = m_rules.firstInFirstOut || key.first <= entry.order().rank();
+        ahead += counts ? occupancy(kind) : std::min(occupancy(kind), kind.m_keptShare * slots);
+    }
+    const double byRank = slots / std::max(1.0, ahead);
+    const double byShare = ownShare * slots / std::max(1.0, ownUse);
+    return std::min(1.0, std::max(byRank, byShare));
+}
+
+} // namespace fescuepond
--- /dev/null
+++ b/servers/admission/admissionqueue.h
@@ -0,0 +1,85 @@
+// The queue of calls that wait for a slot, ordered by importance, and the count of calls that hold one.
+//
+// A declared kept share is a part of the slots and of the places in the queue. Calls of a kind that are within its
+// share go ahead of all calls beyond shares; apart from that the order is rank, then the hash of the root request.
+
+#pragma once
+
+#include "servers/admission/admissionentry.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace fescuepond
+{
+
+/// What a queue does besides its order, for measurements with a mechanism switched off.
+struct QueueRules {
+    bool keepShares = true;
+    bool firstInFirstOut = false; ///< Ignores ranks and hashes; refuses the newcomer when full.
+};
+
+class AdmissionQueue
+{
+public:
+    explicit AdmissionQueue(QueueRules rules);
+
+    /// Adds an entry that leaves the queue at `leaveAt` if it hasn't been taken by then. When more than `capacity`
+    /// wait, the least important entry is removed and returned; it may be the newcomer.
+    std::optional<AdmissionEntry>
+    push(const AdmissionEntry &entry, TimePoint leaveAt, std::size_t capacity, double slots);
+    /// Takes the most important entry and counts it as running, when fewer than `slots` run.
+    std::optional<AdmissionEntry> take(double slots);
+    /// The entry has ended; it must have been taken.
+    AdmissionEntry finish(EntryId id);
+    /// Removes an entry that waits; false when it doesn't.
+    bool remove(EntryId id);
+    /// Removes the entries whose time to leave has come.
+    std::vector<AdmissionEntry> removeDue(TimePoint now);
+    std::optional<TimePoint> nextLeaving() const;
+
+    std::size_t queued() const
+    {
+        return m_waiting.size();
+    }
+    std::size_t running() const
+    {
+        return m_running.size();
+    }
+    /// The part, up to 1, of the calls at hand that can hold one of `slots` at once, counting for `entry` only its
+    /// equals and the more important ones.
+    double room(const AdmissionEntry &entry, double slots) const;
+
+private:
+    struct Waiting {
+        AdmissionEntry m_entry;
+        TimePoint m_leaveAt;
+    };
+    /// Calls of one root kind and rank.
+    struct KindUse {
+        double m_keptShare = 0;
+        std::size_t m_running = 0;
+        std::set<ShedOrder> m_waiting;
+    };
+    using KindKey = std::pair<Rank, std::string>;
+
+    static KindKey keyOf(const AdmissionEntry &entry);
+    ShedOrder storedOrder(const AdmissionEntry &entry) const;
+    void erase(const ShedOrder &order);
+    bool isProtected(const KindUse &kind, std::size_t capacity) const;
+    std::optional<ShedOrder> leastImportant(std::size_t capacity) const;
+    const ShedOrder *bestWithinShares(double slots) const;
+    double occupancy(const KindUse &kind) const;
+
+    const QueueRules m_rules;
+    std::map<ShedOrder, Waiting> m_waiting; ///< The most important first.
+    std::unordered_map<EntryId, ShedOrder> m_orders; ///< Has exactly the entries of m_waiting.
+    std::set<std::pair<TimePoint, ShedOrder>> m_leaving; ///< Has exactly the entries of m_waiting.
+    std::map<KindKey, KindUse> m_kinds; ///< Every kind with an entry that waits or runs.
+    std::unordered_map<EntryId, AdmissionEntry> m_running;
+};
+
+} // namespace fescuepond
--- /dev/null
+++ b/servers/pathlimit/pathlimiter.h
@@ -0,0 +1,91 @@
+// The limit of each path at the place where root requests enter.
+//
+// A call that waits below holds its slots above. So root requests of a kind are let in only as far as the services
+// down their path can hold them, and a little more, so that a slot that frees below is taken at once. Requests that
+// use other paths find the slots of the entry service free.
+//
+// Every answer says which part of the calls on its path can hold a slot at once at the narrowest service (the room).
+// With w calls under way, w * (1 - room) of them wait; the window moves so that a few wait. Many callers of one
+// narrow service each keep a few waiting there, and so come to equal windows without messages of their own.
+
+#pragma once
+
+#include "servers/admission/admissionqueue.h"
+#include "servers/admission/servicetimes.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace fescuepond
+{
+
+/// Root requests of one kind at one service.
+class PathKey
+{
+    FESCUEPOND_FIELD(std::string, service, withService);
+    FESCUEPOND_FIELD(std::string, kind, withKind);
+
+public:
+    friend auto operator<=>(const PathKey &, const PathKey &) = default;
+};
+
+/// How many calls of one path may be under way.
+class PathWindow
+{
+public:
+    double size() const
+    {
+        return m_size;
+    }
+    /// An answer told the room on its path; `underWay` calls of the path, the answered one included.
+    void answered(double room, std::size_t underWay);
+
+private:
+    double m_size = 16;
+};
+
+struct PathRules {
+    QueueRules queue;
+    bool refuseDoomed = true;
+};
+
+/// The windows and queues of all paths that start here. Every submission gets exactly one decision.
+class PathLimiter
+{
+public:
+    explicit PathLimiter(PathRules rules);
+
+    AdmissionDecisions submit(const PathKey &path, const AdmissionEntry &entry, TimePoint now);
+    /// A call that was let in has ended. `room` is 0 when the answer didn't say it; `taken` is nothing unless it was
+    /// answered.
+    AdmissionDecisions
+    finished(const PathKey &path, EntryId id, double room, std::optional<Duration> taken, TimePoint now);
+    AdmissionDecisions expire(TimePoint now);
+    std::optional<TimePoint> nextExpiry() const;
+
+    double windowOf(const PathKey &path) const;
+    std::size_t queued() const;
+    std::size_t underWay() const;
+
+private:
+    struct Path {
+        explicit Path(QueueRules rules)
+            : m_queue(rules)
+        {
+        }
+        PathWindow m_window;
+        AdmissionQueue m_queue;
+        DurationHistogram m_times;
+    };
+
+    Path &pathOf(const PathKey &path);
+    static void refuseDue(Path &path, AdmissionDecisions &decisions, TimePoint now);
+    static void takeFree(Path &path, AdmissionDecisions &decisions);
+
+    const PathRules m_rules;
+    std::map<PathKey, Path> m_paths; ///< One for each declared kind whose requests have entered here.
+};
+
+} // namespace fescuepond
