--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -182,7 +182,8 @@
     for (const std::string &text : declarations) {
         std::ofstream(folder + "/" + std::to_string(++number) + ".fescuepond.yaml") << text;
     }
-    return runVerb({"publish", "--platform=" + m_platform, folder});
+    // The texts are the whole configuration, whatever was published before.
+    return runVerb({"publish", "--platform=" + m_platform, "--replace", folder});
 }
 
 FleetNode &Fleet::addNode(const NodeOptions &options)
@@ -215,7 +216,7 @@
     settings << "name: " << node.options.name << "\nservice: " << node.options.service
              << "\nzone: " << node.options.zone << "\nbackend_address: "
              << (node.options.backendAddress.empty() ? node.backend : node.options.backendAddress)
-             << "\nplatform_address: " << m_platform << '\n';
+             << "\nplatform_address: " << (node.options.platform.empty() ? m_platform : node.options.platform) << '\n';
     for (const char *listener : {"front", "local", "peer", "operator"}) {
         settings << listener << "_address: 127.0.0.1:0\n";
     }
@@ -230,11 +231,12 @@
         return valueIn(node.process->waitForLine("event=listening listener=" + listener), "address");
     };
     node.front = addressOf("front");
+    node.local = addressOf("local");
     node.peer = addressOf("peer");
     node.operatorAddress = addressOf("operator");
     HttpCall call;
     call.method = "POST";
-    call.path = "/set?local=" + addressOf("local");
+    call.path = "/set?local=" + node.local;
     sendHttp(node.backendControl, call);
 }
 
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -40,12 +40,14 @@
     std::vector<std::string> backendFlags; ///< Further flags of the backend stand-in.
     std::vector<std::string> settings; ///< Further lines of the settings file.
     std::string backendAddress; ///< Where the node finds its backend server; empty: at its own address.
+    std::string platform; ///< Address of the platform; empty: the fleet's.
 };
 
 /// One node and its backend server.
 struct FleetNode {
     NodeOptions options;
     std::string front;
+    std::string local;
     std::string peer;
     std::string operatorAddress;
     std::string backend;
