--- a/servers/settlement/attempttable.cpp
+++ b/servers/settlement/attempttable.cpp
@@ -2,10 +2,10 @@
 
 #include "servers/settlement/attempttable.h"
 
+#include "core/kernel/invariant.h"
+
 #include <algorithm>
 #include <array>
-#include <cstdio>
-#include <cstdlib>
 
 namespace fescuepond
 {
@@ -18,15 +18,6 @@
 constexpr std::size_t OutcomeByteLimit = 8UL * 1024 * 1024;
 constexpr Duration OutcomeKeepTime = std::chrono::seconds(10);
 
-/// Ends the program when an invariant does not hold: a false "not run" is worse than a crash.
-void requireInvariant(bool holds, const char *invariant)
-{
-    if (!holds) {
-        std::fprintf(stderr, "event=invariant_violated invariant=%s\n", invariant);
-        std::abort();
-    }
-}
-
 CallOutcome refusalOfFenced()
 {
     return CallOutcome::notRun(Reason::Cancelled, "this attempt was declared as never to run");
@@ -130,10 +121,10 @@
     const bool isFenced = found == m_records.end() || found->second.phase() == AttemptPhase::Fenced;
     if (isFenced) {
         // A fence may have expired while the attempt stood in the queue; it still must not have run.
-        requireInvariant(outcome.state() == CallState::NotRun, "fenced_attempt_never_runs");
+        invariant(outcome.state() == CallState::NotRun, "a fenced attempt never runs");
         return;
     }
-    requireInvariant(found->second.phase() != AttemptPhase::Finished, "attempt_finishes_once");
+    invariant(found->second.phase() != AttemptPhase::Finished, "an attempt finishes once");
     found->second = found->second.withPhase(AttemptPhase::Finished)
                         .withOutcome(outcome)
                         .withOutcomeUntil(now + m_limits.outcomeKeepTime());
--- a/tests/servers/settlement/attempttabletest.cpp
+++ b/tests/servers/settlement/attempttabletest.cpp
@@ -225,7 +225,7 @@
     AttemptTable table;
     table.arrive(attempt, after(1000), after(0));
     table.cancel(attempt, after(1000), after(1));
-    EXPECT_DEATH(table.finish(attempt, answer, after(2)), "fenced_attempt_never_runs");
+    EXPECT_DEATH(table.finish(attempt, answer, after(2)), "a fenced attempt never runs");
 }
 
 } // namespace fescuepond
