Measure silent connections; leave all idle backend connections once one was silent

Cause: after a call on a kept connection to the backend server got no answer, the next calls met the other kept connections, which the same fault may have silenced, each until its deadline. Change: a failed exchange closes the connections that were idle since before it. The relay of the tests can freeze new connections too.

--- a/modules/backend/backendclient.cpp
+++ b/modules/backend/backendclient.cpp
@@ -8,6 +8,7 @@
 #include <Poco/Net/SocketAddress.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace fescuepond
 {
@@ -62,11 +63,14 @@
 
 CallOutcome BackendClient::exchange(const CallRequest &call, ConnectionPtr connection)
 {
+    const TimePoint begin = now();
     try {
         CallOutcome answer = sendAndReceive(call, *connection);
         keep(std::move(connection));
         return answer;
     } catch (const Poco::Exception &error) {
+        // What made this connection silent may have done so to all that were open.
+        closeIdleSince(begin);
         return failed(call, *connection, error.displayText());
     }
 }
@@ -120,6 +124,19 @@
     }
 }
 
+void BackendClient::closeIdleSince(TimePoint time)
+{
+    std::vector<Idle> closed;
+    m_idle.locked([&](std::vector<Idle> &idle) {
+        // Ordered by time, since the one used last is at the end.
+        const auto end = std::find_if(idle.begin(), idle.end(), [&](const Idle &entry) {
+            return entry.since >= time;
+        });
+        std::move(idle.begin(), end, std::back_inserter(closed));
+        idle.erase(idle.begin(), end);
+    });
+}
+
 void BackendClient::keep(ConnectionPtr connection)
 {
     if (!connection->isReusable()) {
--- a/modules/backend/backendclient.h
+++ b/modules/backend/backendclient.h
@@ -46,6 +46,8 @@
     /// The connection that was used last, or null when none can take the call.
     ConnectionPtr takeIdle(const CallRequest &call);
     void keep(ConnectionPtr connection);
+    /// Closes the connections that have been idle since before `time`.
+    void closeIdleSince(TimePoint time);
     TimePoint now() const
     {
         return m_timers.clock().now();
--- a/tests/modules/backend/backendclienttest.cpp
+++ b/tests/modules/backend/backendclienttest.cpp
@@ -3,6 +3,7 @@
 #include "modules/backend/backendclient.h"
 
 #include "core/kernel/workerpool.h"
+#include "tests/support/relay.h"
 
 #include <Poco/Net/ServerSocket.h>
 
@@ -11,6 +12,7 @@
 #include <atomic>
 #include <deque>
 #include <functional>
+#include <future>
 #include <mutex>
 #include <thread>
 
@@ -300,6 +302,31 @@
     EXPECT_EQ(server.connections(), 2);
 }
 
+TEST_F(BackendClientTest, AllIdleConnectionsAreLeftOnceOneWasSilent)
+{
+    ScriptedServer server({answerWith(whole)});
+    test::Relay relay;
+    relay.setTarget(server.address());
+    BackendClient client(relay.address(), MostBodyBytes, m_timers);
+    // Calls at the same time open connections of their own.
+    constexpr int CallCount = 8;
+    std::vector<std::future<CallOutcome>> together;
+    together.reserve(CallCount);
+    for (int i = 0; i < CallCount; ++i) {
+        together.push_back(std::async(std::launch::async, [&] {
+            return client.run(call());
+        }));
+    }
+    for (auto &outcome : together) {
+        EXPECT_EQ(outcome.get().state(), CallState::Answered);
+    }
+    const std::size_t opened = relay.connectionCount();
+    relay.freeze(test::Way::ToTarget);
+    EXPECT_EQ(client.run(call(300ms)).reason(), Reason::DeadlineExceeded);
+    EXPECT_EQ(client.run(call(300ms)).state(), CallState::Answered);
+    EXPECT_EQ(relay.connectionCount(), opened + 1);
+}
+
 TEST_F(BackendClientTest, CallIsNotRunWhenNothingListens)
 {
     std::string address;
--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -130,6 +130,12 @@
     }
 }
 
+void Relay::setFreezesNew(bool isOn)
+{
+    const std::lock_guard guard(m_mutex);
+    m_isFreezingNew = isOn;
+}
+
 void Relay::thaw()
 {
     const std::lock_guard guard(m_mutex);
@@ -185,6 +191,7 @@
         if (::connect(connection->m_target, reinterpret_cast<const sockaddr *>(&target), sizeof(target)) != 0) {
             continue;
         }
+        connection->m_isFrozen = {m_isFreezingNew, m_isFreezingNew};
         m_connections.push_back(connection);
         for (const Way way : {Way::ToTarget, Way::ToCaller}) {
             connection->m_threads[static_cast<std::size_t>(way)] = std::thread([this, connection, way] {
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -39,6 +39,8 @@
     void cut();
     /// Holds up the bytes of all open connections on one way; the connections stay open, and new ones work.
     void freeze(Way way);
+    /// From now on new connections are accepted and frozen on both ways.
+    void setFreezesNew(bool isOn);
     /// Lets the bytes that were held up go on, also those of callers that have gone.
     void thaw();
     /// From now on each connection ends after this many bytes to the caller; 0: no limit.
@@ -66,6 +68,7 @@
     std::list<ConnectionPtr> m_connections;
     std::size_t m_truncateAfter = 0;
     bool m_isDuplicating = false;
+    bool m_isFreezingNew = false;
     std::string m_corruptFrom;
     std::string m_corruptTo;
     bool m_isStopped = false;
--- /dev/null
+++ b/tests/system/silentconnectiontest.cpp
@@ -0,0 +1,168 @@
+// Connections that go silent for good while new ones work, between nodes and between a node and its backend server.
+
+#include "tests/support/fleet.h"
+#include "tests/support/relay.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <future>
+#include <iostream>
+#include <map>
+#include <thread>
+#include <vector>
+
+namespace fescuepond::test
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using SteadyTime = std::chrono::steady_clock;
+
+constexpr const char *Yard = R"(
+service: yard
+kinds:
+  - {name: stock, method: GET, path: /stock/*, rank: 5, idempotent: true, deadline_ms: 4000, retries: 0}
+)";
+constexpr const char *Dispatch = R"(
+service: dispatch
+kinds:
+  - {name: slots, method: GET, path: /slots/*, rank: 5, idempotent: true, deadline_ms: 4000, retries: 0}
+)";
+constexpr int CallsInFlight = 20;
+/// Far above what is measured and below the deadline: silence that is only ended by deadlines is seen.
+constexpr auto ServedAgainLimit = 3s;
+
+std::chrono::milliseconds since(SteadyTime::time_point begin)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(SteadyTime::now() - begin);
+}
+
+/// Relays stand before the yard's node and before its backend server; callers use the node of dispatch.
+class SilentConnection : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        ASSERT_EQ(m_fleet.publish({Yard, Dispatch}), 0);
+        m_yard = &m_fleet.addNode({.name = "yard-a",
+                                   .service = "yard",
+                                   .backendFlags = {"--service_ms=300", "--fixed"},
+                                   .settings = {"peer_advertised_address: " + m_peerRelay.address()},
+                                   .backendAddress = m_backendRelay.address()});
+        m_peerRelay.setTarget(m_yard->peer);
+        m_backendRelay.setTarget(m_yard->backend);
+        m_entry = &m_fleet.addNode({.name = "dispatch-a", .service = "dispatch"});
+        ASSERT_TRUE(m_fleet.waitUntilReady(2));
+        ASSERT_EQ(read().get().outcome(), "answered");
+    }
+
+    std::future<HttpReply> read() const
+    {
+        HttpCall call;
+        call.host = "yard";
+        call.path = "/stock/sleepers";
+        return std::async(std::launch::async, [address = m_entry->front, call] {
+            return sendHttp(address, call);
+        });
+    }
+
+    std::vector<std::future<HttpReply>> startReads() const
+    {
+        std::vector<std::future<HttpReply>> reads;
+        reads.reserve(CallsInFlight);
+        for (int i = 0; i < CallsInFlight; ++i) {
+            reads.push_back(read());
+        }
+        return reads;
+    }
+
+    /// Reads one after the other until one is answered, and returns how long that took.
+    std::chrono::milliseconds timeUntilServed() const
+    {
+        const auto begin = SteadyTime::now();
+        while (since(begin) < 2 * ServedAgainLimit && read().get().outcome() != "answered") { }
+        return since(begin);
+    }
+
+    static std::map<std::string, int> outcomesOf(std::vector<std::future<HttpReply>> &reads)
+    {
+        std::map<std::string, int> outcomes;
+        for (auto &reply : reads) {
+            ++outcomes[reply.get().outcome()];
+        }
+        return outcomes;
+    }
+
+    static void report(const char *what, std::chrono::milliseconds served, const std::map<std::string, int> &outcomes)
+    {
+        std::cout << what << ": served again after " << served.count() << " ms; calls in flight:";
+        for (const auto &[outcome, count] : outcomes) {
+            std::cout << ' ' << outcome << '=' << count;
+        }
+        std::cout << '\n';
+    }
+
+    Relay m_peerRelay;
+    Relay m_backendRelay;
+    Fleet m_fleet;
+    FleetNode *m_yard = nullptr;
+    FleetNode *m_entry = nullptr;
+};
+
+} // namespace
+
+TEST_F(SilentConnection, BetweenNodesIsReplacedAndEachCallOnItIsSettled)
+{
+    for (const Way way : {Way::ToCaller, Way::ToTarget}) {
+        auto reads = startReads();
+        std::this_thread::sleep_for(100ms);
+        m_peerRelay.freeze(way);
+        const auto served = timeUntilServed();
+        auto outcomes = outcomesOf(reads);
+        report(way == Way::ToCaller ? "peer, answers lost" : "peer, requests lost", served, outcomes);
+        EXPECT_LT(served, ServedAgainLimit);
+        EXPECT_EQ(outcomes["answered"], CallsInFlight);
+    }
+}
+
+TEST_F(SilentConnection, ThatWasIdleBetweenNodesCostsOneCallATrueRefusal)
+{
+    m_peerRelay.freeze(Way::ToTarget);
+    const auto begin = SteadyTime::now();
+    const HttpReply first = read().get();
+    std::cout << "peer, idle: first call ended as " << first.outcome() << " after " << since(begin).count() << " ms\n";
+    EXPECT_EQ(first.outcome(), "not-run");
+    EXPECT_LT(since(begin), ServedAgainLimit);
+    EXPECT_EQ(read().get().outcome(), "answered");
+}
+
+TEST_F(SilentConnection, NodeThatAcceptsAndNeverSaysAByteIsNotWaitedFor)
+{
+    m_peerRelay.setFreezesNew(true);
+    m_peerRelay.cut();
+    const auto begin = SteadyTime::now();
+    EXPECT_EQ(read().get().outcome(), "not-run");
+    EXPECT_LT(since(begin), ServedAgainLimit);
+    m_peerRelay.setFreezesNew(false);
+    EXPECT_LT(timeUntilServed(), ServedAgainLimit);
+}
+
+TEST_F(SilentConnection, ToTheBackendServerEndsItsCallsAtTheirDeadlineAndOthersAreServed)
+{
+    auto reads = startReads();
+    std::this_thread::sleep_for(100ms);
+    m_backendRelay.freeze(Way::ToCaller);
+    const auto begin = SteadyTime::now();
+    const auto served = timeUntilServed();
+    auto outcomes = outcomesOf(reads);
+    report("backend", served, outcomes);
+    EXPECT_LT(served, ServedAgainLimit);
+    EXPECT_EQ(outcomes["outcome-unknown"], CallsInFlight);
+    EXPECT_LT(since(begin), 6s);
+    EXPECT_EQ(read().get().outcome(), "answered");
+}
+
+} // namespace fescuepond::test
