--- a/modules/peer/peerclock.h
+++ b/modules/peer/peerclock.h
@@ -21,7 +21,7 @@
     friend auto operator<=>(const WireDeadline &, const WireDeadline &) = default;
 };
 
-/// The clock of the other end of a connection, as its first message gave it. A default one is not known.
+/// The clock of the other end of a connection, as its first message gave it.
 class PeerClock
 {
     FESCUEPOND_FIELD(std::int64_t, theirsNs, withTheirsNs); ///< What it showed when the message was made.
@@ -37,5 +37,7 @@
 /// The deadline on the own clock: never too early, and too late by at most the way of the first message, even if this
 /// message was held up for long.
 TimePoint fromWire(const WireDeadline &deadline, const PeerClock &clock, TimePoint now);
+/// The same without the other's clock: too late by the way of this message.
+TimePoint fromWire(const WireDeadline &deadline, TimePoint now);
 
 } // namespace fescuepond
