Know the fleet by gossip instead of listing the platform every second

A leaving record goes to all by a broadcast tree of fan-out 8. Stale objects are removed by one living member, at the version seen. Tests in virtual time (tests/servers/membership).

--- /dev/null
+++ b/modules/membership/announcer.cpp
@@ -0,0 +1,208 @@
+// Keeps this node's object at the platform, reads those of the others once, and removes those of dead members.
+
+#include "modules/membership/announcer.h"
+
+#include "core/kernel/eventlog.h"
+#include "core/kernel/kernel.h"
+#include "core/pipeline/collections.h"
+#include "modules/membership/memberencoding.h"
+
+#include <random>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+/// How often the own object is looked for: one removed by mistake stands again after this.
+constexpr Duration CheckInterval = std::chrono::minutes(5);
+/// At most one stale object is removed in this time.
+constexpr Duration CollectInterval = std::chrono::seconds(10);
+
+std::uint64_t randomWord()
+{
+    thread_local std::mt19937_64 generator(std::random_device{}());
+    return generator();
+}
+
+std::optional<Member> recordIn(const PlatformReply &reply)
+{
+    return reply.objects().empty() ? std::nullopt : memberFromJson(reply.objects().front().value());
+}
+
+ObjectVersion versionIn(const PlatformReply &reply)
+{
+    return reply.objects().empty() ? 0 : reply.objects().front().version();
+}
+
+} // namespace
+
+Announcer::Announcer(Kernel &kernel, SharedMembers &members, std::function<void()> listed)
+    : m_kernel(kernel)
+    , m_members(members)
+    , m_platform(kernel.require<Platform>())
+    , m_listed(std::move(listed))
+{
+}
+
+void Announcer::start()
+{
+    write(0);
+    list();
+    m_kernel.timers().every(CheckInterval, [this] {
+        check();
+    });
+    m_kernel.timers().every(CollectInterval, [this] {
+        collect();
+    });
+}
+
+void Announcer::withdraw()
+{
+    m_withdrawn = true;
+    if (m_ownVersion != 0) {
+        m_platform.remove(collection::Nodes, m_kernel.settings().name(), m_ownVersion, [](const PlatformReply &) {
+            // Where this fails another node collects the object.
+        });
+    }
+}
+
+void Announcer::write(ObjectVersion expected)
+{
+    if (m_withdrawn) {
+        return;
+    }
+    const Member self = m_members.self();
+    m_platform.put(collection::Nodes, self.name(), toJson(self), expected, [this](const PlatformReply &reply) {
+        written(reply);
+    });
+}
+
+void Announcer::written(const PlatformReply &reply)
+{
+    if (reply.status() == PlatformStatus::Ok) {
+        m_ownVersion = versionIn(reply);
+        m_failures = 0;
+        Event("announced").with("version", m_ownVersion.load());
+        if (m_withdrawn) {
+            withdraw();
+        }
+        return;
+    }
+    if (reply.status() == PlatformStatus::Unavailable) {
+        // The write may have taken effect: the next check tells.
+        later([this] {
+            check();
+        });
+        return;
+    }
+    check();
+}
+
+void Announcer::check()
+{
+    if (m_withdrawn) {
+        return;
+    }
+    m_platform.get(collection::Nodes, m_kernel.settings().name(), [this](const PlatformReply &reply) {
+        checked(reply);
+    });
+}
+
+void Announcer::checked(const PlatformReply &reply)
+{
+    const auto found = recordIn(reply);
+    if (found) {
+        m_members.update([&](MemberView view) {
+            return merged(std::move(view), {*found}, m_kernel.clock().now());
+        });
+    }
+    const AnnounceDecision decision = decideAnnouncement(m_members.self(), reply.status(), versionIn(reply), found);
+    switch (decision.action()) {
+    case AnnounceAction::None:
+        m_ownVersion = decision.expected();
+        m_failures = 0;
+        return;
+    case AnnounceAction::Write:
+        write(decision.expected());
+        return;
+    case AnnounceAction::RetryLater:
+        later([this] {
+            check();
+        });
+        return;
+    case AnnounceAction::GiveWay:
+        Event("announce_gives_way").with("incarnation", found->incarnation().toString());
+        return;
+    }
+}
+
+void Announcer::later(const std::function<void()> &action)
+{
+    const Duration pause = announcePause(m_failures++, randomWord());
+    m_kernel.timers().once(m_kernel.clock().now() + pause, action);
+}
+
+void Announcer::list()
+{
+    m_platform.list(collection::Nodes, [this](const PlatformReply &reply) {
+        if (reply.status() != PlatformStatus::Ok) {
+            later([this] {
+                list();
+            });
+            return;
+        }
+        Members records;
+        for (const PlatformObject &object : reply.objects()) {
+            const auto member = memberFromJson(object.value());
+            if (member) {
+                records.push_back(*member);
+            }
+        }
+        m_members.update([&](MemberView view) {
+            return merged(std::move(view), records, m_kernel.clock().now());
+        });
+        m_listed();
+    });
+}
+
+void Announcer::collect()
+{
+    const Members stale = m_members.read([this](const MemberView &view) {
+        return staleObjectsFor(view, m_kernel.clock().now());
+    });
+    for (const Member &dead : stale) {
+        const bool isNew = m_collected.locked([&](auto &collected) {
+            return collected.insert(dead.incarnation()).second;
+        });
+        if (isNew) {
+            collectOne(dead);
+            return;
+        }
+    }
+}
+
+void Announcer::collectOne(const Member &dead)
+{
+    m_platform.get(collection::Nodes, dead.name(), [this, dead](const PlatformReply &reply) {
+        if (reply.status() == PlatformStatus::Unavailable) {
+            // Tried again at a later turn.
+            m_collected.locked([&](auto &collected) {
+                collected.erase(dead.incarnation());
+            });
+            return;
+        }
+        if (reply.status() != PlatformStatus::Ok || !isStale(dead, recordIn(reply))) {
+            return;
+        }
+        // The version that was read keeps the object of a new life safe.
+        m_platform.remove(collection::Nodes, dead.name(), versionIn(reply), [dead](const PlatformReply &removed) {
+            Event("stale_object_removed")
+                .with("member", dead.name())
+                .with("done", removed.status() == PlatformStatus::Ok);
+        });
+    });
+}
+
+} // namespace fescuepond
--- /dev/null
+++ b/modules/membership/announcer.h
@@ -0,0 +1,49 @@
+// Keeps this node's object at the platform, reads those of the others once, and removes those of dead members.
+
+#pragma once
+
+#include "core/pipeline/interfaces.h"
+#include "modules/membership/sharedmembers.h"
+#include "servers/membership/announcement.h"
+
+#include <atomic>
+#include <functional>
+#include <set>
+
+namespace fescuepond
+{
+
+class Kernel;
+
+class Announcer
+{
+public:
+    /// `listed` is called once the objects of the others have been read.
+    Announcer(Kernel &kernel, SharedMembers &members, std::function<void()> listed);
+
+    void start();
+    /// Removes the own object.
+    void withdraw();
+
+private:
+    void write(ObjectVersion expected);
+    void written(const PlatformReply &reply);
+    /// Reads the own object and writes it where it is missing or another's.
+    void check();
+    void checked(const PlatformReply &reply);
+    void later(const std::function<void()> &action);
+    void list();
+    void collect();
+    void collectOne(const Member &dead);
+
+    Kernel &m_kernel;
+    SharedMembers &m_members;
+    Platform &m_platform;
+    const std::function<void()> m_listed;
+    std::atomic<ObjectVersion> m_ownVersion = 0; ///< Of the own object, as last seen; 0: not known.
+    std::atomic<int> m_failures = 0; ///< Calls that the platform did not answer, in a row.
+    std::atomic<bool> m_withdrawn = false;
+    SharedTable<std::set<Incarnation>> m_collected{LockRank::Members}; ///< Lives whose objects were dealt with.
+};
+
+} // namespace fescuepond
--- /dev/null
+++ b/modules/membership/gossipencoding.cpp
@@ -0,0 +1,226 @@
+// Between the values of the gossip and the bodies of peer messages: packed Cap'n Proto.
+
+#include "modules/membership/gossipencoding.h"
+
+#include "modules/membership/gossip.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+void build(const Member &member, gossip::Member::Builder builder)
+{
+    builder.setName(member.name());
+    builder.setStartedAtMs(member.startedAtMs());
+    builder.setIncarnationHigh(member.incarnation().high());
+    builder.setIncarnationLow(member.incarnation().low());
+    builder.setSequence(member.sequence());
+    builder.setState(static_cast<std::uint8_t>(member.state()));
+    builder.setService(member.service());
+    builder.setZone(member.zone());
+    builder.setRegion(member.region());
+    builder.setPeerAddress(member.peerAddress());
+    builder.setConfigurationVersion(member.configurationVersion());
+}
+
+void build(const Members &members, capnp::List<gossip::Member>::Builder builder)
+{
+    unsigned i = 0;
+    for (const Member &member : members) {
+        build(member, builder[i++]);
+    }
+}
+
+void build(const NameSet &names, capnp::List<capnp::Text>::Builder builder)
+{
+    unsigned i = 0;
+    for (const std::string &name : names) {
+        builder.set(i++, name);
+    }
+}
+
+/// A state that this version does not know is an error, as all that is not valid.
+MemberState toState(std::uint8_t state)
+{
+    KJ_REQUIRE(state <= static_cast<std::uint8_t>(MemberState::Dead), "unknown state of a member");
+    return static_cast<MemberState>(state);
+}
+
+Member read(gossip::Member::Reader reader)
+{
+    KJ_REQUIRE(reader.getName().size() > 0, "a member without a name");
+    return Member()
+        .withName(reader.getName())
+        .withStartedAtMs(reader.getStartedAtMs())
+        .withIncarnation(Incarnation(reader.getIncarnationHigh(), reader.getIncarnationLow()))
+        .withSequence(reader.getSequence())
+        .withState(toState(reader.getState()))
+        .withService(reader.getService())
+        .withZone(reader.getZone())
+        .withRegion(reader.getRegion())
+        .withPeerAddress(reader.getPeerAddress())
+        .withConfigurationVersion(reader.getConfigurationVersion());
+}
+
+Members read(capnp::List<gossip::Member>::Reader reader)
+{
+    Members members;
+    for (const gossip::Member::Reader member : reader) {
+        members.push_back(read(member));
+    }
+    return members;
+}
+
+NameSet read(capnp::List<capnp::Text>::Reader reader)
+{
+    NameSet names;
+    for (const capnp::Text::Reader name : reader) {
+        names.insert(name.cStr());
+    }
+    return names;
+}
+
+void build(const GossipRequest &request, gossip::Request::Builder builder)
+{
+    builder.setKind(static_cast<std::uint8_t>(request.kind()));
+    build(request.sender(), builder.initSender());
+    build(request.records(), builder.initRecords(static_cast<unsigned>(request.records().size())));
+    builder.setAddress(request.address());
+    auto digests = builder.initDigests(static_cast<unsigned>(request.digests().size()));
+    unsigned i = 0;
+    for (const ZoneDigest &digest : request.digests()) {
+        digests[i].setZone(digest.zone());
+        digests[i++].setDigest(digest.digest());
+    }
+    build(request.wanted(), builder.initWanted(static_cast<unsigned>(request.wanted().size())));
+}
+
+GossipRequest read(gossip::Request::Reader reader)
+{
+    KJ_REQUIRE(reader.getKind() <= static_cast<std::uint8_t>(GossipKind::Exchange), "unknown kind of gossip");
+    ZoneDigests digests;
+    for (const gossip::ZoneDigest::Reader digest : reader.getDigests()) {
+        digests.push_back(ZoneDigest().withZone(digest.getZone()).withDigest(digest.getDigest()));
+    }
+    return GossipRequest()
+        .withKind(static_cast<GossipKind>(reader.getKind()))
+        .withSender(read(reader.getSender()))
+        .withRecords(read(reader.getRecords()))
+        .withAddress(reader.getAddress())
+        .withDigests(std::move(digests))
+        .withWanted(read(reader.getWanted()));
+}
+
+void build(const GossipReply &reply, gossip::Reply::Builder builder)
+{
+    build(reply.sender(), builder.initSender());
+    build(reply.records(), builder.initRecords(static_cast<unsigned>(reply.records().size())));
+    builder.setReached(reply.reached());
+    auto heads = builder.initHeads(static_cast<unsigned>(reply.heads().size()));
+    unsigned i = 0;
+    for (const RecordHead &head : reply.heads()) {
+        heads[i].setName(head.name());
+        heads[i].setStartedAtMs(head.startedAtMs());
+        heads[i].setSequence(head.sequence());
+        heads[i++].setState(static_cast<std::uint8_t>(head.state()));
+    }
+    build(reply.differingZones(), builder.initDifferingZones(static_cast<unsigned>(reply.differingZones().size())));
+}
+
+GossipReply read(gossip::Reply::Reader reader)
+{
+    RecordHeads heads;
+    for (const gossip::RecordHead::Reader head : reader.getHeads()) {
+        heads.push_back(RecordHead()
+                            .withName(head.getName())
+                            .withStartedAtMs(head.getStartedAtMs())
+                            .withSequence(head.getSequence())
+                            .withState(toState(head.getState())));
+    }
+    return GossipReply()
+        .withSender(read(reader.getSender()))
+        .withRecords(read(reader.getRecords()))
+        .withReached(reader.getReached())
+        .withHeads(std::move(heads))
+        .withDifferingZones(read(reader.getDifferingZones()));
+}
+
+void build(const BroadcastMessage &message, gossip::Broadcast::Builder builder)
+{
+    build(message.record(), builder.initRecord());
+    builder.setFirstHash(message.range().first());
+    builder.setLastHash(message.range().last());
+    build(message.passed(), builder.initPassed(static_cast<unsigned>(message.passed().size())));
+}
+
+BroadcastMessage read(gossip::Broadcast::Reader reader)
+{
+    return BroadcastMessage()
+        .withRecord(read(reader.getRecord()))
+        .withRange(HashRange().withFirst(reader.getFirstHash()).withLast(reader.getLastHash()))
+        .withPassed(read(reader.getPassed()));
+}
+
+template<typename Struct, typename Value>
+std::string encodeAs(const Value &value)
+{
+    capnp::MallocMessageBuilder message;
+    build(value, message.initRoot<Struct>());
+    kj::VectorOutputStream stream;
+    capnp::writePackedMessage(stream, message);
+    const auto bytes = stream.getArray();
+    return std::string(reinterpret_cast<const char *>(bytes.begin()), bytes.size());
+}
+
+template<typename Struct, typename Value>
+std::optional<Value> decodeAs(const std::string &body)
+{
+    std::optional<Value> value;
+    const auto error = kj::runCatchingExceptions([&] {
+        kj::ArrayInputStream stream({reinterpret_cast<const kj::byte *>(body.data()), body.size()});
+        capnp::PackedMessageReader message(stream);
+        value = read(message.getRoot<Struct>());
+    });
+    return error == nullptr ? value : std::nullopt;
+}
+
+} // namespace
+
+std::string encode(const GossipRequest &request)
+{
+    return encodeAs<gossip::Request>(request);
+}
+
+std::string encode(const GossipReply &reply)
+{
+    return encodeAs<gossip::Reply>(reply);
+}
+
+std::string encode(const BroadcastMessage &message)
+{
+    return encodeAs<gossip::Broadcast>(message);
+}
+
+std::optional<GossipRequest> decodeRequest(const std::string &body)
+{
+    return decodeAs<gossip::Request, GossipRequest>(body);
+}
+
+std::optional<GossipReply> decodeReply(const std::string &body)
+{
+    return decodeAs<gossip::Reply, GossipReply>(body);
+}
+
+std::optional<BroadcastMessage> decodeBroadcast(const std::string &body)
+{
+    return decodeAs<gossip::Broadcast, BroadcastMessage>(body);
+}
+
+} // namespace fescuepond
--- a/modules/membership/membershipplugin.cpp
+++ b/modules/membership/membershipplugin.cpp
@@ -1,13 +1,14 @@
-// Announces this node and knows the others: writes its own record to the platform and lists all records.
+// Announces this node, knows the others by gossip, and tells them when it leaves.
 
 #include "core/kernel/eventlog.h"
 #include "core/kernel/kernel.h"
-#include "core/kernel/sharedtable.h"
-#include "core/pipeline/collections.h"
 #include "core/pipeline/interfaces.h"
-#include "modules/membership/memberencoding.h"
+#include "modules/membership/announcer.h"
+#include "modules/membership/gossiper.h"
 
-#include <map>
+#include <array>
+#include <memory>
+#include <random>
 
 namespace fescuepond
 {
@@ -15,7 +16,8 @@
 namespace
 {
 
-constexpr Duration ListInterval = std::chrono::seconds(1);
+/// Members that a node compares with as soon as it has read the others' objects, so that they know it too.
+constexpr std::size_t FirstComparisons = 4;
 
 std::uint64_t wallClockMs()
 {
@@ -29,7 +31,6 @@
     Result<void> start(Kernel &kernel) override
     {
         m_kernel = &kernel;
-        m_platform = &kernel.require<Platform>();
         const NodeSettings &settings = kernel.settings();
         const Member self = Member()
                                 .withName(settings.name())
@@ -39,16 +40,15 @@
                                 .withZone(settings.zone())
                                 .withRegion(settings.region())
                                 .withPeerAddress(kernel.require<PeerMessages>().address());
-        m_table.locked([&](Table &table) {
-            table.m_self = self;
-            table.m_members.insert_or_assign(self.name(), self);
+        m_members = std::make_unique<SharedMembers>(MemberView(self, kernel.clock().now()));
+        m_gossiper = std::make_unique<Gossiper>(kernel, *m_members);
+        m_announcer = std::make_unique<Announcer>(kernel, *m_members, [this] {
+            meetOthers();
         });
         kernel.provide<Membership>(*this);
-        announce();
-        list();
-        kernel.timers().every(ListInterval, [this] {
-            list();
-        });
+        addGauges();
+        m_gossiper->start();
+        m_announcer->start();
         return {};
     }
 
@@ -59,113 +59,70 @@
 
     Member self() const override
     {
-        return m_table.locked([](const Table &table) {
-            return table.m_self;
-        });
+        return m_members->self();
     }
 
     std::shared_ptr<const Members> targetsOf(const std::string &service) const override
     {
-        return m_table.locked([&](const Table &table) {
-            auto targets = std::make_shared<Members>();
-            for (const auto &[name, member] : table.m_members) {
-                if (member.service() == service && member.state() == MemberState::Alive) {
-                    targets->push_back(member);
-                }
-            }
-            return std::shared_ptr<const Members>(std::move(targets));
-        });
+        return m_members->targetsOf(service);
     }
 
     Members all() const override
     {
-        return m_table.locked([](const Table &table) {
-            Members members;
-            for (const auto &[name, member] : table.m_members) {
-                members.push_back(member);
-            }
-            return members;
+        return m_members->read([](const MemberView &view) {
+            return view.all();
         });
     }
 
     void leave() override
     {
-        m_table.locked([](Table &table) {
-            table.m_self = table.m_self.withState(MemberState::Leaving).withSequence(table.m_self.sequence() + 1);
-            table.m_members.insert_or_assign(table.m_self.name(), table.m_self);
+        m_members->update([](MemberView view) {
+            const Member &self = view.self();
+            Member leaving = self.withState(MemberState::Leaving).withSequence(self.sequence() + 1);
+            return std::move(view).withSelf(std::move(leaving));
         });
-        announce();
+        m_gossiper->broadcast(BroadcastMessage().withRecord(self()).withRange(HashRange::all()));
+        m_announcer->withdraw();
     }
 
 private:
-    struct Table {
-        Member m_self;
-        std::map<std::string, Member> m_members; ///< By name; has m_self.
-        ObjectVersion m_ownVersion = 0; ///< Of this node's object at the platform.
-    };
-
-    void announce()
+    void meetOthers()
     {
-        const auto [self, version] = m_table.locked([](const Table &table) {
-            return std::pair(table.m_self, table.m_ownVersion);
+        const Members others = m_members->read([](const MemberView &view) {
+            return chooseHelpers(view, {}, FirstComparisons, std::random_device{}());
         });
-        m_platform->put(collection::Nodes, self.name(), toJson(self), version, [this](const PlatformReply &reply) {
-            announced(reply);
-        });
-    }
-
-    void announced(const PlatformReply &reply)
-    {
-        if (reply.status() == PlatformStatus::Ok) {
-            setOwnVersion(reply.objects().front().version());
-            return;
+        for (const Member &other : others) {
+            m_gossiper->compareWith(other.peerAddress());
         }
-        // An object of an earlier life stands there, or an answer was lost: read its version and write again.
-        m_platform->get(collection::Nodes, m_kernel->settings().name(), [this](const PlatformReply &read) {
-            if (read.status() == PlatformStatus::Ok) {
-                setOwnVersion(read.objects().front().version());
-                announce();
-            }
-        });
-    }
-
-    void setOwnVersion(ObjectVersion version)
-    {
-        m_table.locked([&](Table &table) {
-            table.m_ownVersion = version;
-        });
     }
 
-    void list()
+    void addGauges()
     {
-        m_platform->list(collection::Nodes, [this](const PlatformReply &reply) {
-            for (const PlatformObject &object : reply.objects()) {
-                merge(object);
-            }
-        });
+        static constexpr std::array States = {
+            MemberState::Alive, MemberState::Suspect, MemberState::Leaving, MemberState::Dead};
+        for (const MemberState state : States) {
+            m_kernel->metrics().gauge("fescuepond_members", {{"state", toString(state)}}, [this, state] {
+                return countOf(state);
+            });
+        }
     }
 
-    void merge(const PlatformObject &object)
+    double countOf(MemberState state) const
     {
-        const auto member = memberFromJson(object.value());
-        if (!member) {
-            return;
+        double count = 0;
+        for (const Member &member : all()) {
+            count += member.state() == state ? 1 : 0;
         }
-        m_table.locked([&](Table &table) {
-            const auto found = table.m_members.find(member->name());
-            const bool isOwn = member->name() == table.m_self.name();
-            if (!isOwn && (found == table.m_members.end() || found->second < *member)) {
-                table.m_members.insert_or_assign(member->name(), *member);
-            }
-        });
+        return count;
     }
 
     Kernel *m_kernel = nullptr;
-    Platform *m_platform = nullptr;
-    SharedTable<Table> m_table{LockRank::Members};
+    std::unique_ptr<SharedMembers> m_members;
+    std::unique_ptr<Gossiper> m_gossiper;
+    std::unique_ptr<Announcer> m_announcer;
 };
 
-const auto registration = registerPlugin<MembershipPlugin>("membership", {"platform", "peer"});
+const auto registration = registerPlugin<MembershipPlugin>("membership", {"platform", "peer", "configuration"});
 
 } // namespace
 
--- /dev/null
+++ b/modules/membership/sharedmembers.h
@@ -0,0 +1,71 @@
+// The view of the fleet as a shared table, and the targets of each service that follow from it.
+
+#pragma once
+
+#include "core/kernel/sharedtable.h"
+#include "servers/membership/gossip.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace fescuepond
+{
+
+class SharedMembers
+{
+public:
+    explicit SharedMembers(MemberView view);
+
+    /// Replaces the view by `change(view)`.
+    template<typename Change>
+    void update(Change &&change)
+    {
+        const Members changed = m_table.locked([&](Table &table) {
+            table.m_view = change(std::move(table.m_view));
+            return takeChanged(table);
+        });
+        report(changed);
+    }
+
+    /// Replaces the view by that of `decide(view)`, a GossipStep, and returns its message.
+    template<typename Decide>
+    auto step(Decide &&decide)
+    {
+        Members changed;
+        auto message = m_table.locked([&](Table &table) {
+            auto step = decide(std::move(table.m_view));
+            table.m_view = std::move(step.view);
+            changed = takeChanged(table);
+            return std::move(step.message);
+        });
+        report(changed);
+        return message;
+    }
+
+    template<typename Read>
+    auto read(Read &&read) const
+    {
+        return m_table.locked([&](const Table &table) {
+            return read(table.m_view);
+        });
+    }
+
+    Member self() const;
+    std::shared_ptr<const Members> targetsOf(const std::string &service) const;
+
+private:
+    using Targets = std::map<std::string, std::shared_ptr<const Members>>;
+
+    struct Table {
+        MemberView m_view;
+        mutable Targets m_targets; ///< By service; emptied when any record changes.
+    };
+
+    static Members takeChanged(Table &table);
+    static void report(const Members &changed);
+
+    SharedTable<Table> m_table;
+};
+
+} // namespace fescuepond
--- /dev/null
+++ b/servers/membership/announcement.cpp
@@ -0,0 +1,79 @@
+// The object by which a node is found at the platform.
+
+#include "servers/membership/announcement.h"
+
+#include "servers/membership/memberrecord.h"
+
+#include <algorithm>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+constexpr Duration FirstPause = std::chrono::milliseconds(500);
+constexpr Duration LongestPause = std::chrono::seconds(30);
+constexpr int MostDoublings = 6;
+/// A member is dead for so long before its object is removed: one that was only cut off comes back by then.
+constexpr Duration CollectAfter = std::chrono::minutes(1);
+
+/// Whether this node is the one that collects for `dead`: the least hash of both names among the living.
+bool collectsFor(const MemberView &view, const std::string &dead)
+{
+    const std::uint64_t own = nameHash(view.self().name() + "/" + dead);
+    const Members others = view.others();
+    return std::none_of(others.begin(), others.end(), [&](const Member &other) {
+        return other.state() == MemberState::Alive && nameHash(other.name() + "/" + dead) < own;
+    });
+}
+
+} // namespace
+
+AnnounceDecision
+decideAnnouncement(const Member &self, PlatformStatus status, ObjectVersion version, const std::optional<Member> &found)
+{
+    switch (status) {
+    case PlatformStatus::NotFound:
+        return AnnounceDecision().withAction(AnnounceAction::Write);
+    case PlatformStatus::Ok:
+        break;
+    case PlatformStatus::Conflict:
+    case PlatformStatus::Unavailable:
+        return AnnounceDecision().withAction(AnnounceAction::RetryLater);
+    }
+    if (found && isSameLife(self, *found)) {
+        return AnnounceDecision().withAction(AnnounceAction::None).withExpected(version);
+    }
+    const bool isLaterLife = found && found->name() == self.name() && overrides(*found, self);
+    if (isLaterLife) {
+        return AnnounceDecision().withAction(AnnounceAction::GiveWay);
+    }
+    return AnnounceDecision().withAction(AnnounceAction::Write).withExpected(version);
+}
+
+Duration announcePause(int failures, std::uint64_t random)
+{
+    const Duration longest = std::min(LongestPause, FirstPause * (1 << std::min(failures, MostDoublings)));
+    const Duration half = longest / 2;
+    return half + Duration(static_cast<Duration::rep>(random % static_cast<std::uint64_t>(half.count())));
+}
+
+Members staleObjectsFor(const MemberView &view, TimePoint now)
+{
+    Members stale;
+    for (const auto &[name, entry] : view.entries()) {
+        const bool isOld = entry.member().state() == MemberState::Dead && now - entry.changedAt() >= CollectAfter;
+        if (isOld && collectsFor(view, name)) {
+            stale.push_back(entry.member());
+        }
+    }
+    return stale;
+}
+
+bool isStale(const Member &dead, const std::optional<Member> &found)
+{
+    return found && isSameLife(dead, *found);
+}
+
+} // namespace fescuepond
--- /dev/null
+++ b/servers/membership/memberview.cpp
@@ -0,0 +1,168 @@
+// What one node knows of the fleet.
+
+#include "servers/membership/memberview.h"
+
+#include "core/kernel/invariant.h"
+#include "servers/membership/memberrecord.h"
+
+#include <cmath>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+/// Sends of a change for each decimal digit of the fleet's size.
+constexpr double SendFactor = 4;
+/// A zone of which fewer members are suspect has lost members, not its connection.
+constexpr std::size_t LeastUnreachable = 2;
+
+} // namespace
+
+const Member *MemberView::find(const std::string &name) const
+{
+    if (name == m_self.name()) {
+        return &m_self;
+    }
+    const auto found = m_entries.find(name);
+    return found == m_entries.end() ? nullptr : &found->second.member();
+}
+
+std::size_t MemberView::size() const
+{
+    std::size_t count = 1;
+    for (const auto &[name, entry] : m_entries) {
+        count += entry.member().state() == MemberState::Dead ? 0 : 1;
+    }
+    return count;
+}
+
+Members MemberView::others() const
+{
+    Members members;
+    for (const auto &[name, entry] : m_entries) {
+        if (entry.member().state() != MemberState::Dead) {
+            members.push_back(entry.member());
+        }
+    }
+    return members;
+}
+
+Members MemberView::all() const
+{
+    Members members = {m_self};
+    for (const auto &[name, entry] : m_entries) {
+        members.push_back(entry.member());
+    }
+    return members;
+}
+
+MemberView MemberView::withSelf(Member self) &&
+{
+    invariant(self.name() == m_self.name() && self.incarnation() == m_self.incarnation(),
+              "a node's own record is its own");
+    invariant(!overrides(m_self, self), "a node's own record moves forward only");
+    if (overrides(self, m_self)) {
+        m_changed.insert(self.name());
+    }
+    m_self = std::move(self);
+    return std::move(*this);
+}
+
+MemberView MemberView::withRecord(Member member, TimePoint now, bool isSpread) &&
+{
+    invariant(member.name() != m_self.name(), "no other node sets this node's own record");
+    const Member *known = find(member.name());
+    invariant(known == nullptr || overrides(member, *known), "a member's record moves forward only");
+    const std::string name = member.name();
+    const int sends = isSpread ? sendsFor(m_entries.size() + 1) : 0;
+    m_changed.insert(name);
+    m_entries.insert_or_assign(name,
+                               MemberEntry().withMember(std::move(member)).withChangedAt(now).withSendsLeft(sends));
+    return std::move(*this);
+}
+
+MemberView MemberView::withSent(const std::string &name) &&
+{
+    const auto found = m_entries.find(name);
+    if (found != m_entries.end()) {
+        found->second = found->second.withSendsLeft(found->second.sendsLeft() - 1);
+    }
+    return std::move(*this);
+}
+
+MemberView MemberView::withConfigurationVersion(const Member &member) &&
+{
+    const auto found = m_entries.find(member.name());
+    if (found == m_entries.end()) {
+        return std::move(*this);
+    }
+    const Member &known = found->second.member();
+    const bool isNewer = isSameLife(known, member) && member.configurationVersion() > known.configurationVersion();
+    if (isNewer) {
+        found->second = found->second.withMember(known.withConfigurationVersion(member.configurationVersion()));
+    }
+    return std::move(*this);
+}
+
+MemberView MemberView::withContact(const std::string &zone, TimePoint now) &&
+{
+    m_contacts.insert_or_assign(zone, now);
+    return std::move(*this);
+}
+
+bool MemberView::hasContact(const std::string &zone, TimePoint since) const
+{
+    const auto found = m_contacts.find(zone);
+    return found != m_contacts.end() && found->second >= since;
+}
+
+MemberView MemberView::without(const std::string &name) &&
+{
+    m_entries.erase(name);
+    m_changed.insert(name);
+    return std::move(*this);
+}
+
+MemberView MemberView::withoutChanged() &&
+{
+    m_changed.clear();
+    return std::move(*this);
+}
+
+int sendsFor(std::size_t size)
+{
+    return static_cast<int>(std::ceil(SendFactor * std::log10(static_cast<double>(size) + 1)));
+}
+
+bool isUnreachable(const MemberView &view, const std::string &zone)
+{
+    std::size_t alive = 0;
+    std::size_t suspect = 0;
+    for (const auto &[name, entry] : view.entries()) {
+        if (entry.member().zone() != zone) {
+            continue;
+        }
+        alive += entry.member().state() == MemberState::Alive ? 1 : 0;
+        suspect += entry.member().state() == MemberState::Suspect ? 1 : 0;
+    }
+    return suspect >= LeastUnreachable && suspect >= alive;
+}
+
+Members targetsOf(const MemberView &view, const std::string &service)
+{
+    Members targets;
+    for (const Member &member : view.all()) {
+        const bool takesWork = member.state() == MemberState::Alive || member.state() == MemberState::Suspect;
+        if (!takesWork || member.service() != service) {
+            continue;
+        }
+        const bool isSelf = member.name() == view.self().name();
+        const bool isCutOff = !isSelf && isUnreachable(view, member.zone());
+        targets.push_back(isCutOff ? member.withState(MemberState::Suspect) : member);
+    }
+    return targets;
+}
+
+} // namespace fescuepond
--- a/tests/system/plannedstoptest.cpp
+++ b/tests/system/plannedstoptest.cpp
@@ -36,11 +36,13 @@
     {
         fleet.publish({Dispatch, Yard});
         for (const std::string zone : Zones) {
-            yard.push_back(&fleet.addNode({.name = "yard-" + zone, .service = "yard", .zone = zone}));
+            yard.push_back(&fleet.addNode(
+                {.name = "yard-" + zone, .service = "yard", .zone = zone, .settings = {"leave_grace_ms: 500"}}));
             dispatch.push_back(&fleet.addNode({.name = "dispatch-" + zone,
                                                .service = "dispatch",
                                                .zone = zone,
-                                               .backendFlags = {"--downstream=GET yard /stock/sleepers"}}));
+                                               .backendFlags = {"--downstream=GET yard /stock/sleepers"},
+                                               .settings = {"leave_grace_ms: 500"}}));
         }
     }
     std::vector<std::string> fronts() const
