Route by two random choices of utilisation, zone first, with ejection and moves

Cause: targets were chosen uniformly at random; a call refused by a target that left went back to the caller. Change: the less utilised of two random targets, by (calls in flight + 1) / limit, in the caller's zone; above 0.8 also two of the region and of other regions. A target that fails is ejected for 1 to 30 s, never more than half of them. A call that is proved not run because its target left, could not be reached, or has no backend server moves on to another target, at most twice, before the deadline, without a retry; never for overload.

--- a/modules/routing/routingplugin.cpp
+++ b/modules/routing/routingplugin.cpp
@@ -1,44 +1,160 @@
-// Last entry stage: chooses a target and sends the call to it.
+// Last entry stage: chooses a target, sends the call to it, and moves on to another when it was not run there.
+//
+// A move is not a retry: it follows the proof that the call was not run, so it adds no work, and it takes nothing from
+// the retry allowance. A call makes at most MostMoves of them, so a chain sends at most MostMoves + 1 times the
+// attempts that its allowance permits, and runs no more than those.
 
+#include "core/kernel/eventlog.h"
 #include "core/kernel/kernel.h"
+#include "core/kernel/sharedtable.h"
 #include "core/pipeline/interfaces.h"
 #include "servers/routing/router.h"
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
 namespace fescuepond
 {
 
 namespace
 {
 
+/// A target without calls is forgotten after this time.
+constexpr Duration LoadLife = std::chrono::minutes(5);
+constexpr Duration PruneInterval = std::chrono::minutes(1);
+
+/// A call on its way: where it was not run so far.
+struct RoutedCall {
+    CallRequest m_call;
+    Done m_done;
+    int m_moves = 0;
+    std::set<Incarnation> m_tried;
+};
+
+using RoutedCallPtr = std::shared_ptr<RoutedCall>;
+
 class RoutingPlugin final : public Plugin, public CallStage
 {
 public:
     Result<void> start(Kernel &kernel) override
     {
+        m_kernel = &kernel;
         m_membership = &kernel.require<Membership>();
         m_sender = &kernel.require<CallSender>();
+        m_origin = RouteOrigin().withZone(kernel.settings().zone()).withRegion(kernel.settings().region());
         kernel.require<EntryPipeline>().add(EntryPlace::Route, *this);
+        kernel.timers().every(PruneInterval, [this] {
+            prune();
+        });
         return {};
     }
 
     void handle(const CallRequest &call, const Next &, Done done) override
     {
-        const auto targets = m_membership->targetsOf(call.service());
+        route(std::make_shared<RoutedCall>(RoutedCall{call, std::move(done), 0, {}}));
+    }
+
+private:
+    /// By incarnation: a target that was restarted begins anew.
+    using Loads = std::unordered_map<Incarnation, TargetLoad>;
+
+    void route(const RoutedCallPtr &routed)
+    {
         const AttemptId attempt = AttemptId::random();
-        const Member *target = chooseTarget(*targets, attempt.low());
-        if (target == nullptr) {
-            done(CallOutcome::notRun(Reason::NoTarget, fmt::format("service '{}' has no target", call.service()))
-                     .withUnusedAllowance(call.context().retryAllowance()));
+        const auto target = take(*routed, attempt.low());
+        if (!target) {
+            const std::string detail = fmt::format("service '{}' has no target", routed->m_call.service());
+            routed->m_done(CallOutcome::notRun(Reason::NoTarget, detail)
+                               .withUnusedAllowance(routed->m_call.context().retryAllowance()));
             return;
         }
-        m_sender->send(*target, call.withContext(call.context().withAttemptId(attempt)), std::move(done));
+        routed->m_tried.insert(target->incarnation());
+        const CallRequest call = routed->m_call.withContext(routed->m_call.context().withAttemptId(attempt));
+        m_sender->send(*target, call, [this, routed, target = *target](const CallOutcome &outcome) {
+            ended(routed, target, outcome);
+        });
     }
 
-private:
+    /// Chooses a target for the call and counts the call as in flight there.
+    std::optional<Member> take(const RoutedCall &routed, std::uint64_t random)
+    {
+        const auto targets = m_membership->targetsOf(routed.m_call.service());
+        const TimePoint now = m_kernel->clock().now();
+        return m_loads.locked([&](Loads &loads) {
+            RouteCandidates candidates;
+            for (const Member &target : *targets) {
+                if (routed.m_tried.contains(target.incarnation())) {
+                    continue;
+                }
+                const auto found = loads.find(target.incarnation());
+                const TargetLoad load = found == loads.end() ? TargetLoad() : found->second;
+                candidates.push_back(RouteCandidate().withTarget(target).withLoad(load));
+            }
+            auto chosen = chooseTarget(candidates, m_origin, now, random);
+            if (chosen) {
+                TargetLoad &load = loads[chosen->incarnation()];
+                load = afterSend(load, now);
+            }
+            return chosen;
+        });
+    }
+
+    void ended(const RoutedCallPtr &routed, const Member &target, const CallOutcome &outcome)
+    {
+        const TimePoint now = m_kernel->clock().now();
+        noteOutcome(target, outcome, now);
+        const bool moves =
+            mayMove(outcome, routed->m_moves, routed->m_call.context().deadline(), now) && hasUntried(*routed);
+        if (!moves) {
+            routed->m_done(outcome);
+            return;
+        }
+        ++routed->m_moves;
+        m_kernel->metrics().count("fescuepond_moves_total", {{"reason", toString(outcome.reason())}});
+        route(routed);
+    }
+
+    bool hasUntried(const RoutedCall &routed) const
+    {
+        const auto targets = m_membership->targetsOf(routed.m_call.service());
+        return std::any_of(targets->begin(), targets->end(), [&](const Member &target) {
+            return !routed.m_tried.contains(target.incarnation());
+        });
+    }
+
+    void noteOutcome(const Member &target, const CallOutcome &outcome, TimePoint now)
+    {
+        const bool isNewlyEjected = m_loads.locked([&](Loads &loads) {
+            TargetLoad &load = loads[target.incarnation()];
+            const int before = load.ejections();
+            load = afterOutcome(load, outcome, now);
+            return load.ejections() > before;
+        });
+        if (isNewlyEjected) {
+            m_kernel->metrics().count("fescuepond_ejections_total", {{"service", target.service()}});
+            Event("target_ejected").with("target", target.name()).with("reason", toString(outcome.reason()));
+        }
+    }
+
+    void prune()
+    {
+        const TimePoint now = m_kernel->clock().now();
+        m_loads.locked([&](Loads &loads) {
+            std::erase_if(loads, [&](const auto &entry) {
+                return entry.second.inFlight() == 0 && now - entry.second.usedAt() > LoadLife;
+            });
+        });
+    }
+
+    Kernel *m_kernel = nullptr;
     Membership *m_membership = nullptr;
     CallSender *m_sender = nullptr;
+    RouteOrigin m_origin;
+    SharedTable<Loads> m_loads{LockRank::Routing};
 };
 
 const auto registration = registerPlugin<RoutingPlugin>("routing", {"pipelines", "membership", "peer"});
--- a/servers/routing/router.cpp
+++ b/servers/routing/router.cpp
@@ -2,12 +2,124 @@
 
 #include "servers/routing/router.h"
 
+#include "core/kernel/invariant.h"
+
+#include <algorithm>
+#include <array>
+
 namespace fescuepond
 {
 
-const Member *chooseTarget(const Members &targets, std::uint64_t random)
+namespace
+{
+
+/// Above this utilisation of the caller's own zone, targets further away are looked at.
+constexpr double SpillUtilisation = 0.8;
+/// A target further away has to be less utilised by this, for each step of distance.
+constexpr double DistanceCost = 0.1;
+constexpr unsigned HalfWordBits = 32;
+constexpr std::uint64_t TierMix = 0x9E3779B97F4A7C15ULL;
+
+/// Distance of a target from the caller: own zone, own region, further.
+enum Distance {
+    OwnZone,
+    OwnRegion,
+    OtherRegion
+};
+
+Distance distanceTo(const Member &target, const RouteOrigin &origin)
+{
+    if (target.zone() == origin.zone()) {
+        return OwnZone;
+    }
+    return target.region() == origin.region() ? OwnRegion : OtherRegion;
+}
+
+bool mayTakeWork(const Member &member)
+{
+    return member.state() == MemberState::Alive || member.state() == MemberState::Suspect;
+}
+
+/// Candidates that are alive, or all of them when none is.
+RouteCandidates withoutSuspects(const RouteCandidates &candidates)
+{
+    RouteCandidates alive;
+    for (const RouteCandidate &candidate : candidates) {
+        if (candidate.target().state() == MemberState::Alive) {
+            alive.push_back(candidate);
+        }
+    }
+    return alive.empty() ? candidates : alive;
+}
+
+/// Leaves ejected candidates out, but never more than half: when most seem to fail, the fault is likely elsewhere.
+/// Those whose ejection ends first are let back.
+RouteCandidates withoutEjected(RouteCandidates candidates, TimePoint now)
+{
+    std::stable_sort(candidates.begin(), candidates.end(), [&](const RouteCandidate &a, const RouteCandidate &b) {
+        return std::max(a.load().ejectedUntil(), now) < std::max(b.load().ejectedUntil(), now);
+    });
+    const std::size_t kept = (candidates.size() + 1) / 2;
+    while (candidates.size() > kept && isEjected(candidates.back().load(), now)) {
+        candidates.pop_back();
+    }
+    return candidates;
+}
+
+/// The less utilised of two random candidates; null when there is none.
+const RouteCandidate *twoChoices(const std::vector<const RouteCandidate *> &tier, TimePoint now, std::uint64_t random)
+{
+    if (tier.empty()) {
+        return nullptr;
+    }
+    const std::size_t first = random % tier.size();
+    if (tier.size() == 1) {
+        return tier[first];
+    }
+    // The second is another one than the first.
+    const std::size_t step = 1 + (random >> HalfWordBits) % (tier.size() - 1);
+    const std::size_t second = (first + step) % tier.size();
+    const bool isFirstLess = utilisation(tier[first]->load(), now) <= utilisation(tier[second]->load(), now);
+    return isFirstLess ? tier[first] : tier[second];
+}
+
+} // namespace
+
+std::optional<Member>
+chooseTarget(const RouteCandidates &candidates, const RouteOrigin &origin, TimePoint now, std::uint64_t random)
+{
+    const RouteCandidates usable = withoutEjected(withoutSuspects(candidates), now);
+    std::array<std::vector<const RouteCandidate *>, OtherRegion + 1> tiers;
+    for (const RouteCandidate &candidate : usable) {
+        invariant(mayTakeWork(candidate.target()), "a member that leaves or is dead gets no call");
+        tiers.at(distanceTo(candidate.target(), origin)).push_back(&candidate);
+    }
+    const RouteCandidate *best = nullptr;
+    double bestCost = 0;
+    for (std::size_t distance = OwnZone; distance <= OtherRegion; ++distance) {
+        random *= TierMix;
+        random ^= random >> HalfWordBits;
+        const RouteCandidate *candidate = twoChoices(tiers.at(distance), now, random);
+        if (candidate == nullptr) {
+            continue;
+        }
+        const double cost = utilisation(candidate->load(), now) + DistanceCost * static_cast<double>(distance);
+        if (best == nullptr || cost < bestCost) {
+            best = candidate;
+            bestCost = cost;
+        }
+        if (utilisation(best->load(), now) <= SpillUtilisation) {
+            break;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional(best->target());
+}
+
+bool mayMove(const CallOutcome &outcome, int movesMade, TimePoint deadline, TimePoint now)
 {
-    return targets.empty() ? nullptr : &targets[random % targets.size()];
+    const bool liesInTarget = outcome.reason() == Reason::Leaving || outcome.reason() == Reason::ConnectionLost
+        || outcome.reason() == Reason::BackendUnreachable;
+    return outcome.state() == CallState::NotRun && liesInTarget && movesMade < MostMoves && now < deadline;
 }
 
 } // namespace fescuepond
--- /dev/null
+++ b/tests/servers/routing/routertest.cpp
@@ -0,0 +1,128 @@
+// Routing decisions.
+
+#include "servers/routing/router.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+const TimePoint now = TimePoint(std::chrono::hours(1));
+const RouteOrigin origin = RouteOrigin().withZone("a").withRegion("r");
+
+RouteCandidate candidate(const std::string &name, const std::string &zone, double limit, int inFlight)
+{
+    const Member target = Member().withName(name).withZone(zone).withRegion("r");
+    return RouteCandidate().withTarget(target).withLoad(TargetLoad().withLimit(limit).withInFlight(inFlight));
+}
+
+std::map<std::string, int> chosen(const RouteCandidates &candidates, int times = 2000)
+{
+    std::mt19937_64 random(1);
+    std::map<std::string, int> counts;
+    for (int i = 0; i < times; ++i) {
+        const auto target = chooseTarget(candidates, origin, now, random());
+        ++counts[target ? target->name() : ""];
+    }
+    return counts;
+}
+
+RouteCandidate ejected(const RouteCandidate &candidate, int seconds)
+{
+    return candidate.withLoad(candidate.load().withEjectedUntil(now + std::chrono::seconds(seconds)));
+}
+
+CallOutcome outcome(CallState state, Reason reason)
+{
+    return CallOutcome().withState(state).withReason(reason);
+}
+
+} // namespace
+
+TEST(Router, PrefersTheOwnZoneUntilItFills)
+{
+    const auto free = chosen({candidate("near", "a", 10, 5), candidate("far", "b", 10, 0)});
+    EXPECT_EQ(free.at("near"), 2000);
+    const auto full = chosen({candidate("near", "a", 10, 9), candidate("far", "b", 10, 0)});
+    EXPECT_EQ(full.at("far"), 2000);
+}
+
+TEST(Router, WeighsByLimit)
+{
+    const auto counts = chosen({candidate("big", "a", 100, 30), candidate("small", "a", 10, 4)});
+    EXPECT_EQ(counts.at("big"), 2000);
+}
+
+TEST(Router, EjectedAndSuspectTargetsAreUsedOnlyWhenOthersLack)
+{
+    const auto a = candidate("a", "a", 10, 0);
+    const auto b = candidate("b", "a", 10, 0);
+    EXPECT_EQ(chosen({ejected(a, 5), b}).at("b"), 2000);
+    EXPECT_EQ(chosen({ejected(a, 5)}).at("a"), 2000);
+    // Never more than half: of both, the one whose ejection ends first is used.
+    EXPECT_EQ(chosen({ejected(a, 5), ejected(b, 2)}).at("b"), 2000);
+    const auto suspect = b.withTarget(b.target().withState(MemberState::Suspect));
+    EXPECT_EQ(chosen({a, suspect}).at("a"), 2000);
+    EXPECT_EQ(chosen({suspect}).at("b"), 2000);
+    EXPECT_FALSE(chooseTarget({}, origin, now, 1));
+}
+
+TEST(RouterDeathTest, ALeavingTargetIsNeverChosen)
+{
+    const auto a = candidate("a", "a", 10, 0);
+    const auto leaving = a.withTarget(a.target().withState(MemberState::Leaving));
+    EXPECT_DEATH(chooseTarget({leaving}, origin, now, 1), "leaves or is dead");
+}
+
+TEST(Router, MovesOnlyWhatIsProvedNotRunAndNeverForOverload)
+{
+    const TimePoint deadline = now + std::chrono::seconds(1);
+    const CallOutcome left = outcome(CallState::NotRun, Reason::Leaving);
+    EXPECT_TRUE(mayMove(left, 0, deadline, now));
+    EXPECT_TRUE(mayMove(left, MostMoves - 1, deadline, now));
+    EXPECT_FALSE(mayMove(left, MostMoves, deadline, now));
+    EXPECT_FALSE(mayMove(left, 0, now, now));
+    EXPECT_FALSE(mayMove(outcome(CallState::NotRun, Reason::Overload), 0, deadline, now));
+    EXPECT_FALSE(mayMove(outcome(CallState::OutcomeUnknown, Reason::ConnectionLost), 0, deadline, now));
+}
+
+TEST(TargetLoad, EjectionGrowsIsBoundedAndEndsWithAnAnswer)
+{
+    TimePoint time = now;
+    TargetLoad load;
+    Duration longest{};
+    for (int i = 0; i < 12; ++i) {
+        load = afterOutcome(afterSend(load, time), outcome(CallState::NotRun, Reason::ConnectionLost), time);
+        const Duration ejection = load.ejectedUntil() - time;
+        EXPECT_GE(ejection, longest);
+        longest = ejection;
+        time = load.ejectedUntil();
+    }
+    EXPECT_EQ(longest, std::chrono::seconds(30));
+    load = afterOutcome(afterSend(load, time), outcome(CallState::Answered, Reason::None), time);
+    EXPECT_FALSE(isEjected(load, time));
+    EXPECT_EQ(load.ejections(), 0);
+}
+
+TEST(TargetLoad, OverloadEjectsNobodyAndSilenceDoesAfterSomeCalls)
+{
+    TargetLoad load;
+    for (int i = 0; i < 100; ++i) {
+        load = afterOutcome(afterSend(load, now), outcome(CallState::NotRun, Reason::Overload), now);
+    }
+    EXPECT_FALSE(isEjected(load, now));
+    int calls = 0;
+    while (!isEjected(load, now) && calls < 10) {
+        load = afterOutcome(afterSend(load, now), outcome(CallState::OutcomeUnknown, Reason::DeadlineExceeded), now);
+        ++calls;
+    }
+    EXPECT_EQ(calls, 3);
+}
+
+} // namespace fescuepond
