--- a/modules/membership/leavingplugin.cpp
+++ b/modules/membership/leavingplugin.cpp
@@ -3,9 +3,11 @@
 // A node that leaves tells the others and goes on taking calls for a grace. A call that arrives after it is refused,
 // truthfully as not run, so that the caller's node can give it to another target.
 
+#include "core/kernel/eventlog.h"
 #include "core/kernel/kernel.h"
 #include "core/pipeline/callpipeline.h"
 
+#include <algorithm>
 #include <atomic>
 
 namespace fescuepond
@@ -28,6 +30,11 @@
         return {};
     }
 
+    void beginDrain() override
+    {
+        m_leftAt = m_kernel->clock().now();
+    }
+
     void refuseNewWork() override
     {
         m_refusing = true;
@@ -39,12 +46,21 @@
         return m_inFlight + (isQuiet ? 0 : 1);
     }
 
+    void stop() override
+    {
+        using std::chrono::milliseconds;
+        const Duration lastCall = std::max(m_lastArrival.load() - m_leftAt.load(), Duration::zero());
+        Event("target_left")
+            .with("last_call_after_ms", std::chrono::duration_cast<milliseconds>(lastCall).count())
+            .with("calls_after_leaving", m_arrivedAfter.load())
+            .with("refused", m_refused.load());
+    }
+
     void handle(const CallRequest &call, const Next &next, Done done) override
     {
-        noteActivity();
-        m_kernel->metrics().count("fescuepond_target_calls_total");
+        noteArrival();
         if (m_refusing) {
-            m_kernel->metrics().count("fescuepond_target_calls_refused_leaving_total");
+            ++m_refused;
             done(CallOutcome::notRun(Reason::Leaving, "the target is leaving")
                      .withUnusedAllowance(call.context().retryAllowance()));
             return;
@@ -58,6 +74,15 @@
     }
 
 private:
+    void noteArrival()
+    {
+        noteActivity();
+        m_kernel->metrics().count("fescuepond_target_calls_total");
+        m_lastArrival = m_kernel->clock().now();
+        const bool isLeaving = m_leftAt.load() != TimePoint();
+        m_arrivedAfter += isLeaving ? 1 : 0;
+    }
+
     void noteActivity()
     {
         m_lastActivity = m_kernel->clock().now();
@@ -67,6 +92,10 @@
     std::atomic<std::size_t> m_inFlight = 0;
     std::atomic<bool> m_refusing = false;
     std::atomic<TimePoint> m_lastActivity = TimePoint();
+    std::atomic<TimePoint> m_lastArrival = TimePoint();
+    std::atomic<TimePoint> m_leftAt = TimePoint(); ///< When the planned stop began; zero before.
+    std::atomic<std::size_t> m_arrivedAfter = 0; ///< Calls since then.
+    std::atomic<std::size_t> m_refused = 0;
 };
 
 const auto registration = registerPlugin<LeavingPlugin>("leaving", {"pipelines"});
--- a/tests/support/callers.cpp
+++ b/tests/support/callers.cpp
@@ -158,14 +158,15 @@
 void Callers::count(int status, const HttpReply &reply)
 {
     const std::lock_guard guard(m_mutex);
-    if (status == 0) {
-        ++m_counts.cut;
-        return;
-    }
     if (status == StatusOk) {
         ++m_counts.answered;
         return;
     }
+    m_counts.lastFailure = std::chrono::steady_clock::now();
+    if (status == 0) {
+        ++m_counts.cut;
+        return;
+    }
     ++m_counts.failed[std::to_string(status) + " " + reply.outcome() + " " + reply.headers.at("x-fescuepond-reason")];
 }
 
--- a/tests/support/callers.h
+++ b/tests/support/callers.h
@@ -23,6 +23,7 @@
     int answered = 0; ///< Status 200.
     int cut = 0; ///< Sent, but no whole answer came.
     std::map<std::string, int> failed; ///< By status, outcome and reason.
+    std::chrono::steady_clock::time_point lastFailure; ///< When a request last was cut or failed.
 
     int failedTotal() const;
     std::string toString() const;
