--- a/modules/ledger/keyhandover.cpp
+++ b/modules/ledger/keyhandover.cpp
@@ -229,7 +229,9 @@
         const auto node = staged.extract(head.home());
         return node.empty() ? KeyRecords() : node.mapped();
     });
-    if (records.size() != recordCount || !m_homes.adopt(head.withRecords(records))) {
+    const HomeSnapshot snapshot = head.withRecords(records);
+    const bool isWhole = records.size() == recordCount && snapshot.isConsistent();
+    if (!isWhole || !m_homes.adopt(snapshot)) {
         return false;
     }
     Event("key_records_taken_over").with("home", head.home().toString()).with("records", recordCount);
--- a/modules/ledger/ledger.capnp
+++ b/modules/ledger/ledger.capnp
@@ -26,7 +26,7 @@
 
 struct KeyRecord {
   serial @0 :UInt64;
-  fingerprint @1 :Wire.Id;
+  requestDigest @1 :Wire.Id;
   outcome @2 :Wire.Outcome;
 }
 
--- a/modules/local/localplugin.cpp
+++ b/modules/local/localplugin.cpp
@@ -81,11 +81,11 @@
                                });
             return;
         }
-        const int allowance = m_calls->takeAllowance(*parentId, parent->retryAllowance());
+        const int allowance = m_calls->takeAllowance(*parentId);
         const KeyName key = keyOfChild(*parent, call, ownKey(request));
         call = call.withContext(childOf(*parent).withKey(key.toString()).withRetryAllowance(allowance));
         m_pipeline->submit(call, [this, respond, parentId](const CallOutcome &outcome) {
-            m_calls->returnAllowance(*parentId, outcome.unusedAllowance());
+            m_calls->childEnded(*parentId, outcome);
             respond(toResponse(outcome));
         });
     }
--- a/servers/ledger/key.cpp
+++ b/servers/ledger/key.cpp
@@ -90,7 +90,7 @@
 KeyName keyOfChild(const CallContext &parent, const CallRequest &call, const std::string &ownKey)
 {
     const std::string parentKey = parent.key().empty() ? parent.callId().toString() : parent.key();
-    const auto digest = digestOf<Fingerprint>({parentKey, fingerprintOf(call).toString(), ownKey});
+    const auto digest = digestOf<RequestDigest>({parentKey, requestDigestOf(call).toString(), ownKey});
     return KeyName()
         .withOrigin(KeyOrigin::Derived)
         .withText(fmt::format("{}.{}", parent.callId().toString(), digest.toString()));
@@ -125,9 +125,9 @@
         .withNodeName(std::string(text));
 }
 
-Fingerprint fingerprintOf(const CallRequest &call)
+RequestDigest requestDigestOf(const CallRequest &call)
 {
-    return digestOf<Fingerprint>({call.service(), call.method(), call.path(), call.body().bytes()});
+    return digestOf<RequestDigest>({call.service(), call.method(), call.path(), call.body().bytes()});
 }
 
 std::string scopedKey(const CallRequest &call, const KeyName &name)
@@ -137,7 +137,7 @@
 
 std::string bindingObjectName(const std::string &scopedKey)
 {
-    return digestOf<Fingerprint>({scopedKey}).toString();
+    return digestOf<RequestDigest>({scopedKey}).toString();
 }
 
 } // namespace fescuepond
--- a/servers/ledger/key.h
+++ b/servers/ledger/key.h
@@ -78,10 +78,10 @@
     friend auto operator<=>(const Ticket &, const Ticket &) = default;
 };
 
-using Fingerprint = Id<struct FingerprintTag>;
+using RequestDigest = Id<struct RequestDigestTag>;
 
-/// What a call asks for: service, method, path and body. A key is good for one fingerprint only.
-Fingerprint fingerprintOf(const CallRequest &call);
+/// What a call asks for: service, method, path and body. A key is good for one digest only.
+RequestDigest requestDigestOf(const CallRequest &call);
 
 /// The key that a caller chose, within its scope: the service and the kind of the call.
 std::string scopedKey(const CallRequest &call, const KeyName &name);
--- a/servers/ledger/keyrecord.h
+++ b/servers/ledger/keyrecord.h
@@ -22,7 +22,7 @@
 class KeyRecord
 {
     FESCUEPOND_FIELD(KeySerial, serial, withSerial);
-    FESCUEPOND_FIELD(Fingerprint, fingerprint, withFingerprint);
+    FESCUEPOND_FIELD(RequestDigest, requestDigest, withRequestDigest);
     FESCUEPOND_FIELD(KeyState, state, withState);
     FESCUEPOND_FIELD(CallOutcome, outcome, withOutcome); ///< Set when ended: answered or unknown, never not-run.
     FESCUEPOND_FIELD(TimePoint, changedAt, withChangedAt);
@@ -43,6 +43,8 @@
     FESCUEPOND_FIELD(KeyRecords, records, withRecords);
 
 public:
+    /// Whether a ledger can be made of it: all records have ended, and their serials were issued, each once.
+    bool isConsistent() const;
     friend auto operator<=>(const HomeSnapshot &, const HomeSnapshot &) = default;
 };
 
