Keep platform connections, end calls with the node, and complete the verbs and input checks

Cause: a stop waited for the watch in flight; each call to the platform opened a connection; flags of any verb were taken by every verb; settings were hardly checked; two nodes could listen on one port, since POCO sets SO_REUSEPORT.

Change: PlatformSessions keeps up to two idle connections and shuts those in use down when the node stops; at most three watches use the platform lane; calls are counted by operation and outcome and timed. Verbs check, status and drain; main/commandline rejects flags of other verbs and bad values with exit code 2. Settings and declarations: every value is checked, with place, all findings together. Status and metrics show processor time, resident memory and platform calls.

--- a/core/pipeline/interfaces.h
+++ b/core/pipeline/interfaces.h
@@ -140,6 +140,8 @@
     /// Waits until the object's version is above `known`, for at most `wait`; NotFound when that passes.
     virtual void
     watch(std::string collection, std::string name, ObjectVersion known, Duration wait, PlatformDone done) = 0;
+    /// Calls made since the start; a watch counts as one.
+    virtual std::uint64_t callCount() const = 0;
 };
 
 } // namespace fescuepond
--- a/core/settings/settingsreader.cpp
+++ b/core/settings/settingsreader.cpp
@@ -3,6 +3,7 @@
 #include "core/settings/settingsreader.h"
 
 #include "core/kernel/yaml.h"
+#include "core/settings/settingformat.h"
 
 #include <fmt/format.h>
 
@@ -47,17 +48,40 @@
     const YAML::Node &m_node;
 };
 
-void checkUnknownKeys(const std::string &file, const YAML::Node &root, Findings &findings)
+void checkKeys(const std::string &file, const YAML::Node &root, Findings &findings)
 {
     const auto rows = settingRows();
+    std::set<std::string> seen;
     for (const auto &entry : root) {
-        const auto key = entry.first.as<std::string>();
-        const bool known = std::any_of(rows.begin(), rows.end(), [&](const SettingRow &row) {
+        if (!entry.first.IsScalar()) {
+            findings.push_back(findingAt(file, entry.first, "the name of a setting must be a text"));
+            continue;
+        }
+        const std::string &key = entry.first.Scalar();
+        const bool isKnown = std::any_of(rows.begin(), rows.end(), [&](const SettingRow &row) {
             return row.key == key;
         });
-        if (!known) {
+        if (!isKnown) {
             findings.push_back(findingAt(file, entry.first, fmt::format("unknown setting '{}'", key)));
         }
+        if (!seen.insert(key).second) {
+            findings.push_back(findingAt(file, entry.first, fmt::format("setting '{}' stands twice", key)));
+        }
+    }
+}
+
+/// Adds a finding for each text of `node` that isn't what the row asks for.
+void checkFormat(const std::string &file, const YAML::Node &node, const SettingRow &row, Findings &findings)
+{
+    if (node.IsSequence()) {
+        for (const YAML::Node &item : node) {
+            checkFormat(file, item, row, findings);
+        }
+        return;
+    }
+    const std::string fault = formatFault(row, node.Scalar());
+    if (!fault.empty()) {
+        findings.push_back(findingAt(file, node, fmt::format("setting '{}' {}", row.key, fault)));
     }
 }
 
@@ -77,6 +101,10 @@
         settings = std::visit(SettingVisitor(settings, node), row.setter);
     } catch (const YAML::Exception &) {
         findings.push_back(findingAt(file, node, fmt::format("setting '{}' has a value of the wrong type", row.key)));
+        return;
+    }
+    if (isGiven) {
+        checkFormat(file, node, row, findings);
     }
 }
 
@@ -89,7 +117,7 @@
         return failure(Findings{findingAt(file, root, "settings must be a map of keys and values")});
     }
     Findings findings;
-    checkUnknownKeys(file, root, findings);
+    checkKeys(file, root, findings);
     NodeSettings settings;
     for (const SettingRow &row : settingRows()) {
         applyRow(file, root, row, settings, findings);
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -1,11 +1,10 @@
-// The command line: finds the verb, parses its flags and runs it.
+// The program: runs the verb that the command line names.
 
-#include "core/verbs/verb.h"
+#include "main/commandline.h"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
-#include <algorithm>
 #include <cstdio>
 #include <string>
 
@@ -33,40 +32,29 @@
     }
 }
 
-bool isHelpFlag(const std::string &argument)
-{
-    return argument == "--help" || argument == "-h";
-}
-
 } // namespace
 
 int main(int argc, char **argv)
 {
-    if (argc < 2) {
-        printUsage(stderr);
+    const CommandLine line = parseCommandLine(std::vector<std::string>(argv + 1, argv + argc));
+    for (const std::string &fault : line.faults) {
+        fmt::print(stderr, "{}\n", fault);
+    }
+    if (!line.faults.empty()) {
+        if (line.verb == nullptr) {
+            printUsage(stderr);
+        } else {
+            fmt::print(stderr, "usage: fescuepond {} {}\n", line.verb->name, line.verb->arguments);
+        }
         return static_cast<int>(ExitCode::Usage);
     }
-    const std::string name = argv[1];
-    if (isHelpFlag(name)) {
+    if (line.verb == nullptr) {
         printUsage(stdout);
         return static_cast<int>(ExitCode::Done);
     }
-    const auto &verbs = registeredVerbs();
-    const auto verb = std::find_if(verbs.begin(), verbs.end(), [&](const VerbDescription &candidate) {
-        return candidate.name == name;
-    });
-    if (verb == verbs.end()) {
-        fmt::print(stderr, "no verb '{}'\n", name);
-        printUsage(stderr);
-        return static_cast<int>(ExitCode::Usage);
-    }
-    if (std::any_of(argv + 2, argv + argc, isHelpFlag)) {
-        printHelp(*verb);
+    if (line.wantsHelp) {
+        printHelp(*line.verb);
         return static_cast<int>(ExitCode::Done);
     }
-    // The verb takes the place of the program's name, so that only its flags and arguments are left.
-    int verbArgc = argc - 1;
-    char **verbArgv = argv + 1;
-    gflags::ParseCommandLineNonHelpFlags(&verbArgc, &verbArgv, true);
-    return static_cast<int>(verb->run(Arguments(verbArgv + 1, verbArgv + verbArgc)));
+    return static_cast<int>(line.verb->run(line.arguments));
 }
--- a/modules/declarations/declarationreader.cpp
+++ b/modules/declarations/declarationreader.cpp
@@ -2,9 +2,13 @@
 
 #include "modules/declarations/declarationreader.h"
 
+#include "core/settings/settingformat.h"
+
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
+#include <array>
 #include <filesystem>
 #include <set>
 #include <span>
@@ -18,6 +22,7 @@
 
 constexpr std::string_view DeclarationFileName = "fescuepond.yaml";
 constexpr std::string_view DeclarationFileSuffix = ".fescuepond.yaml";
+constexpr std::array<std::string_view, 8> Methods = {"GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS", "*"};
 constexpr int MostRetries = 10;
 constexpr int LongestDeadlineMs = 600'000;
 
@@ -99,6 +104,26 @@
     const KindRow &m_row;
 };
 
+/// Whether a Host header can name the service: an IP and "localhost" stand for a node's own service.
+bool isServiceName(const std::string &name)
+{
+    return isName(name) && name != "localhost" && !parseEndpoint(name + ":0");
+}
+
+/// Whether every request that `later` matches is matched by `earlier` already.
+bool covers(const KindDeclaration &earlier, const KindDeclaration &later)
+{
+    const bool coversMethod = earlier.method() == "*" || earlier.method() == later.method();
+    if (!coversMethod || earlier.path().empty() || later.path().empty()) {
+        return false;
+    }
+    if (earlier.path().back() != '*') {
+        return earlier.path() == later.path();
+    }
+    const std::string prefix = earlier.path().substr(0, earlier.path().size() - 1);
+    return later.path().starts_with(prefix);
+}
+
 /// Reads one declaration file and collects what is wrong with it.
 class FileReader
 {
@@ -119,6 +144,8 @@
         const YAML::Node name = root["service"];
         if (!name.IsDefined() || !name.IsScalar() || name.Scalar().empty()) {
             report(root, "'service' must name the service");
+        } else if (!isServiceName(name.Scalar())) {
+            report(name, fmt::format("service '{}' can't be named by a Host header", name.Scalar()));
         } else {
             service = service.withName(name.Scalar());
         }
@@ -140,7 +167,11 @@
     {
         std::set<std::string> seen;
         for (const auto &entry : map) {
-            const auto key = entry.first.as<std::string>();
+            if (!entry.first.IsScalar()) {
+                report(entry.first, "a key must be a text");
+                continue;
+            }
+            const std::string &key = entry.first.Scalar();
             if (!known.contains(key)) {
                 report(entry.first, fmt::format("unknown key '{}'", key));
             }
@@ -165,6 +196,7 @@
             if (!kind.name().empty() && !names.insert(kind.name()).second) {
                 report(node, fmt::format("kind '{}' is declared twice", kind.name()));
             }
+            checkIsReached(node, kind, kinds);
             shares += kind.keptShare();
             kinds.push_back(kind);
         }
@@ -187,13 +219,52 @@
             kind = readField(node, row, kind);
         }
         checkKeys(node, known);
-        const bool isPathAbsolute = kind.path().empty() || kind.path().front() == '/';
-        if (!isPathAbsolute) {
-            report(node["path"], fmt::format("path '{}' must begin with '/'", kind.path()));
-        }
+        checkTexts(node, kind);
         return kind;
     }
 
+    /// Checks the texts of a kind that were read; one that is missing was reported before.
+    void checkTexts(const YAML::Node &node, const KindDeclaration &kind)
+    {
+        const bool isNameEmpty = node["name"].IsDefined() && kind.name().empty();
+        if (isNameEmpty) {
+            report(node["name"], "'name' must not be empty");
+        }
+        const bool isMethodKnown =
+            kind.method().empty() || std::ranges::count(Methods, std::string_view(kind.method())) > 0;
+        if (!isMethodKnown) {
+            report(node["method"], fmt::format("method '{}' is none of {}", kind.method(), fmt::join(Methods, ", ")));
+        }
+        if (!kind.path().empty()) {
+            checkPath(node["path"], kind.path());
+        }
+    }
+
+    void checkPath(const YAML::Node &node, const std::string &path)
+    {
+        if (path.front() != '/') {
+            report(node, fmt::format("path '{}' must begin with '/'", path));
+        }
+        if (path.find('*') < path.size() - 1) {
+            report(node, fmt::format("path '{}': '*' may stand only at the end", path));
+        }
+        if (path.find_first_of("?# \t") != std::string::npos) {
+            report(node, fmt::format("path '{}' must not hold '?', '#' or blanks", path));
+        }
+    }
+
+    void checkIsReached(const YAML::Node &node, const KindDeclaration &kind, const KindDeclarations &earlier)
+    {
+        const auto covering = std::ranges::find_if(earlier, [&](const KindDeclaration &other) {
+            return other.name() != kind.name() && covers(other, kind);
+        });
+        if (covering != earlier.end()) {
+            report(node["path"],
+                   fmt::format(
+                       "kind '{}' is never reached: '{}' matches all its requests", kind.name(), covering->name()));
+        }
+    }
+
     KindDeclaration readField(const YAML::Node &node, const KindRow &row, const KindDeclaration &kind)
     {
         const YAML::Node value = node[std::string(row.key)];
--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -159,7 +159,8 @@
 
     void listen(const std::string &address)
     {
-        m_serverSocket.bind(Poco::Net::SocketAddress(address), true);
+        // The port is not shared: another process that listens on it already is a fault to report.
+        m_serverSocket.bind(Poco::Net::SocketAddress(address), true, false);
         m_serverSocket.listen(AcceptBacklog);
         m_pollSet.add(m_serverSocket, Poco::Net::PollSet::POLL_READ);
         Event("listening").with("listener", m_name).with("address", this->address());
--- /dev/null
+++ b/modules/operator/controlcost.cpp
@@ -0,0 +1,38 @@
+// What a node's process costs its VM, as the operating system counts it.
+
+#include "modules/operator/controlcost.h"
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <fstream>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+constexpr double MicrosecondsPerSecond = 1e6;
+
+double seconds(const timeval &time)
+{
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / MicrosecondsPerSecond;
+}
+
+} // namespace
+
+ControlCost measureControlCost()
+{
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    std::ifstream statm("/proc/self/statm");
+    std::uint64_t totalPages = 0;
+    std::uint64_t residentPages = 0;
+    statm >> totalPages >> residentPages;
+    return ControlCost()
+        .withProcessorSeconds(seconds(usage.ru_utime) + seconds(usage.ru_stime))
+        .withResidentBytes(residentPages * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE)));
+}
+
+} // namespace fescuepond
--- /dev/null
+++ b/modules/operator/controlcost.h
@@ -0,0 +1,25 @@
+// What a node's process costs its VM, as the operating system counts it.
+
+#pragma once
+
+#include "core/value.h"
+
+#include <compare>
+#include <cstdint>
+
+namespace fescuepond
+{
+
+class ControlCost
+{
+    FESCUEPOND_FIELD(double, processorSeconds, withProcessorSeconds); ///< User and system time since the start.
+    FESCUEPOND_FIELD(std::uint64_t, residentBytes, withResidentBytes); ///< Now.
+
+public:
+    friend auto operator<=>(const ControlCost &, const ControlCost &) = default;
+};
+
+/// Measures this process.
+ControlCost measureControlCost();
+
+} // namespace fescuepond
--- a/modules/operator/operatorplugin.cpp
+++ b/modules/operator/operatorplugin.cpp
@@ -4,6 +4,7 @@
 #include "core/pipeline/callsinflight.h"
 #include "core/pipeline/interfaces.h"
 #include "modules/http/httplistener.h"
+#include "modules/operator/controlcost.h"
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
@@ -27,6 +28,8 @@
         m_membership = &kernel.require<Membership>();
         m_source = &kernel.require<ConfigurationSource>();
         m_calls = &kernel.require<CallsInFlight>();
+        m_platform = &kernel.require<Platform>();
+        registerCostGauges();
         m_listener = std::make_unique<HttpListener>(
             kernel, "operator", [this](const HttpRequest &request, const HttpRespond &respond) {
                 respond(answer(request));
@@ -45,6 +48,16 @@
         HttpResponse (OperatorPlugin::*m_handler)();
     };
 
+    void registerCostGauges()
+    {
+        m_kernel->metrics().gauge("fescuepond_processor_seconds", {}, [] {
+            return measureControlCost().processorSeconds();
+        });
+        m_kernel->metrics().gauge("fescuepond_resident_bytes", {}, [] {
+            return static_cast<double>(measureControlCost().residentBytes());
+        });
+    }
+
     HttpResponse answer(const HttpRequest &request)
     {
         static constexpr std::array Endpoints = {
@@ -72,6 +85,10 @@
         object.set("state", toString(self.state()));
         object.set("configuration_version", configuration ? configuration->version() : 0);
         object.set("calls_in_flight", m_calls->size());
+        const ControlCost cost = measureControlCost();
+        object.set("processor_seconds", cost.processorSeconds());
+        object.set("resident_bytes", cost.residentBytes());
+        object.set("platform_calls", m_platform->callCount());
         Poco::JSON::Array members;
         for (const Member &member : m_membership->all()) {
             Poco::JSON::Object row;
@@ -103,11 +120,13 @@
     Kernel *m_kernel = nullptr;
     Membership *m_membership = nullptr;
     ConfigurationSource *m_source = nullptr;
+    Platform *m_platform = nullptr;
     CallsInFlight *m_calls = nullptr;
     std::unique_ptr<HttpListener> m_listener;
 };
 
-const auto registration = registerPlugin<OperatorPlugin>("operator", {"membership", "configuration", "pipelines"});
+const auto registration =
+    registerPlugin<OperatorPlugin>("operator", {"membership", "configuration", "pipelines", "platform"});
 
 } // namespace
 
--- a/modules/platform/platformclient.cpp
+++ b/modules/platform/platformclient.cpp
@@ -5,10 +5,8 @@
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/SocketAddress.h>
 #include <Poco/StreamCopier.h>
 #include <Poco/URI.h>
 
@@ -56,11 +54,13 @@
     std::string body;
 };
 
-RawAnswer exchange(const std::string &address, Duration timeout, HTTPRequest &request, const std::string &body)
+RawAnswer exchange(PlatformSessions &sessions, Duration timeout, HTTPRequest &request, const std::string &body)
 {
-    Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress(address)};
-    session.setTimeout(Poco::Timespan(std::chrono::duration_cast<std::chrono::microseconds>(timeout).count()));
+    const auto lease = sessions.acquire(timeout);
+    Poco::Net::HTTPClientSession &session = lease->session();
     request.setContentLength64(static_cast<Poco::Int64>(body.size()));
+    request.setKeepAlive(true);
+    request.set("Host", sessions.address());
     session.sendRequest(request) << body;
     RawAnswer answer;
     Poco::StreamCopier::copyToString(session.receiveResponse(answer.response), answer.body);
@@ -68,6 +68,9 @@
     if (declared >= 0 && answer.body.size() != static_cast<std::size_t>(declared)) {
         throw Poco::IOException("the platform's answer ends before its declared length");
     }
+    if (answer.response.getKeepAlive()) {
+        lease->release();
+    }
     return answer;
 }
 
@@ -113,14 +116,14 @@
 }
 
 /// Sends a request about one object. Anything but a whole answer is "unavailable".
-PlatformReply request(const std::string &address,
+PlatformReply request(PlatformSessions &sessions,
                       Duration timeout,
                       HTTPRequest &message,
                       const std::string &name,
                       const std::string &body)
 {
     try {
-        return toReply(name, exchange(address, timeout, message, body));
+        return toReply(name, exchange(sessions, timeout, message, body));
     } catch (const Poco::Exception &) {
         return withStatus(PlatformStatus::Unavailable);
     }
@@ -129,22 +132,27 @@
 } // namespace
 
 PlatformClient::PlatformClient(std::string address, Duration timeout)
-    : m_address(std::move(address))
-    , m_timeout(timeout)
+    : m_timeout(timeout)
+    , m_sessions(std::move(address))
 {
 }
 
-PlatformReply PlatformClient::get(const std::string &collection, const std::string &name) const
+void PlatformClient::abort()
+{
+    m_sessions.abort();
+}
+
+PlatformReply PlatformClient::get(const std::string &collection, const std::string &name)
 {
     HTTPRequest message(HTTPRequest::HTTP_GET, objectPath(collection, name), HTTPRequest::HTTP_1_1);
-    return request(m_address, m_timeout, message, name, {});
+    return request(m_sessions, m_timeout, message, name, {});
 }
 
-PlatformReply PlatformClient::list(const std::string &collection) const
+PlatformReply PlatformClient::list(const std::string &collection)
 {
     HTTPRequest message(HTTPRequest::HTTP_GET, "/v1/" + encoded(collection), HTTPRequest::HTTP_1_1);
     try {
-        const RawAnswer answer = exchange(m_address, m_timeout, message, {});
+        const RawAnswer answer = exchange(m_sessions, m_timeout, message, {});
         if (answer.response.getStatus() != HTTPResponse::HTTP_OK) {
             return withStatus(PlatformStatus::Unavailable);
         }
@@ -157,7 +165,7 @@
 PlatformReply PlatformClient::put(const std::string &collection,
                                   const std::string &name,
                                   const std::string &value,
-                                  ObjectVersion expected) const
+                                  ObjectVersion expected)
 {
     HTTPRequest message(HTTPRequest::HTTP_PUT, objectPath(collection, name), HTTPRequest::HTTP_1_1);
     if (expected == 0) {
@@ -165,24 +173,23 @@
     } else {
         message.set("If-Match", quotedVersion(expected));
     }
-    return request(m_address, m_timeout, message, name, value);
+    return request(m_sessions, m_timeout, message, name, value);
 }
 
-PlatformReply
-PlatformClient::remove(const std::string &collection, const std::string &name, ObjectVersion expected) const
+PlatformReply PlatformClient::remove(const std::string &collection, const std::string &name, ObjectVersion expected)
 {
     HTTPRequest message(HTTPRequest::HTTP_DELETE, objectPath(collection, name), HTTPRequest::HTTP_1_1);
     message.set("If-Match", quotedVersion(expected));
-    return request(m_address, m_timeout, message, name, {});
+    return request(m_sessions, m_timeout, message, name, {});
 }
 
 PlatformReply
-PlatformClient::watch(const std::string &collection, const std::string &name, ObjectVersion known, Duration wait) const
+PlatformClient::watch(const std::string &collection, const std::string &name, ObjectVersion known, Duration wait)
 {
     const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
     const std::string path = fmt::format("{}?watch={}&wait_ms={}", objectPath(collection, name), known, waitMs);
     HTTPRequest message(HTTPRequest::HTTP_GET, path, HTTPRequest::HTTP_1_1);
-    return request(m_address, m_timeout + wait, message, name, {});
+    return request(m_sessions, m_timeout + wait, message, name, {});
 }
 
 } // namespace fescuepond
--- a/modules/platform/platformclient.h
+++ b/modules/platform/platformclient.h
@@ -9,28 +9,32 @@
 #pragma once
 
 #include "core/pipeline/interfaces.h"
+#include "modules/platform/platformsessions.h"
 
 #include <string>
 
 namespace fescuepond
 {
 
+/// May be used by several threads at once.
 class PlatformClient
 {
 public:
     PlatformClient(std::string address, Duration timeout);
 
-    PlatformReply get(const std::string &collection, const std::string &name) const;
-    PlatformReply list(const std::string &collection) const;
-    PlatformReply
-    put(const std::string &collection, const std::string &name, const std::string &value, ObjectVersion expected) const;
-    PlatformReply remove(const std::string &collection, const std::string &name, ObjectVersion expected) const;
+    /// Ends the calls in flight, as from another thread when the node stops; they and later ones are unavailable.
+    void abort();
+
+    PlatformReply get(const std::string &collection, const std::string &name);
+    PlatformReply list(const std::string &collection);
     PlatformReply
-    watch(const std::string &collection, const std::string &name, ObjectVersion known, Duration wait) const;
+    put(const std::string &collection, const std::string &name, const std::string &value, ObjectVersion expected);
+    PlatformReply remove(const std::string &collection, const std::string &name, ObjectVersion expected);
+    PlatformReply watch(const std::string &collection, const std::string &name, ObjectVersion known, Duration wait);
 
 private:
-    const std::string m_address;
     const Duration m_timeout;
+    PlatformSessions m_sessions;
 };
 
 } // namespace fescuepond
--- a/modules/platform/platformplugin.cpp
+++ b/modules/platform/platformplugin.cpp
@@ -1,9 +1,13 @@
 // Provides the platform's object API to other plug-ins, on the pool's platform lane.
 
 #include "core/kernel/kernel.h"
+#include "core/kernel/sharedtable.h"
 #include "core/pipeline/interfaces.h"
 #include "modules/platform/platformclient.h"
 
+#include <array>
+#include <atomic>
+#include <deque>
 #include <memory>
 
 namespace fescuepond
@@ -12,6 +16,15 @@
 namespace
 {
 
+/// Watches that wait at the platform at once. The lane has more threads, so that other calls always find one.
+constexpr std::size_t MostWatches = 3;
+
+const char *toString(PlatformStatus status)
+{
+    static constexpr std::array Names = {"ok", "not_found", "conflict", "unavailable"};
+    return Names.at(static_cast<std::size_t>(status));
+}
+
 class PlatformPlugin final : public Plugin, public Platform
 {
 public:
@@ -24,6 +37,11 @@
         return {};
     }
 
+    void stop() override
+    {
+        m_client->abort();
+    }
+
     void get(std::string collection, std::string name, PlatformDone done) override
     {
         run("get", std::move(done), [this, collection, name] {
@@ -51,17 +69,67 @@
     }
     void watch(std::string collection, std::string name, ObjectVersion known, Duration wait, PlatformDone done) override
     {
-        run("watch", std::move(done), [this, collection, name, known, wait] {
+        const auto call = [this, collection, name, known, wait] {
             return m_client->watch(collection, name, known, wait);
+        };
+        const auto start = [this, done = std::move(done), call] {
+            const auto ended = [this, done](const PlatformReply &reply) {
+                startNextWatch();
+                done(reply);
+            };
+            run("watch", ended, call);
+        };
+        const bool startsNow = m_watches.locked([&](Watches &watches) {
+            if (watches.m_running == MostWatches) {
+                watches.m_waiting.emplace_back(start);
+                return false;
+            }
+            ++watches.m_running;
+            return true;
         });
+        if (startsNow) {
+            start();
+        }
+    }
+
+    std::uint64_t callCount() const override
+    {
+        return m_callCount;
     }
 
 private:
+    struct Watches {
+        std::size_t m_running = 0; ///< At most MostWatches.
+        std::deque<std::function<void()>> m_waiting; ///< Empty unless MostWatches run.
+    };
+
+    /// A watch has ended: its place goes to the one that has waited longest.
+    void startNextWatch()
+    {
+        const auto next = m_watches.locked([](Watches &watches) -> std::function<void()> {
+            if (watches.m_waiting.empty()) {
+                --watches.m_running;
+                return nullptr;
+            }
+            auto first = std::move(watches.m_waiting.front());
+            watches.m_waiting.pop_front();
+            return first;
+        });
+        if (next) {
+            next();
+        }
+    }
+
     void run(const char *operation, PlatformDone done, std::function<PlatformReply()> call)
     {
-        m_kernel->metrics().count("fescuepond_platform_calls_total", {{"operation", operation}});
-        m_kernel->pool().post(Lane::Platform, [this, done = std::move(done), call = std::move(call)] {
+        m_kernel->pool().post(Lane::Platform, [this, operation, done = std::move(done), call = std::move(call)] {
+            ++m_callCount;
+            const TimePoint begin = m_kernel->clock().now();
             const PlatformReply reply = call();
+            const Labels labels = {{"operation", operation}, {"outcome", toString(reply.status())}};
+            m_kernel->metrics().count("fescuepond_platform_calls_total", labels);
+            m_kernel->metrics().observe(
+                "fescuepond_platform_call_seconds", {{"operation", operation}}, m_kernel->clock().now() - begin);
             m_kernel->pool().post(Lane::Decision, [done, reply] {
                 done(reply);
             });
@@ -70,6 +138,8 @@
 
     Kernel *m_kernel = nullptr;
     std::unique_ptr<PlatformClient> m_client;
+    std::atomic<std::uint64_t> m_callCount = 0;
+    SharedTable<Watches> m_watches{LockRank::Platform};
 };
 
 const auto registration = registerPlugin<PlatformPlugin>("platform", {});
--- /dev/null
+++ b/modules/platform/platformsessions.cpp
@@ -0,0 +1,134 @@
+// Connections to the platform: kept alive between calls, and cut when the node stops.
+
+#include "modules/platform/platformsessions.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <algorithm>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+constexpr std::size_t MostIdleSessions = 2;
+/// Shorter than the time after which common servers close an idle connection.
+constexpr Duration LongestIdleTime = std::chrono::seconds(4);
+
+Poco::Timespan toPoco(Duration duration)
+{
+    return Poco::Timespan(std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
+}
+
+/// Ends both directions; a thread that reads from the socket returns.
+void shutDown(Poco::Net::StreamSocket &socket)
+{
+    try {
+        socket.shutdown();
+    } catch (const Poco::Exception &) {
+        // It was closed already.
+    }
+}
+
+/// Whether an idle connection was closed by the platform, or holds bytes that belong to no call.
+bool isSpoiled(Poco::Net::HTTPClientSession &session)
+{
+    return session.socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+}
+
+} // namespace
+
+PlatformSessions::Lease::Lease(PlatformSessions &sessions, Session session)
+    : m_sessions(sessions)
+    , m_session(std::move(session))
+    , m_socket(m_session->socket())
+{
+    m_sessions.m_table.locked([&](Table &table) {
+        if (table.m_aborted) {
+            throw Poco::IOException("the node stops");
+        }
+        table.m_inUse.push_back(m_socket);
+    });
+}
+
+PlatformSessions::Lease::~Lease()
+{
+    m_sessions.m_table.locked([&](Table &table) {
+        table.m_inUse.remove(m_socket);
+    });
+}
+
+void PlatformSessions::Lease::release()
+{
+    if (!m_session->getKeepAlive()) {
+        return;
+    }
+    m_sessions.m_table.locked([&](Table &table) {
+        if (!table.m_aborted && table.m_idle.size() < MostIdleSessions) {
+            table.m_idle.push_back({std::move(m_session), std::chrono::steady_clock::now()});
+        }
+    });
+}
+
+PlatformSessions::PlatformSessions(std::string address)
+    : m_address(std::move(address))
+{
+}
+
+std::unique_ptr<PlatformSessions::Lease> PlatformSessions::acquire(Duration timeout)
+{
+    Session session = takeIdle();
+    if (!session) {
+        session = connect(timeout);
+    }
+    session->setTimeout(toPoco(timeout));
+    session->socket().setReceiveTimeout(toPoco(timeout));
+    session->socket().setSendTimeout(toPoco(timeout));
+    return std::make_unique<Lease>(*this, std::move(session));
+}
+
+PlatformSessions::Session PlatformSessions::takeIdle()
+{
+    const TimePoint oldest = std::chrono::steady_clock::now() - LongestIdleTime;
+    std::vector<IdleSession> idle = m_table.locked([](Table &table) {
+        return std::exchange(table.m_idle, {});
+    });
+    std::erase_if(idle, [&](const IdleSession &entry) {
+        return entry.m_since < oldest || isSpoiled(*entry.m_session);
+    });
+    if (idle.empty()) {
+        return nullptr;
+    }
+    Session session = std::move(idle.back().m_session);
+    idle.pop_back();
+    m_table.locked([&](Table &table) {
+        std::move(idle.begin(), idle.end(), std::back_inserter(table.m_idle));
+    });
+    return session;
+}
+
+PlatformSessions::Session PlatformSessions::connect(Duration timeout) const
+{
+    Poco::Net::StreamSocket socket;
+    socket.connect(Poco::Net::SocketAddress(m_address), toPoco(timeout));
+    socket.setNoDelay(true);
+    auto session = std::make_unique<Poco::Net::HTTPClientSession>(socket);
+    session->setKeepAlive(true);
+    return session;
+}
+
+void PlatformSessions::abort()
+{
+    const auto inUse = m_table.locked([](Table &table) {
+        table.m_aborted = true;
+        return table.m_inUse;
+    });
+    for (Poco::Net::StreamSocket socket : inUse) {
+        shutDown(socket);
+    }
+}
+
+} // namespace fescuepond
--- /dev/null
+++ b/modules/verbs/operatorclient.cpp
@@ -0,0 +1,51 @@
+// Requests to the operator listener of a node, for the verbs.
+
+#include "modules/verbs/operatorclient.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/StreamCopier.h>
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <chrono>
+
+DEFINE_int32(timeout_ms, 3000, "Longest wait for the answer of one node, in milliseconds.");
+
+namespace fescuepond
+{
+
+namespace
+{
+
+constexpr int LeastErrorStatus = 400;
+
+} // namespace
+
+std::optional<std::string>
+askOperatorListener(const std::string &address, const std::string &method, const std::string &path)
+{
+    try {
+        Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress(address)};
+        session.setTimeout(
+            Poco::Timespan(std::chrono::microseconds(std::chrono::milliseconds(FLAGS_timeout_ms)).count()));
+        Poco::Net::HTTPRequest request(method, path, Poco::Net::HTTPRequest::HTTP_1_1);
+        request.setContentLength(0);
+        session.sendRequest(request);
+        Poco::Net::HTTPResponse response;
+        std::string body;
+        Poco::StreamCopier::copyToString(session.receiveResponse(response), body);
+        if (response.getStatus() < LeastErrorStatus) {
+            return body;
+        }
+        fmt::print(stderr, "{}: {} {} gave status {}\n", address, method, path, static_cast<int>(response.getStatus()));
+    } catch (const Poco::Exception &error) {
+        fmt::print(stderr, "{}: no answer: {}\n", address, error.displayText());
+    }
+    return std::nullopt;
+}
+
+} // namespace fescuepond
--- a/modules/verbs/publishverb.cpp
+++ b/modules/verbs/publishverb.cpp
@@ -178,7 +178,7 @@
         return ExitCode::Unreachable;
     }
 
-    const PlatformClient m_platform;
+    PlatformClient m_platform;
     const PublishRequest m_request;
     ObjectVersion m_base = 0;
     ServiceDifference m_difference;
--- /dev/null
+++ b/tests/system/verbtest.cpp
@@ -0,0 +1,102 @@
+// The verbs of the command line: exit codes, messages, and what they do to nodes.
+
+#include "tests/support/fleet.h"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+
+namespace fescuepond::test
+{
+
+namespace
+{
+
+constexpr const char *Yard = R"(
+service: yard
+kinds:
+  - {name: stock, method: GET, path: /stock/*, rank: 5, idempotent: true, deadline_ms: 5000}
+)";
+
+struct UsageCase {
+    std::vector<std::string> arguments;
+    int code;
+    std::string part; ///< Of what is printed.
+};
+
+} // namespace
+
+TEST(Verbs, UsageAndExitCodes)
+{
+    const Fleet fleet;
+    const std::string folder = fleet.folder() + "/bad";
+    std::ofstream(fleet.folder() + "/settings.yaml") << "name: x\n";
+    const std::vector<UsageCase> cases = {
+        {{}, 2, "no verb is given"},
+        {{"--help"}, 0, "usage: fescuepond VERB"},
+        {{"nosuch"}, 2, "no verb 'nosuch'"},
+        {{"publish", "--settings=x", "d"}, 2, "'publish' has no flag --settings"},
+        {{"node", "--platform=x"}, 2, "'node' has no flag --platform"},
+        {{"node", "--flagfile=x"}, 2, "'node' has no flag --flagfile"},
+        {{"node", "--settings"}, 2, "--settings needs a value"},
+        {{"node"}, 2, "usage: fescuepond node"},
+        {{"publish", "--platform_timeout_ms=soon", "d"}, 2, "can't be 'soon'"},
+        {{"publish", "--platform=127.0.0.1:1", "--merge", "--replace", "d"}, 2, "usage: fescuepond publish"},
+        {{"check"}, 2, "usage: fescuepond check"},
+        {{"check", folder}, 1, "cannot be read"},
+        {{"check", "--settings", fleet.folder() + "/settings.yaml"}, 1, "settings.yaml:1:1: setting 'service'"},
+        {{"status"}, 2, "usage: fescuepond status"},
+        {{"status", "127.0.0.1:1"}, 3, "127.0.0.1:1: no answer"},
+        {{"drain", "127.0.0.1:1"}, 3, "127.0.0.1:1: no answer"},
+        {{"version"}, 0, "fescuepond "},
+    };
+    for (const UsageCase &entry : cases) {
+        std::string output;
+        EXPECT_EQ(fleet.runVerb(entry.arguments, &output), entry.code) << entry.part << "\n" << output;
+        EXPECT_NE(output.find(entry.part), std::string::npos) << entry.part << "\n" << output;
+    }
+    for (const std::string verb : {"node", "publish", "check", "status", "drain", "version"}) {
+        std::string output;
+        EXPECT_EQ(fleet.runVerb({verb, "--help"}, &output), 0);
+        EXPECT_NE(output.find("usage: fescuepond " + verb), std::string::npos) << output;
+    }
+}
+
+TEST(Verbs, StatusShowsNodesAndDrainStopsThem)
+{
+    Fleet fleet;
+    ASSERT_EQ(fleet.publish({Yard}), 0);
+    const FleetNode &node = fleet.addNode({.name = "yard-a", .service = "yard"});
+    ASSERT_TRUE(fleet.waitUntilReady(1));
+    std::string table;
+    EXPECT_EQ(fleet.runVerb({"status", node.operatorAddress}, &table), 0);
+    EXPECT_NE(table.find("yard-a"), std::string::npos) << table;
+    EXPECT_NE(table.find("alive"), std::string::npos) << table;
+    std::string json;
+    EXPECT_EQ(fleet.runVerb({"status", "--json", node.operatorAddress}, &json), 0);
+    for (const char *key : {"\"processor_seconds\"", "\"resident_bytes\"", "\"platform_calls\""}) {
+        EXPECT_NE(json.find(key), std::string::npos) << json;
+    }
+    std::string output;
+    EXPECT_EQ(fleet.runVerb({"drain", "--wait_ms=20000", node.operatorAddress}, &output), 0) << output;
+    EXPECT_NE(output.find("has ended"), std::string::npos) << output;
+    EXPECT_EQ(node.process->wait(std::chrono::seconds(10)), std::optional<int>(0));
+}
+
+TEST(Verbs, ANodeWhoseAddressIsInUseSaysSoAndEnds)
+{
+    Fleet fleet;
+    const FleetNode &node = fleet.addNode({.name = "yard-a", .service = "yard"});
+    std::ofstream settings(fleet.folder() + "/taken.yaml");
+    settings << "name: other\nservice: yard\nzone: zone-a\nbackend_address: " << node.backend
+             << "\nplatform_address: " << fleet.platform() << "\nfront_address: " << node.front
+             << "\nlocal_address: 127.0.0.1:0"
+             << "\npeer_address: 127.0.0.1:0\noperator_address: 127.0.0.1:0\n";
+    settings.close();
+    std::string output;
+    EXPECT_EQ(fleet.runVerb({"node", "--settings=" + fleet.folder() + "/taken.yaml"}, &output), 1);
+    EXPECT_NE(output.find("cannot listen on " + node.front), std::string::npos) << output;
+    EXPECT_NE(output.find("in use"), std::string::npos) << output;
+}
+
+} // namespace fescuepond::test
