--- a/core/settings/nodesettings.h
+++ b/core/settings/nodesettings.h
@@ -52,19 +52,6 @@
                                    NodeSettings (NodeSettings::*)(std::size_t) const,
                                    NodeSettings (NodeSettings::*)(Milliseconds) const>;
 
-/// What the text of a setting must be.
-enum class SettingFormat {
-    Name, ///< Letters, digits, '.', '_' and '-'.
-    ListenAddress, ///< IP:port; port 0 lets the system choose.
-    LoopbackAddress, ///< A listen address that only this VM reaches.
-    RemoteAddress, ///< IP:port.
-    RemoteAddresses, ///< A list of them.
-    Number,
-};
-
-/// No number of a setting is greater.
-constexpr std::size_t GreatestSetting = 1'000'000'000;
-
 /// One row of the table of settings.
 struct SettingRow {
     std::string_view key;
@@ -72,9 +59,6 @@
     std::string_view defaultValue; ///< As it would stand in YAML; "required" when there is none.
     std::string_view unit;
     std::string_view description;
-    SettingFormat format = SettingFormat::Number;
-    std::size_t least = 0; ///< Of a number.
-    std::size_t most = GreatestSetting; ///< Of a number.
 
     bool isRequired() const
     {
--- a/core/settings/settingformat.cpp
+++ b/core/settings/settingformat.cpp
@@ -1,4 +1,4 @@
-// Checks the text of one setting against what its row of the table asks for.
+// Checks the text of one setting: the form of names and addresses, and the range of numbers.
 
 #include "core/settings/settingformat.h"
 
@@ -18,6 +18,28 @@
 
 constexpr int GreatestPort = 65535;
 
+constexpr std::array Rules = {
+    SettingRule{"name", SettingFormat::Name},
+    SettingRule{"service", SettingFormat::Name},
+    SettingRule{"zone", SettingFormat::Name},
+    SettingRule{"region", SettingFormat::Name},
+    SettingRule{"front_address", SettingFormat::ListenAddress},
+    SettingRule{"local_address", SettingFormat::LoopbackAddress},
+    SettingRule{"peer_address", SettingFormat::ListenAddress},
+    SettingRule{"operator_address", SettingFormat::ListenAddress},
+    SettingRule{"backend_address", SettingFormat::RemoteAddress},
+    SettingRule{"platform_address", SettingFormat::RemoteAddress},
+    SettingRule{"seed_peers", SettingFormat::RemoteAddress},
+    SettingRule{"backend_slots", SettingFormat::Number, 1, 100'000},
+    SettingRule{"http_threads", SettingFormat::Number, 2, 10'000},
+    SettingRule{"backend_threads", SettingFormat::Number, 1, 100'000},
+    SettingRule{"max_body_bytes", SettingFormat::Number, 0, 100'000'000},
+    SettingRule{"max_header_bytes", SettingFormat::Number, 256, 1'000'000},
+    SettingRule{"request_read_timeout_ms", SettingFormat::Number, 10, 600'000},
+    SettingRule{"drain_timeout_ms", SettingFormat::Number, 0, 3'600'000},
+    SettingRule{"platform_timeout_ms", SettingFormat::Number, 10, 60'000},
+};
+
 std::optional<int> parsePort(const std::string &text)
 {
     int port = 0;
@@ -35,16 +57,16 @@
     return inet_pton(family, text.c_str(), binary.data()) == 1;
 }
 
-std::string endpointFault(const SettingRow &row, const std::string &text)
+std::string endpointFault(const SettingRule &rule, const std::string &text)
 {
     const auto endpoint = parseEndpoint(text);
     if (!endpoint) {
         return fmt::format("must be IP:port, not '{}'", text);
     }
-    if (row.format == SettingFormat::LoopbackAddress && !endpoint->isLoopback) {
+    if (rule.format == SettingFormat::LoopbackAddress && !endpoint->isLoopback) {
         return fmt::format("must be a loopback address, not '{}'", text);
     }
-    const bool isRemote = row.format == SettingFormat::RemoteAddress || row.format == SettingFormat::RemoteAddresses;
+    const bool isRemote = rule.format == SettingFormat::RemoteAddress;
     if (isRemote && endpoint->port == 0) {
         return "must name a port other than 0";
     }
@@ -59,16 +81,24 @@
     return isName(text) ? "" : "may hold only letters, digits, '.', '_' and '-'";
 }
 
-std::string numberFault(const SettingRow &row, const std::string &text)
+std::string numberFault(const SettingRule &rule, const std::string &text)
 {
     std::size_t value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    const bool isInRange = error == std::errc() && value >= row.least && value <= row.most;
-    return isInRange ? "" : fmt::format("must lie between {} and {}", row.least, row.most);
+    const bool isInRange = error == std::errc() && value >= rule.least && value <= rule.most;
+    return isInRange ? "" : fmt::format("must lie between {} and {}", rule.least, rule.most);
 }
 
 } // namespace
 
+SettingRule settingRule(std::string_view key)
+{
+    const auto *const found = std::find_if(Rules.begin(), Rules.end(), [&](const SettingRule &rule) {
+        return rule.key == key;
+    });
+    return found == Rules.end() ? SettingRule{key} : *found;
+}
+
 std::optional<Endpoint> parseEndpoint(const std::string &text)
 {
     const auto colon = text.rfind(':');
@@ -95,18 +125,17 @@
     });
 }
 
-std::string formatFault(const SettingRow &row, const std::string &text)
+std::string formatFault(const SettingRule &rule, const std::string &text)
 {
-    switch (row.format) {
+    switch (rule.format) {
     case SettingFormat::Name:
         return nameFault(text);
     case SettingFormat::ListenAddress:
     case SettingFormat::LoopbackAddress:
     case SettingFormat::RemoteAddress:
-    case SettingFormat::RemoteAddresses:
-        return endpointFault(row, text);
+        return endpointFault(rule, text);
     case SettingFormat::Number:
-        return numberFault(row, text);
+        return numberFault(rule, text);
     }
     return {};
 }
--- a/core/settings/settingformat.h
+++ b/core/settings/settingformat.h
@@ -1,15 +1,38 @@
-// Checks the text of one setting against what its row of the table asks for.
+// Checks the text of one setting: the form of names and addresses, and the range of numbers.
 
 #pragma once
 
-#include "core/settings/nodesettings.h"
-
+#include <cstddef>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace fescuepond
 {
 
+/// What the text of a setting must be.
+enum class SettingFormat {
+    Name, ///< Letters, digits, '.', '_' and '-'.
+    ListenAddress, ///< IP:port; port 0 lets the system choose.
+    LoopbackAddress, ///< A listen address that only this VM reaches.
+    RemoteAddress, ///< IP:port, also each of a list.
+    Number,
+};
+
+/// No number of a setting is greater.
+constexpr std::size_t GreatestSetting = 1'000'000'000;
+
+/// What is asked of one setting beyond its type.
+struct SettingRule {
+    std::string_view key;
+    SettingFormat format = SettingFormat::Number;
+    std::size_t least = 0; ///< Of a number.
+    std::size_t most = GreatestSetting; ///< Of a number.
+};
+
+/// The rule for a key; a setting without one of its own is a number.
+SettingRule settingRule(std::string_view key);
+
 /// An IP and a port.
 struct Endpoint {
     std::string ip;
@@ -23,7 +46,7 @@
 /// Whether `text` may name a node, service or zone.
 bool isName(const std::string &text);
 
-/// What is wrong with `text` as a value of `row`; empty when nothing is.
-std::string formatFault(const SettingRow &row, const std::string &text);
+/// What is wrong with `text` as the value of a setting with `rule`; empty when nothing is.
+std::string formatFault(const SettingRule &rule, const std::string &text);
 
 } // namespace fescuepond
--- a/core/settings/settingsreader.cpp
+++ b/core/settings/settingsreader.cpp
@@ -79,7 +79,7 @@
         }
         return;
     }
-    const std::string fault = formatFault(row, node.Scalar());
+    const std::string fault = formatFault(settingRule(row.key), node.Scalar());
     if (!fault.empty()) {
         findings.push_back(findingAt(file, node, fmt::format("setting '{}' {}", row.key, fault)));
     }
