--- a/core/settings/nodesettings.cpp
+++ b/core/settings/nodesettings.cpp
@@ -17,6 +17,11 @@
         {"front_address", &NodeSettings::withFrontAddress, "required", "", "IP and port for callers."},
         {"local_address", &NodeSettings::withLocalAddress, "required", "", "Loopback IP and port for the backend."},
         {"peer_address", &NodeSettings::withPeerAddress, "required", "", "IP and port for other nodes."},
+        {"peer_advertised_address",
+         &NodeSettings::withPeerAdvertisedAddress,
+         "''",
+         "",
+         "IP and port that other nodes are told; empty: peer_address."},
         {"operator_address", &NodeSettings::withOperatorAddress, "required", "", "IP and port for operators."},
         {"backend_address", &NodeSettings::withBackendAddress, "required", "", "IP and port of the backend server."},
         {"platform_address", &NodeSettings::withPlatformAddress, "required", "", "IP and port of the object API."},
@@ -36,6 +41,11 @@
          "ms",
          "Longest time in which a caller may send one request."},
         {"drain_timeout_ms", &NodeSettings::withDrainTimeout, "30000", "ms", "Longest time of a planned stop."},
+        {"leave_grace_ms",
+         &NodeSettings::withLeaveGrace,
+         "2000",
+         "ms",
+         "Time in which a node that leaves still takes new work."},
         {"platform_timeout_ms", &NodeSettings::withPlatformTimeout, "1000", "ms", "Longest wait for the platform."},
     });
     return rows;
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -214,7 +214,8 @@
     const std::string base = m_folder + "/" + node.options.name + "-" + std::to_string(++m_processCount);
     std::ofstream settings(base + ".yaml");
     settings << "name: " << node.options.name << "\nservice: " << node.options.service
-             << "\nzone: " << node.options.zone << "\nbackend_address: " << node.backend
+             << "\nzone: " << node.options.zone << "\nbackend_address: "
+             << (node.options.backendAddress.empty() ? node.backend : node.options.backendAddress)
              << "\nplatform_address: " << (node.options.platform.empty() ? m_platform : node.options.platform) << '\n';
     for (const char *listener : {"front", "local", "peer", "operator"}) {
         settings << listener << "_address: 127.0.0.1:0\n";
@@ -230,11 +231,12 @@
         return valueIn(node.process->waitForLine("event=listening listener=" + listener), "address");
     };
     node.front = addressOf("front");
+    node.local = addressOf("local");
     node.peer = addressOf("peer");
     node.operatorAddress = addressOf("operator");
     HttpCall call;
     call.method = "POST";
-    call.path = "/set?local=" + addressOf("local");
+    call.path = "/set?local=" + node.local;
     sendHttp(node.backendControl, call);
 }
 
