--- a/servers/ledger/homeledger.cpp
+++ b/servers/ledger/homeledger.cpp
@@ -2,10 +2,10 @@
 
 #include "servers/ledger/homeledger.h"
 
-#include "core/kernel/eventlog.h"
+#include "core/kernel/invariant.h"
 
 #include <algorithm>
-#include <cstdlib>
+#include <set>
 
 namespace fescuepond
 {
@@ -13,15 +13,6 @@
 namespace
 {
 
-/// Ends the program when an invariant of the ledger does not hold: running on could start a key twice.
-void require(bool condition, const char *invariant, const Incarnation &home, KeySerial serial)
-{
-    if (!condition) {
-        Event("invariant_violated").with("invariant", invariant).with("home", home.toString()).with("serial", serial);
-        std::abort();
-    }
-}
-
 SubmissionDecision answer(CallOutcome outcome)
 {
     return SubmissionDecision().withVerdict(SubmissionVerdict::Answer).withOutcome(std::move(outcome));
@@ -32,9 +23,9 @@
     return SubmissionDecision().withVerdict(verdict);
 }
 
-SubmissionDecision repeat(const KeyRecord &record, const Fingerprint &fingerprint)
+SubmissionDecision repeat(const KeyRecord &record, const Fingerprint &requestDigest)
 {
-    if (record.fingerprint() != fingerprint) {
+    if (record.requestDigest() != requestDigest) {
         return answer(CallOutcome::notRun(Reason::BadRequest, "the key was used for another request"));
     }
     return record.state() == KeyState::Running ? verdict(SubmissionVerdict::Wait) : answer(record.outcome());
@@ -47,6 +38,15 @@
 
 } // namespace
 
+bool HomeSnapshot::isConsistent() const
+{
+    std::set<KeySerial> serials;
+    return std::all_of(m_records.begin(), m_records.end(), [&](const KeyRecord &record) {
+        const bool isIssued = record.serial() > 0 && record.serial() < m_nextSerial;
+        return record.state() == KeyState::Ended && isIssued && serials.insert(record.serial()).second;
+    });
+}
+
 HomeLedger::HomeLedger(Incarnation home, KeyLimits limits, IsInFlight isInFlight, TimePoint now)
     : m_home(home)
     , m_limits(limits)
@@ -63,9 +63,8 @@
     , m_watermark(snapshot.watermark())
     , m_marks{{now, snapshot.nextSerial()}}
 {
+    invariant(snapshot.isConsistent(), "records handed over have ended, and their serials were issued");
     for (const KeyRecord &record : snapshot.records()) {
-        require(record.state() == KeyState::Ended, "a record handed over has ended", m_home, record.serial());
-        require(record.serial() < m_nextSerial, "a record's serial was issued", m_home, record.serial());
         m_records.emplace(record.serial(), record.withChangedAt(now));
         m_answerBytes += record.outcome().body().size();
     }
@@ -83,14 +82,14 @@
 }
 
 SubmissionDecision HomeLedger::submit(KeySerial serial,
-                                      const Fingerprint &fingerprint,
+                                      const Fingerprint &requestDigest,
                                       const std::string &derivedName,
                                       TimePoint deadline,
                                       TimePoint now)
 {
     const auto found = m_records.find(serial);
     if (found != m_records.end()) {
-        return repeat(found->second, fingerprint);
+        return repeat(found->second, requestDigest);
     }
     if (serial < m_watermark) {
         return answer(tooOld("the key is older than the records that its home keeps"));
@@ -110,11 +109,11 @@
     if (!makeRoom()) {
         return answer(CallOutcome::notRun(Reason::Overload, "the home of the key holds too many recent keys"));
     }
-    return start(serial, fingerprint, derivedName, now);
+    return start(serial, requestDigest, derivedName, now);
 }
 
 SubmissionDecision
-HomeLedger::start(KeySerial serial, const Fingerprint &fingerprint, const std::string &derivedName, TimePoint now)
+HomeLedger::start(KeySerial serial, const Fingerprint &requestDigest, const std::string &derivedName, TimePoint now)
 {
     // Making room may have moved the watermark past this key.
     if (serial < m_watermark) {
@@ -123,14 +122,14 @@
     const auto [record, isNew] = m_records.emplace(serial,
                                                    KeyRecord()
                                                        .withSerial(serial)
-                                                       .withFingerprint(fingerprint)
+                                                       .withRequestDigest(requestDigest)
                                                        .withState(KeyState::Running)
                                                        .withChangedAt(now)
                                                        .withDerivedName(derivedName));
-    require(isNew && !m_isClosed, "a key starts at most once", m_home, serial);
+    invariant(isNew && !m_isClosed, "a key starts at most once");
     if (!derivedName.empty()) {
         const bool isOnlyChild = m_children.emplace(derivedName, serial).second;
-        require(isOnlyChild, "a derived key has one record", m_home, serial);
+        invariant(isOnlyChild, "a derived key has one record");
     }
     ++m_running;
     return verdict(SubmissionVerdict::Start);
@@ -140,7 +139,7 @@
 {
     const auto found = m_records.find(serial);
     const bool isRunning = found != m_records.end() && found->second.state() == KeyState::Running;
-    require(isRunning, "a started key ends once", m_home, serial);
+    invariant(isRunning, "a started key ends once");
     --m_running;
     if (outcome.state() == CallState::NotRun) {
         erase(found);
@@ -177,7 +176,7 @@
 
 HomeSnapshot HomeLedger::snapshot(TimePoint now) const
 {
-    require(m_isClosed, "only a closed ledger is handed over", m_home, m_nextSerial);
+    invariant(m_isClosed, "only a closed ledger is handed over");
     KeyRecords records;
     for (const auto &[serial, record] : m_records) {
         const bool isEnded = record.state() == KeyState::Ended;
--- /dev/null
+++ b/tests/servers/ledger/homeledgertest.cpp
@@ -0,0 +1,536 @@
+// The ledger of one home, and of many homes under random failures in virtual time.
+
+#include "servers/ledger/homeledger.h"
+#include "servers/ledger/binding.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+constexpr auto Second = std::chrono::seconds(1);
+constexpr Incarnation Home(1, 1);
+constexpr Fingerprint Digest(7, 7);
+
+KeyLimits smallLimits()
+{
+    return KeyLimits().withMaxRecords(4).withMaxAnswerBytes(100).withMaxAnswerBytesEach(60).withLifetime(60 * Second);
+}
+
+bool nothingInFlight(const CallId &)
+{
+    return false;
+}
+
+CallOutcome answered(std::size_t bytes = 1)
+{
+    return CallOutcome().withState(CallState::Answered).withStatus(200).withBody(Body(std::string(bytes, 'x')));
+}
+
+} // namespace
+
+class HomeLedgerTest : public testing::Test
+{
+protected:
+    SubmissionDecision submit(KeySerial serial, const std::string &derivedName = {})
+    {
+        return m_ledger.submit(serial, Digest, derivedName, m_clock.now() + Second, m_clock.now());
+    }
+    /// Starts and ends a new key.
+    KeySerial run(std::size_t bytes = 1)
+    {
+        const KeySerial serial = m_ledger.issue();
+        EXPECT_EQ(submit(serial).verdict(), SubmissionVerdict::Start);
+        m_ledger.end(serial, answered(bytes), m_clock.now());
+        return serial;
+    }
+
+    ManualClock m_clock;
+    HomeLedger m_ledger{Home, smallLimits(), nothingInFlight, m_clock.now()};
+};
+
+TEST_F(HomeLedgerTest, StartsOnceThenWaitsThenAnswers)
+{
+    const KeySerial serial = m_ledger.issue();
+    EXPECT_EQ(submit(serial).verdict(), SubmissionVerdict::Start);
+    EXPECT_EQ(submit(serial).verdict(), SubmissionVerdict::Wait);
+    m_ledger.end(serial, answered(), m_clock.now());
+    EXPECT_EQ(submit(serial).outcome(), answered());
+}
+
+TEST_F(HomeLedgerTest, StartsAgainOnlyAfterAProofThatItDidNotRun)
+{
+    const KeySerial serial = m_ledger.issue();
+    submit(serial);
+    m_ledger.end(serial, CallOutcome::notRun(Reason::Overload, ""), m_clock.now());
+    EXPECT_EQ(submit(serial).verdict(), SubmissionVerdict::Start);
+    m_ledger.end(serial, CallOutcome::unknown(Reason::BackendLost, ""), m_clock.now());
+    EXPECT_EQ(submit(serial).outcome().state(), CallState::OutcomeUnknown);
+}
+
+TEST_F(HomeLedgerTest, RefusesWhatWasNeverIssuedOrCameTooLate)
+{
+    EXPECT_EQ(submit(99).outcome().reason(), Reason::BadRequest);
+    const auto late = m_ledger.submit(m_ledger.issue(), Digest, {}, m_clock.now(), m_clock.now());
+    EXPECT_EQ(late.outcome().reason(), Reason::DeadlineExceeded);
+    EXPECT_EQ(late.outcome().state(), CallState::NotRun);
+}
+
+TEST_F(HomeLedgerTest, EvictedAndOldKeysAreTooOldAndNeverRun)
+{
+    const KeySerial unused = m_ledger.issue();
+    const KeySerial first = run();
+    for (int i = 0; i < 4; ++i) {
+        run();
+    }
+    EXPECT_EQ(m_ledger.size(), 4);
+    EXPECT_EQ(submit(first).outcome().reason(), Reason::KeyTooOld);
+    EXPECT_EQ(submit(unused).outcome().reason(), Reason::KeyTooOld);
+
+    const KeySerial idle = m_ledger.issue();
+    m_ledger.expire(m_clock.now());
+    m_clock.advance(61 * Second);
+    m_ledger.expire(m_clock.now());
+    EXPECT_EQ(m_ledger.size(), 0);
+    EXPECT_EQ(submit(idle).outcome().reason(), Reason::KeyTooOld);
+    EXPECT_EQ(submit(idle).outcome().state(), CallState::OutcomeUnknown);
+}
+
+TEST_F(HomeLedgerTest, KeptAnswersAreBounded)
+{
+    const KeySerial tooLong = run(61);
+    EXPECT_EQ(submit(tooLong).outcome().reason(), Reason::KeyTooOld);
+    run(60);
+    run(60);
+    run(60);
+    EXPECT_LE(m_ledger.answerBytes(), 160);
+}
+
+TEST_F(HomeLedgerTest, AFullLedgerOfRunningKeysRefusesAsNotRun)
+{
+    for (int i = 0; i < 4; ++i) {
+        submit(m_ledger.issue());
+    }
+    EXPECT_EQ(submit(m_ledger.issue()).outcome().reason(), Reason::Overload);
+    EXPECT_EQ(m_ledger.running(), 4);
+}
+
+TEST_F(HomeLedgerTest, AChildsRecordIsKeptWhileItsParentRuns)
+{
+    bool isParentRunning = true;
+    m_ledger = HomeLedger(
+        Home,
+        smallLimits(),
+        [&](const CallId &) {
+            return isParentRunning;
+        },
+        m_clock.now());
+    const CallContext parent = CallContext().withCallId(CallId(3, 4)).withKey("parent");
+    const std::string name = keyOfChild(parent, CallRequest().withPath("/pour"), {}).text();
+    EXPECT_EQ(parentOfChildKey(name), parent.callId());
+    const KeySerial child = m_ledger.serialOfChild(name);
+    EXPECT_EQ(submit(child, name).verdict(), SubmissionVerdict::Start);
+    m_ledger.end(child, answered(), m_clock.now());
+    for (int i = 0; i < 10; ++i) {
+        run();
+    }
+    EXPECT_EQ(m_ledger.serialOfChild(name), child);
+    EXPECT_EQ(submit(child, name).outcome(), answered());
+
+    isParentRunning = false;
+    for (int i = 0; i < 10; ++i) {
+        run();
+    }
+    const auto late = submit(m_ledger.serialOfChild(name), name);
+    EXPECT_EQ(late.outcome().state(), CallState::NotRun);
+    EXPECT_EQ(late.outcome().reason(), Reason::Cancelled);
+}
+
+TEST_F(HomeLedgerTest, AnUnreadableSnapshotIsNotConsistent)
+{
+    const KeyRecord ended = KeyRecord().withSerial(1).withState(KeyState::Ended);
+    const HomeSnapshot good = HomeSnapshot().withNextSerial(2).withRecords({ended});
+    EXPECT_TRUE(good.isConsistent());
+    EXPECT_FALSE(good.withNextSerial(1).isConsistent());
+    EXPECT_FALSE(good.withRecords({ended, ended}).isConsistent());
+    EXPECT_FALSE(good.withRecords({ended.withState(KeyState::Running)}).isConsistent());
+}
+
+TEST(Ticket, ReadsBackWhatItWrites)
+{
+    const Ticket ticket = Ticket()
+                              .withPlace(KeyPlace().withHome(Incarnation(1, 2)).withSerial(255))
+                              .withAddress("10.1.2.3:4000")
+                              .withNodeName("yard.a");
+    EXPECT_EQ(Ticket::parse(ticket.toString()), ticket);
+    EXPECT_FALSE(Ticket::parse("nonsense"));
+    EXPECT_FALSE(Ticket::parse(ticket.toString().substr(1)));
+}
+
+namespace
+{
+
+constexpr int Nodes = 4;
+constexpr int Keys = 6;
+constexpr auto MaxDelay = std::chrono::milliseconds(800);
+constexpr auto CallTime = std::chrono::seconds(2);
+
+enum class StepKind {
+    Submit,
+    Crash,
+    HandOver,
+    PlatformDown,
+    PlatformUp,
+    Wait,
+};
+
+struct Step {
+    StepKind kind;
+    int key;
+    int node;
+    friend std::ostream &operator<<(std::ostream &out, const Step &step)
+    {
+        return out << static_cast<int>(step.kind) << ':' << step.key << '@' << step.node;
+    }
+};
+
+/// A fleet of homes in virtual time. Messages take random times and get lost; writes take effect late or unseen.
+class World
+{
+public:
+    explicit World(unsigned seed)
+        : m_random(seed)
+    {
+        for (int node = 0; node < Nodes; ++node) {
+            m_nodes.push_back({});
+            restart(node);
+        }
+    }
+
+    void take(const Step &step)
+    {
+        static constexpr std::array<void (World::*)(const Step &), 6> Actions = {
+            &World::submit, &World::crash, &World::handOver, &World::platformDown, &World::platformUp, &World::wait};
+        (this->*Actions.at(static_cast<std::size_t>(step.kind)))(step);
+    }
+    /// Runs everything that is still on its way.
+    void settle()
+    {
+        runUntil(TimePoint::max());
+    }
+
+    int submissions() const
+    {
+        return m_submissions;
+    }
+    int outcomes() const
+    {
+        return m_outcomes;
+    }
+
+private:
+    using Outcome = std::function<void(const CallOutcome &)>;
+    using Task = std::function<void()>;
+    struct Node {
+        Incarnation m_incarnation;
+        std::map<Incarnation, HomeLedger> m_ledgers; ///< Its own, and those it took over.
+        std::map<KeyPlace, std::vector<Outcome>> m_waiters;
+    };
+    struct Submission {
+        int m_key;
+        Outcome m_done;
+        TimePoint m_deadline;
+    };
+
+    bool chance(double probability)
+    {
+        return std::bernoulli_distribution(probability)(m_random);
+    }
+    void later(Task task)
+    {
+        const auto delay = std::uniform_int_distribution<Duration::rep>(0, Duration(MaxDelay).count())(m_random);
+        m_tasks.emplace(m_clock.now() + Duration(delay), std::move(task));
+    }
+    void runUntil(TimePoint end)
+    {
+        while (!m_tasks.empty() && m_tasks.begin()->first <= end) {
+            const auto next = m_tasks.extract(m_tasks.begin());
+            m_clock.advance(std::max(next.key() - m_clock.now(), Duration::zero()));
+            next.mapped()();
+        }
+    }
+
+    void restart(int node)
+    {
+        Node &fresh = m_nodes[node];
+        fresh = {};
+        fresh.m_incarnation = Incarnation(1, ++m_incarnations);
+        fresh.m_ledgers.emplace(fresh.m_incarnation, HomeLedger(fresh.m_incarnation, limits(), nothingInFlight, now()));
+    }
+    static KeyLimits limits()
+    {
+        return smallLimits().withMaxRecords(3).withLifetime(10 * Second);
+    }
+    TimePoint now() const
+    {
+        return m_clock.now();
+    }
+
+    void submit(const Step &step)
+    {
+        ++m_submissions;
+        const Incarnation entry = m_nodes[step.node].m_incarnation;
+        const auto isDone = std::make_shared<bool>(false);
+        const Outcome done = [this, isDone](const CallOutcome &) {
+            RC_ASSERT(!*isDone);
+            *isDone = true;
+            ++m_outcomes;
+        };
+        const KeySerial serial = m_nodes[step.node].m_ledgers.at(entry).issue();
+        if (serial == 0) {
+            done(CallOutcome::notRun(Reason::Leaving, ""));
+            return;
+        }
+        const Ticket ticket = Ticket().withPlace(KeyPlace().withHome(entry).withSerial(serial));
+        const KeyBinding proposed = KeyBinding().withScopedKey(std::to_string(step.key)).withTicket(ticket);
+        write(proposed, MaxBindingWrites, {step.key, done, now() + CallTime});
+    }
+
+    void follow(const BindingDecision &decision, const KeyBinding &proposed, int writes, const Submission &submission)
+    {
+        switch (decision.action()) {
+        case BindingAction::Write:
+            write(proposed, writes, submission);
+            return;
+        case BindingAction::Read:
+            read(proposed, writes, submission);
+            return;
+        case BindingAction::Refuse:
+            submission.m_done(decision.refusal());
+            return;
+        case BindingAction::Use:
+            bring(decision.binding().ticket().place(), submission);
+            return;
+        }
+    }
+
+    void write(const KeyBinding &proposed, int writes, const Submission &submission)
+    {
+        const bool isAnswered = !m_isPlatformDown && chance(0.8);
+        const bool hasEffect = isAnswered || chance(0.5);
+        const auto status = std::make_shared<PlatformStatus>(PlatformStatus::Unavailable);
+        // The write takes effect at some time; when its answer is lost, that may be after the reader has given up.
+        if (hasEffect) {
+            later([this, proposed, status, isAnswered, writes, submission] {
+                const bool isNew = m_objects.emplace(proposed.scopedKey(), proposed).second;
+                *status = isNew ? PlatformStatus::Ok : PlatformStatus::Conflict;
+                if (isAnswered) {
+                    follow(afterBindingWrite(*status, proposed), proposed, writes - 1, submission);
+                }
+            });
+        }
+        if (!isAnswered) {
+            later([this, proposed, writes, submission] {
+                follow(afterBindingWrite(PlatformStatus::Unavailable, proposed), proposed, writes - 1, submission);
+            });
+        }
+    }
+
+    void read(const KeyBinding &proposed, int writes, const Submission &submission)
+    {
+        const bool isAnswered = !m_isPlatformDown && chance(0.8);
+        later([this, proposed, writes, submission, isAnswered] {
+            const auto object = m_objects.find(proposed.scopedKey());
+            const bool isThere = object != m_objects.end();
+            const auto found = isThere ? std::optional(object->second) : std::nullopt;
+            const auto seen = isThere ? PlatformStatus::Ok : PlatformStatus::NotFound;
+            const auto status = isAnswered ? seen : PlatformStatus::Unavailable;
+            follow(afterBindingRead(status, found, proposed, writes), proposed, writes, submission);
+        });
+    }
+
+    Node *keeperOf(const Incarnation &home)
+    {
+        // Several nodes may keep a ledger of one home: the closed one that handed over, and its successor.
+        std::vector<Node *> keepers;
+        for (Node &node : m_nodes) {
+            if (node.m_ledgers.contains(home)) {
+                keepers.push_back(&node);
+            }
+        }
+        return keepers.empty() ? nullptr : keepers[m_random() % keepers.size()];
+    }
+
+    void bring(const KeyPlace &place, const Submission &submission)
+    {
+        const bool isReplyLost = chance(0.1);
+        later([this, place, submission, isReplyLost] {
+            Node *keeper = keeperOf(place.home());
+            if (keeper == nullptr) {
+                submission.m_done(CallOutcome::unknown(Reason::KeyHomeGone, ""));
+                return;
+            }
+            if (isReplyLost) {
+                submission.m_done(CallOutcome::unknown(Reason::KeyHomeGone, ""));
+                reachHome(*keeper, place, {submission.m_key, [](const CallOutcome &) {}, submission.m_deadline});
+                return;
+            }
+            reachHome(*keeper, place, submission);
+        });
+    }
+
+    void reachHome(Node &keeper, const KeyPlace &place, const Submission &submission)
+    {
+        HomeLedger &ledger = keeper.m_ledgers.at(place.home());
+        const auto decision = ledger.submit(place.serial(), Digest, {}, submission.m_deadline, now());
+        switch (decision.verdict()) {
+        case SubmissionVerdict::Start:
+            startBackend(keeper.m_incarnation, place, submission);
+            return;
+        case SubmissionVerdict::Wait:
+            keeper.m_waiters[place].push_back(submission.m_done);
+            return;
+        case SubmissionVerdict::Answer:
+            submission.m_done(decision.outcome());
+            return;
+        case SubmissionVerdict::Closed:
+            submission.m_done(CallOutcome::notRun(Reason::Leaving, ""));
+            return;
+        }
+    }
+
+    void startBackend(const Incarnation &keeper, const KeyPlace &place, const Submission &submission)
+    {
+        // The invariant: over all homes, a key is started once, but for starts that were proved not to have run.
+        ++m_liveStarts[submission.m_key];
+        RC_ASSERT(m_liveStarts[submission.m_key] == 1);
+        later([this, keeper, place, submission] {
+            const bool isNotRun = chance(0.2);
+            const CallOutcome outcome = isNotRun
+                ? CallOutcome::notRun(Reason::Overload, "")
+                : (chance(0.2) ? CallOutcome::unknown(Reason::BackendLost, "") : answered());
+            Node *node = nodeOf(keeper);
+            if (node == nullptr) {
+                // The home crashed: its proof that nothing ran is lost with it.
+                submission.m_done(CallOutcome::unknown(Reason::KeyHomeGone, ""));
+                return;
+            }
+            m_liveStarts[submission.m_key] -= isNotRun ? 1 : 0;
+            node->m_ledgers.at(place.home()).end(place.serial(), outcome, now());
+            submission.m_done(outcome);
+            const auto waiters = node->m_waiters.extract(place);
+            if (!waiters.empty()) {
+                for (const Outcome &waiter : waiters.mapped()) {
+                    waiter(outcome);
+                }
+            }
+        });
+    }
+
+    Node *nodeOf(const Incarnation &incarnation)
+    {
+        for (Node &node : m_nodes) {
+            if (node.m_incarnation == incarnation) {
+                return &node;
+            }
+        }
+        return nullptr;
+    }
+
+    void crash(const Step &step)
+    {
+        for (const auto &[place, waiters] : m_nodes[step.node].m_waiters) {
+            for (const Outcome &waiter : waiters) {
+                waiter(CallOutcome::unknown(Reason::KeyHomeGone, ""));
+            }
+        }
+        restart(step.node);
+    }
+
+    void handOver(const Step &step)
+    {
+        Node &leaving = m_nodes[step.node];
+        Node &successor = m_nodes[(step.node + 1) % Nodes];
+        for (auto &[home, ledger] : leaving.m_ledgers) {
+            ledger.close();
+            const HomeSnapshot snapshot = ledger.snapshot(now());
+            const bool isTaken = !successor.m_ledgers.contains(home)
+                && !successor.m_ledgers.at(successor.m_incarnation).isClosed() && chance(0.8);
+            if (isTaken) {
+                successor.m_ledgers.emplace(home, HomeLedger(snapshot, limits(), nothingInFlight, now()));
+            }
+        }
+    }
+
+    void platformDown(const Step &)
+    {
+        m_isPlatformDown = true;
+    }
+    void platformUp(const Step &)
+    {
+        m_isPlatformDown = false;
+    }
+    void wait(const Step &step)
+    {
+        runUntil(now() + (step.key + 1) * std::chrono::milliseconds(500));
+        for (Node &node : m_nodes) {
+            for (auto &[home, ledger] : node.m_ledgers) {
+                ledger.expire(now());
+            }
+        }
+    }
+
+    std::mt19937 m_random;
+    ManualClock m_clock;
+    std::multimap<TimePoint, Task> m_tasks;
+    std::vector<Node> m_nodes;
+    std::map<std::string, KeyBinding> m_objects; ///< The platform's collection of keys.
+    bool m_isPlatformDown = false;
+    std::map<int, int> m_liveStarts; ///< By key: starts less those that were proved not to have run.
+    std::uint64_t m_incarnations = 0;
+    int m_submissions = 0;
+    int m_outcomes = 0;
+};
+
+rc::Gen<Step> anyStep()
+{
+    const auto kind = rc::gen::weightedElement<StepKind>({{10, StepKind::Submit},
+                                                          {1, StepKind::Crash},
+                                                          {1, StepKind::HandOver},
+                                                          {1, StepKind::PlatformDown},
+                                                          {2, StepKind::PlatformUp},
+                                                          {5, StepKind::Wait}});
+    return rc::gen::build<Step>(rc::gen::set(&Step::kind, kind),
+                                rc::gen::set(&Step::key, rc::gen::inRange(0, Keys)),
+                                rc::gen::set(&Step::node, rc::gen::inRange(0, Nodes)));
+}
+
+} // namespace
+
+RC_GTEST_PROP(KeyWorld, EveryKeyStartsAtMostOnceAndEverySubmissionEnds, ())
+{
+    // Each sequence of steps meets several sequences of delays and losses.
+    constexpr unsigned Runs = 50;
+    const auto seed = *rc::gen::arbitrary<unsigned>();
+    const auto steps = *rc::gen::container<std::vector<Step>>(anyStep());
+    for (unsigned run = 0; run < Runs; ++run) {
+        World world(seed + run);
+        for (const Step &step : steps) {
+            world.take(step);
+        }
+        world.settle();
+        RC_ASSERT(world.outcomes() == world.submissions());
+    }
+}
+
+} // namespace fescuepond
