--- a/modules/peer/peerclock.h
+++ b/modules/peer/peerclock.h
@@ -37,5 +37,7 @@
 /// The deadline on the own clock: never too early, and too late by at most the way of the first message, even if this
 /// message was held up for long.
 TimePoint fromWire(const WireDeadline &deadline, const PeerClock &clock, TimePoint now);
+/// The same without the other's clock: too late by the way of this message.
+TimePoint fromWire(const WireDeadline &deadline, TimePoint now);
 
 } // namespace fescuepond
--- a/modules/peer/wireencoding.cpp
+++ b/modules/peer/wireencoding.cpp
@@ -41,6 +41,36 @@
     return Body(std::string(reinterpret_cast<const char *>(data.begin()), data.size()));
 }
 
+/// Nothing when the body does not match its digest.
+std::optional<CallRequest> decodeCall(wire::Call::Reader reader, TimePoint deadline)
+{
+    Body body = asBody(reader.getBody());
+    if (body.digest() != reader.getBodyDigest()) {
+        return std::nullopt;
+    }
+    const CallContext context = CallContext()
+                                    .withCallId(decodeId<CallId>(reader.getCallId()))
+                                    .withRootId(decodeId<RootId>(reader.getRootId()))
+                                    .withAttemptId(decodeId<AttemptId>(reader.getAttemptId()))
+                                    .withKind(reader.getKind())
+                                    .withRootKind(reader.getRootKind())
+                                    .withRank(reader.getRank())
+                                    .withKeptShare(reader.getKeptShare())
+                                    .withIdempotent(reader.getIdempotent())
+                                    .withKey(reader.getKey())
+                                    .withDeadline(deadline)
+                                    .withRetryAllowance(reader.getRetryAllowance())
+                                    .withDepth(reader.getDepth())
+                                    .withCrashCount(reader.getCrashCount());
+    return CallRequest()
+        .withContext(context)
+        .withService(reader.getService())
+        .withMethod(reader.getMethod())
+        .withPath(reader.getPath())
+        .withHeaders(decodeHeaders(reader.getHeaders()))
+        .withBody(std::move(body));
+}
+
 } // namespace
 
 void encodeId(std::uint64_t high, std::uint64_t low, wire::Id::Builder builder)
@@ -86,31 +116,12 @@
 
 std::optional<CallRequest> decode(wire::Call::Reader reader, const PeerClock &clock, TimePoint now)
 {
-    Body body = asBody(reader.getBody());
-    if (body.digest() != reader.getBodyDigest()) {
-        return std::nullopt;
-    }
-    const CallContext context = CallContext()
-                                    .withCallId(decodeId<CallId>(reader.getCallId()))
-                                    .withRootId(decodeId<RootId>(reader.getRootId()))
-                                    .withAttemptId(decodeId<AttemptId>(reader.getAttemptId()))
-                                    .withKind(reader.getKind())
-                                    .withRootKind(reader.getRootKind())
-                                    .withRank(reader.getRank())
-                                    .withKeptShare(reader.getKeptShare())
-                                    .withIdempotent(reader.getIdempotent())
-                                    .withKey(reader.getKey())
-                                    .withDeadline(fromWire(decode(reader.getDeadline()), clock, now))
-                                    .withRetryAllowance(reader.getRetryAllowance())
-                                    .withDepth(reader.getDepth())
-                                    .withCrashCount(reader.getCrashCount());
-    return CallRequest()
-        .withContext(context)
-        .withService(reader.getService())
-        .withMethod(reader.getMethod())
-        .withPath(reader.getPath())
-        .withHeaders(decodeHeaders(reader.getHeaders()))
-        .withBody(std::move(body));
+    return decodeCall(reader, fromWire(decode(reader.getDeadline()), clock, now));
+}
+
+std::optional<CallRequest> decode(wire::Call::Reader reader, TimePoint now)
+{
+    return decodeCall(reader, fromWire(decode(reader.getDeadline()), now));
 }
 
 void encode(const CallOutcome &outcome, wire::Outcome::Builder builder)
--- a/modules/peer/wireencoding.h
+++ b/modules/peer/wireencoding.h
@@ -30,6 +30,8 @@
 void encode(const CallRequest &call, TimePoint now, wire::Call::Builder builder);
 /// Nothing when the body does not match its digest.
 std::optional<CallRequest> decode(wire::Call::Reader reader, const PeerClock &clock, TimePoint now);
+/// The same for a call that comes without the sender's clock: its deadline is late by the message's way.
+std::optional<CallRequest> decode(wire::Call::Reader reader, TimePoint now);
 
 void encode(const CallOutcome &outcome, wire::Outcome::Builder builder);
 /// Nothing when the body does not match its digest or a name is not known.
