Open a connection to a node again after nobody waited for its failure

Cause: a failed opening was noted by the first caller that waited for it. If that caller gave up before (a probe of a paused node waits less than the connect limit), the failed opening stayed and every later call to the address failed. Change: the opening itself notes its failure, and the next call opens anew.

--- a/modules/peer/peerconnections.cpp
+++ b/modules/peer/peerconnections.cpp
@@ -29,21 +29,27 @@
 {
     const auto found = m_open.find(address);
     if (found != m_open.end()) {
-        const PeerConnection *connection = found->second.m_connection;
-        if (connection == nullptr || connection->isUsable()) {
+        const Entry &entry = found->second;
+        const bool isOpening = entry.m_connection == nullptr && !entry.m_hasFailed;
+        if (isOpening || (entry.m_connection != nullptr && entry.m_connection->isUsable())) {
             return found->second.m_promise.addBranch();
         }
         m_open.erase(found);
     }
     const std::uint64_t number = m_nextNumber++;
-    auto promise = m_io.provider->getTimer().timeoutAfter(ConnectTimeout, open(address, number)).fork();
+    // The failure is noted here and not by those who wait: each of them may have given up before.
+    auto promise = m_io.provider->getTimer()
+                       .timeoutAfter(ConnectTimeout, open(address, number))
+                       .catch_([this, address, number](kj::Exception &&error) -> kj::Promise<kj::Own<PeerConnection>> {
+                           if (Entry *entry = find(address, number)) {
+                               entry->m_hasFailed = true;
+                           }
+                           return kj::mv(error);
+                       })
+                       .fork();
     auto branch = promise.addBranch();
-    m_open.emplace(address, Entry{kj::mv(promise), number, nullptr});
-    // A connection that can't be opened is forgotten, so that the next call tries again.
-    return branch.catch_([this, address, number](kj::Exception &&error) -> kj::Promise<kj::Own<PeerConnection>> {
-        remove(address, number);
-        return kj::mv(error);
-    });
+    m_open.emplace(address, Entry{kj::mv(promise), number, nullptr, false});
+    return branch;
 }
 
 void PeerConnections::discard(const std::string &address, PeerConnection &connection)
@@ -55,12 +61,11 @@
     }
 }
 
-void PeerConnections::remove(const std::string &address, std::uint64_t number)
+PeerConnections::Entry *PeerConnections::find(const std::string &address, std::uint64_t number)
 {
     const auto entry = m_open.find(address);
-    if (entry != m_open.end() && entry->second.m_number == number) {
-        m_open.erase(entry);
-    }
+    const bool isSame = entry != m_open.end() && entry->second.m_number == number;
+    return isSame ? &entry->second : nullptr;
 }
 
 kj::Promise<kj::Own<PeerConnection>> PeerConnections::open(const std::string &address, std::uint64_t number)
@@ -76,9 +81,8 @@
                 kj::refcounted<PeerConnection>(kj::mv(stream), m_io.provider->getTimer(), m_identity.mostMessageBytes));
         })
         .then([this, address, number](kj::Own<PeerConnection> connection) {
-            const auto entry = m_open.find(address);
-            if (entry != m_open.end() && entry->second.m_number == number) {
-                entry->second.m_connection = connection.get();
+            if (Entry *entry = find(address, number)) {
+                entry->m_connection = connection.get();
             }
             return connection;
         });
--- a/modules/peer/peerconnections.h
+++ b/modules/peer/peerconnections.h
@@ -41,11 +41,13 @@
         kj::ForkedPromise<kj::Own<PeerConnection>> m_promise;
         std::uint64_t m_number;
         PeerConnection *m_connection; ///< Null until it is open; kept alive by m_promise.
+        bool m_hasFailed; ///< It could not be opened.
     };
 
     kj::Promise<kj::Own<PeerConnection>> open(const std::string &address, std::uint64_t number);
     kj::Promise<kj::Own<PeerConnection>> greet(kj::Own<PeerConnection> connection);
-    void remove(const std::string &address, std::uint64_t number);
+    /// The entry that was made with this number, unless it has been replaced.
+    Entry *find(const std::string &address, std::uint64_t number);
 
     kj::AsyncIoContext &m_io;
     const PeerIdentity m_identity;
