Cancel calls whose caller has gone, and the calls below them

Cause: a caller that closed its connection left its call in the queue and all calls below it, which then took slots from calls that somebody waits for. Change: the front listener watches the connection while a request is in flight. When it ends, the node cancels the idempotent calls made for the request (OutgoingCalls, peer `cancel`), and the target those made for the attempt, and so on. An attempt that the backend server doesn't have yet is fenced and ends as not-run; one that runs is left to finish, and refuses to make further calls. Non-idempotent calls are never cancelled: their outcome may be asked for by key. The stage before the backend server asks as late as can be. A node that stops waits for the attempts that it let in.

Before, without the listener's report: CallThatWaits... and CallBelow... ran the abandoned call (1 instead of 0). Without the parent's attempt in the calls below: CallBelow... ran it.

--- a/core/pipeline/interfaces.h
+++ b/core/pipeline/interfaces.h
@@ -91,6 +91,18 @@
     virtual void cancel(const AttemptId &id, TimePoint deadline) = 0;
     /// Asked right before an attempt is given to the backend server: whether it may be, now.
     virtual bool mayBegin(const AttemptId &id) = 0;
+    /// Whether the sender of an attempt that is here no longer wants the outcome.
+    virtual bool isCancelled(const AttemptId &id) const = 0;
+};
+
+/// Cancels calls whose outcome nobody waits for any more.
+class CallCancellation
+{
+public:
+    virtual ~CallCancellation() = default;
+    /// Cancels the idempotent calls that this node made on behalf of an attempt or of a caller's request. Others are
+    /// left alone: their outcome may be asked for again by their key.
+    virtual void cancelCallsOf(const AttemptId &parent) = 0;
 };
 
 /// Requests that nodes make of each other besides calls.
--- a/core/values/call.h
+++ b/core/values/call.h
@@ -23,6 +23,8 @@
     FESCUEPOND_FIELD(CallId, callId, withCallId);
     FESCUEPOND_FIELD(RootId, rootId, withRootId);
     FESCUEPOND_FIELD(AttemptId, attemptId, withAttemptId);
+    /// The attempt or the caller's request on whose behalf this node makes the call; not told to other nodes.
+    FESCUEPOND_FIELD(AttemptId, parentAttempt, withParentAttempt);
     FESCUEPOND_FIELD(std::string, kind, withKind); ///< Kind at the called service.
     FESCUEPOND_FIELD(std::string, rootKind, withRootKind); ///< `service/kind` of the root request.
     FESCUEPOND_FIELD(Rank, rank, withRank); ///< Of the root request.
--- a/modules/backend/backendplugin.cpp
+++ b/modules/backend/backendplugin.cpp
@@ -30,22 +30,26 @@
 
     void handle(const CallRequest &call, const Next &, Done done) override
     {
-        if (!m_settlement->mayBegin(call.context().attemptId())) {
-            done(CallOutcome::notRun(Reason::Cancelled, "the caller no longer wants the outcome")
-                     .withUnusedAllowance(call.context().retryAllowance()));
-            return;
-        }
         m_calls->add(call.context());
         m_kernel->pool().post(Lane::Backend, [this, call, done = std::move(done)] {
-            const TimePoint begin = m_kernel->clock().now();
-            const CallOutcome outcome = m_client->run(call);
-            const Labels labels = {{"kind", call.context().kind()}, {"outcome", toString(outcome.state())}};
-            m_kernel->metrics().observe("fescuepond_backend_seconds", labels, m_kernel->clock().now() - begin);
-            done(m_calls->remove(call.context().callId(), outcome));
+            done(m_calls->remove(call.context().callId(), run(call)));
         });
     }
 
 private:
+    CallOutcome run(const CallRequest &call)
+    {
+        // Asked as late as can be: the call may have been cancelled while it waited for a worker.
+        if (!m_settlement->mayBegin(call.context().attemptId())) {
+            return CallOutcome::notRun(Reason::Cancelled, "the caller no longer wants the outcome");
+        }
+        const TimePoint begin = m_kernel->clock().now();
+        CallOutcome outcome = m_client->run(call);
+        const Labels labels = {{"kind", call.context().kind()}, {"outcome", toString(outcome.state())}};
+        m_kernel->metrics().observe("fescuepond_backend_seconds", labels, m_kernel->clock().now() - begin);
+        return outcome;
+    }
+
     Kernel *m_kernel = nullptr;
     CallsInFlight *m_calls = nullptr;
     AttemptSettlement *m_settlement = nullptr;
--- a/modules/front/frontplugin.cpp
+++ b/modules/front/frontplugin.cpp
@@ -35,6 +35,10 @@
             std::make_unique<HttpListener>(kernel, "front", [this](const HttpRequest &request, HttpRespond respond) {
                 handle(request, std::move(respond));
             });
+        CallCancellation &cancellation = kernel.require<CallCancellation>();
+        m_listener->setAbandonedHandler([&cancellation](const AttemptId &requestId) {
+            cancellation.cancelCallsOf(requestId);
+        });
         kernel.metrics().gauge("fescuepond_front_connections", {}, [this] {
             return static_cast<double>(m_listener->connectionCount());
         });
@@ -65,7 +69,7 @@
             return;
         }
         const KeyName key = keyOfRoot(request.header(header::Ticket), request.header(header::IdempotencyKey));
-        const CallContext context = CallContext().withKey(key.toString());
+        const CallContext context = CallContext().withKey(key.toString()).withParentAttempt(request.requestId());
         const CallRequest call = toCall(request, serviceOf(request)).withContext(context);
         m_pipeline->submit(call, [respond = std::move(respond)](const CallOutcome &outcome) {
             respond(toResponse(outcome));
@@ -105,7 +109,8 @@
     std::unique_ptr<HttpListener> m_listener;
 };
 
-const auto registration = registerPlugin<FrontPlugin>("front", {"pipelines", "classification", "routing", "ledger"});
+const auto registration =
+    registerPlugin<FrontPlugin>("front", {"pipelines", "classification", "routing", "ledger", "peer"});
 
 } // namespace
 
--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -153,6 +153,13 @@
     }
 }
 
+/// Whether the other end has closed the connection. Called when the socket is readable.
+static bool hasEnded(const Poco::Net::Socket &socket)
+{
+    char byte = 0;
+    return ::recv(socket.impl()->sockfd(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) <= 0;
+}
+
 /// One connection of a caller. At any time it is either parked in the poll set or owned by one request.
 struct HttpConnection {
     HttpConnection(const Poco::Net::StreamSocket &socket, const Poco::Net::HTTPServerParams::Ptr &params)
@@ -185,6 +192,11 @@
         m_params->setKeepAliveTimeout(Poco::Timespan(0));
     }
 
+    void setAbandonedHandler(HttpAbandoned handler)
+    {
+        m_abandoned = std::move(handler);
+    }
+
     void listen(const std::string &address)
     {
         // The port is not shared: another process that listens on it already is a fault to report.
@@ -241,6 +253,7 @@
 
 private:
     using ParkedConnections = std::map<Poco::Net::Socket, HttpConnectionPtr>;
+    using WatchedConnections = std::map<Poco::Net::Socket, AttemptId>;
 
     void pollLoop()
     {
@@ -267,8 +280,62 @@
                     accept();
                     continue;
                 }
-                wake(socket);
+                if (!noteAbandoned(socket)) {
+                    wake(socket);
+                }
+            }
+        }
+    }
+
+    /// Watches for the end of a connection while its request has no response.
+    void watch(const HttpConnectionPtr &connection, const AttemptId &requestId)
+    {
+        if (!m_abandoned) {
+            return;
+        }
+        m_watched.locked([&](WatchedConnections &watched) {
+            watched.insert_or_assign(connection->m_socket, requestId);
+        });
+        m_pollSet.add(connection->m_socket, Poco::Net::PollSet::POLL_READ);
+    }
+
+    /// Ends watching and returns the request; none when the connection isn't watched. Whoever gets it takes the
+    /// connection out of the poll set.
+    AttemptId unwatch(const Poco::Net::Socket &socket)
+    {
+        return m_watched.locked([&](WatchedConnections &watched) {
+            const auto found = watched.find(socket);
+            const AttemptId requestId = found == watched.end() ? AttemptId() : found->second;
+            if (found != watched.end()) {
+                watched.erase(found);
             }
+            return requestId;
+        });
+    }
+
+    /// Handles an event of a connection that is watched: it has ended, or the next request came early.
+    bool noteAbandoned(const Poco::Net::Socket &socket)
+    {
+        const AttemptId requestId = unwatch(socket);
+        if (requestId.isNone()) {
+            return false;
+        }
+        leavePollSet(socket);
+        if (hasEnded(socket)) {
+            m_kernel.metrics().count("fescuepond_requests_abandoned_total", {{"listener", m_name}});
+            m_kernel.pool().post(Lane::Decision, [self = shared_from_this(), requestId] {
+                self->m_abandoned(requestId);
+            });
+        }
+        return true;
+    }
+
+    void leavePollSet(const Poco::Net::Socket &socket)
+    {
+        try {
+            m_pollSet.remove(socket);
+        } catch (const Poco::Exception &) {
+            // An event that was on its way when the connection left the set.
         }
     }
 
@@ -335,7 +402,7 @@
     /// Takes a readable connection out of the poll set and gives it to a worker.
     void wake(const Poco::Net::Socket &socket)
     {
-        m_pollSet.remove(socket);
+        leavePollSet(socket);
         const HttpConnectionPtr connection = m_parked.locked([&](ParkedConnections &parked) -> HttpConnectionPtr {
             const auto found = parked.find(socket);
             if (found == parked.end()) {
@@ -367,6 +434,7 @@
             --m_inFlight;
             return;
         }
+        watch(connection, request->requestId());
         m_handler(*request, [self = shared_from_this(), connection](const HttpResponse &response) {
             self->m_kernel.pool().post(Lane::Http, [self, connection, response] {
                 self->write(connection, response);
@@ -411,6 +479,7 @@
         }
         Body body(readBody(request, settings.maxBodyBytes()));
         return HttpRequest()
+            .withRequestId(AttemptId::random())
             .withMethod(request.getMethod())
             .withTarget(request.getURI())
             .withHost(hostWithoutPort(request.get("Host", "")))
@@ -443,6 +512,9 @@
 
     void write(const HttpConnectionPtr &connection, const HttpResponse &response)
     {
+        if (!unwatch(connection->m_socket).isNone()) {
+            leavePollSet(connection->m_socket);
+        }
         bool keepAlive = false;
         try {
             keepAlive = connection->m_request->getKeepAlive() && !m_draining;
@@ -484,7 +556,10 @@
     Poco::Net::HTTPServerParams::Ptr m_params;
     Poco::Net::ServerSocket m_serverSocket;
     Poco::Net::PollSet m_pollSet;
+    HttpAbandoned m_abandoned; ///< May be empty.
     SharedTable<ParkedConnections> m_parked{LockRank::HttpConnections};
+    /// Connections in the poll set whose request is in flight. None of them is parked.
+    SharedTable<WatchedConnections> m_watched{LockRank::HttpConnections};
     std::atomic<std::size_t> m_inFlight = 0;
     std::atomic<bool> m_draining = false; ///< Each response closes its connection.
     std::atomic<bool> m_refusing = false; ///< No new connections; implies m_draining.
@@ -519,6 +594,11 @@
     return m_state->address();
 }
 
+void HttpListener::setAbandonedHandler(HttpAbandoned handler)
+{
+    m_state->setAbandonedHandler(std::move(handler));
+}
+
 void HttpListener::beginDrain()
 {
     m_state->beginDrain();
--- a/modules/http/httplistener.h
+++ b/modules/http/httplistener.h
@@ -27,6 +27,9 @@
 /// Called on a worker for each request; `respond` is called once, at any time, from any thread.
 using HttpHandler = std::function<void(const HttpRequest &, HttpRespond respond)>;
 
+/// Called with the identifier of a request.
+using HttpAbandoned = std::function<void(const AttemptId &requestId)>;
+
 class HttpListener
 {
 public:
@@ -41,6 +44,9 @@
     std::string address() const;
     /// Connections are still taken and served, each until its next response, which asks the caller to close it.
     void beginDrain();
+    /// `handler` is called, on a worker, for a request that has no response yet when its caller closes the connection.
+    /// Only before start().
+    void setAbandonedHandler(HttpAbandoned handler);
     /// Takes no new connections and closes idle ones. Those that were taken are served.
     void refuseConnections();
     /// Requests that were read and have no response written yet.
--- a/modules/http/httpmessage.h
+++ b/modules/http/httpmessage.h
@@ -14,6 +14,7 @@
 /// A whole request. Header names are in lower case.
 class HttpRequest
 {
+    FESCUEPOND_FIELD(AttemptId, requestId, withRequestId); ///< Unique; names it when its caller goes away.
     FESCUEPOND_FIELD(std::string, method, withMethod);
     FESCUEPOND_FIELD(std::string, target, withTarget); ///< Path and query.
     FESCUEPOND_FIELD(std::string, host, withHost); ///< Without a port.
--- a/modules/local/localplugin.cpp
+++ b/modules/local/localplugin.cpp
@@ -7,6 +7,7 @@
 #include "core/pipeline/callpipeline.h"
 #include "core/pipeline/callsinflight.h"
 #include "core/pipeline/headernames.h"
+#include "core/pipeline/interfaces.h"
 #include "modules/http/callencoding.h"
 #include "modules/http/httplistener.h"
 #include "servers/ledger/key.h"
@@ -29,7 +30,9 @@
         .withRank(parent.rank())
         .withKeptShare(parent.keptShare())
         .withDeadline(parent.deadline())
-        .withDepth(parent.depth() + 1);
+        .withDepth(parent.depth() + 1)
+        // The calls of a non-idempotent call are never cancelled with it: it runs to its end.
+        .withParentAttempt(parent.idempotent() ? parent.attemptId() : AttemptId());
 }
 
 /// What the backend server adds to the key of a child call.
@@ -54,6 +57,7 @@
     {
         m_pipeline = &kernel.require<EntryPipeline>();
         m_calls = &kernel.require<CallsInFlight>();
+        m_settlement = &kernel.require<AttemptSettlement>();
         m_listener = std::make_unique<HttpListener>(
             kernel, "local", [this](const HttpRequest &request, const HttpRespond &respond) {
                 handle(request, respond);
@@ -90,6 +94,10 @@
                                });
             return;
         }
+        if (parent->idempotent() && m_settlement->isCancelled(parent->attemptId())) {
+            respond(toResponse(CallOutcome::notRun(Reason::Cancelled, "nobody waits for this call's parent any more")));
+            return;
+        }
         const int allowance = m_calls->takeAllowance(*parentId);
         const KeyName key = keyOfChild(*parent, call, ownKey(request));
         call = call.withContext(childOf(*parent).withKey(key.toString()).withRetryAllowance(allowance));
@@ -103,10 +111,12 @@
     std::atomic<bool> m_refusing = false;
     EntryPipeline *m_pipeline = nullptr;
     CallsInFlight *m_calls = nullptr;
+    AttemptSettlement *m_settlement = nullptr;
     std::unique_ptr<HttpListener> m_listener;
 };
 
-const auto registration = registerPlugin<LocalPlugin>("local", {"pipelines", "classification", "routing", "ledger"});
+const auto registration =
+    registerPlugin<LocalPlugin>("local", {"pipelines", "classification", "routing", "ledger", "settlement"});
 
 } // namespace
 
--- a/modules/peer/peerplugin.cpp
+++ b/modules/peer/peerplugin.cpp
@@ -3,6 +3,7 @@
 #include "core/kernel/eventlog.h"
 #include "core/kernel/kernel.h"
 #include "core/pipeline/interfaces.h"
+#include "modules/peer/outgoingcalls.h"
 #include "modules/peer/peerlistener.h"
 #include "modules/peer/peersender.h"
 #include "modules/peer/peerserver.h"
@@ -16,15 +17,16 @@
 namespace
 {
 
-class PeerPlugin final : public Plugin, public CallSender, public PeerMessages
+class PeerPlugin final : public Plugin, public CallSender, public CallCancellation, public PeerMessages
 {
 public:
     Result<void> start(Kernel &kernel) override
     {
         m_kernel = &kernel;
         m_pipeline = &kernel.require<TargetPipeline>();
+        m_settlement = &kernel.require<AttemptSettlement>();
         m_services = std::make_unique<PeerServices>(
-            PeerServices{kernel, *m_pipeline, kernel.require<AttemptSettlement>(), m_handlers, Incarnation::random()});
+            PeerServices{kernel, *m_pipeline, *m_settlement, *this, m_handlers, Incarnation::random()});
         m_sender = std::make_unique<PeerSender>(kernel, m_loop);
         std::promise<std::string> listening;
         m_loop.start([this, &listening] {
@@ -35,6 +37,7 @@
             return failure("cannot listen for peers on " + kernel.settings().peerAddress() + ": " + error);
         }
         kernel.provide<CallSender>(*this);
+        kernel.provide<CallCancellation>(*this);
         kernel.provide<PeerMessages>(*this);
         return {};
     }
@@ -55,11 +58,25 @@
 
     void send(const Member &target, const CallRequest &call, Done done) override
     {
-        if (target.name() == m_kernel->settings().name()) {
-            m_pipeline->submit(call, std::move(done));
+        const bool isLocal = target.name() == m_kernel->settings().name();
+        Done completed = tracked(call.context(), isLocal ? std::string() : target.peerAddress(), std::move(done));
+        if (isLocal) {
+            m_pipeline->submit(call, std::move(completed));
             return;
         }
-        m_sender->send(target, call, std::move(done));
+        m_sender->send(target, call, std::move(completed));
+    }
+
+    void cancelCallsOf(const AttemptId &parent) override
+    {
+        for (const OutgoingCall &call : m_outgoing.callsOf(parent)) {
+            if (!call.address().empty()) {
+                m_sender->cancel(call.address(), call.attemptId(), call.deadline());
+                continue;
+            }
+            m_settlement->cancel(call.attemptId(), call.deadline());
+            cancelCallsOf(call.attemptId());
+        }
     }
 
     void setHandler(PeerTopic topic, PeerHandler handler) override
@@ -77,6 +94,23 @@
     }
 
 private:
+    /// Remembers a call that may be cancelled until it ends.
+    Done tracked(const CallContext &call, const std::string &address, Done done)
+    {
+        const bool mayBeCancelled = call.idempotent() && !call.parentAttempt().isNone();
+        if (!mayBeCancelled) {
+            return done;
+        }
+        const AttemptId parent = call.parentAttempt();
+        const AttemptId attemptId = call.attemptId();
+        m_outgoing.add(parent,
+                       OutgoingCall().withAttemptId(attemptId).withAddress(address).withDeadline(call.deadline()));
+        return [this, parent, attemptId, done = std::move(done)](const CallOutcome &outcome) {
+            m_outgoing.remove(parent, attemptId);
+            done(outcome);
+        };
+    }
+
     /// Opens the listener on the loop's thread; returns what went wrong, or an empty string.
     std::string listen()
     {
@@ -97,6 +131,8 @@
 
     Kernel *m_kernel = nullptr;
     TargetPipeline *m_pipeline = nullptr;
+    AttemptSettlement *m_settlement = nullptr;
+    OutgoingCalls m_outgoing;
     EventLoop m_loop;
     std::unique_ptr<PeerSender> m_sender;
     std::unique_ptr<PeerServices> m_services;
--- a/modules/peer/peersender.cpp
+++ b/modules/peer/peersender.cpp
@@ -79,6 +79,10 @@
                 finish(done, received);
             },
             [this, done, outgoing](kj::Exception &&) {
+                if (outgoing->sentTo) {
+                    const CallContext &context = outgoing->call.context();
+                    cancelOnLoop(outgoing->address, context.attemptId(), context.deadline());
+                }
                 finish(done, outcomeAtDeadline(*outgoing));
             })
         .detach([](kj::Exception &&error) {
@@ -196,6 +200,30 @@
     });
 }
 
+void PeerSender::cancel(const std::string &address, const AttemptId &attemptId, TimePoint deadline)
+{
+    m_loop.post([this, address, attemptId, deadline] {
+        cancelOnLoop(address, attemptId, deadline);
+    });
+}
+
+void PeerSender::cancelOnLoop(const std::string &address, const AttemptId &attemptId, TimePoint deadline)
+{
+    connect(address)
+        .then([this, attemptId, deadline](kj::Own<PeerConnection> connection) {
+            auto message = connection->peer().cancelRequest();
+            encode(attemptId, message.initAttemptId());
+            encode(toWire(deadline, m_kernel.clock().now()), message.initDeadline());
+            return connection->watched<bool>(message.send().then([](auto &&) {
+                return true;
+            }));
+        })
+        .ignoreResult()
+        .detach([](kj::Exception &&) {
+            // The target ends the attempt by its deadline.
+        });
+}
+
 void PeerSender::ask(const std::string &address,
                      PeerTopic topic,
                      std::string request,
--- a/modules/peer/peersender.h
+++ b/modules/peer/peersender.h
@@ -27,6 +27,8 @@
     void close();
 
     void send(const Member &target, const CallRequest &call, Done done);
+    /// Tells the target that the outcome of an attempt is no longer wanted. Nothing comes back.
+    void cancel(const std::string &address, const AttemptId &attemptId, TimePoint deadline);
     void ask(const std::string &address, PeerTopic topic, std::string request, Duration timeout, PeerReply reply);
 
 private:
@@ -45,6 +47,7 @@
     kj::Promise<CallOutcome> askForReport(const OutgoingPtr &outgoing, kj::Own<PeerConnection> connection);
     kj::Promise<CallOutcome> settleAgain(const OutgoingPtr &outgoing, const kj::Exception &error);
     CallOutcome outcomeAtDeadline(const Outgoing &outgoing) const;
+    void cancelOnLoop(const std::string &address, const AttemptId &attemptId, TimePoint deadline);
     void askOnLoop(const std::string &address,
                    PeerTopic topic,
                    const std::string &body,
--- a/modules/peer/peerserver.cpp
+++ b/modules/peer/peerserver.cpp
@@ -115,8 +115,9 @@
     const auto params = context.getParams();
     const auto attemptId = decodeId<AttemptId>(params.getAttemptId());
     const TimePoint deadline = fromWire(decode(params.getDeadline()), clockOfPeer(), m_services.kernel.clock().now());
-    m_services.kernel.pool().post(Lane::Decision, [&settlement = m_services.settlement, attemptId, deadline] {
-        settlement.cancel(attemptId, deadline);
+    m_services.kernel.pool().post(Lane::Decision, [&services = m_services, attemptId, deadline] {
+        services.settlement.cancel(attemptId, deadline);
+        services.cancellation.cancelCallsOf(attemptId);
     });
     return kj::READY_NOW;
 }
--- a/modules/peer/peerserver.h
+++ b/modules/peer/peerserver.h
@@ -21,6 +21,7 @@
     Kernel &kernel;
     const TargetPipeline &pipeline;
     AttemptSettlement &settlement;
+    CallCancellation &cancellation;
     const PeerHandlers &handlers;
     const Incarnation incarnation; ///< Of this node's process.
 };
--- a/modules/settlement/settlementplugin.cpp
+++ b/modules/settlement/settlementplugin.cpp
@@ -32,6 +32,13 @@
         return {};
     }
 
+    std::size_t workInFlight() const override
+    {
+        return m_attempts.locked([](const Attempts &attempts) {
+            return attempts.m_unfinished;
+        });
+    }
+
     void handle(const CallRequest &call, const Next &next, Done done) override
     {
         const AttemptId id = call.context().attemptId();
@@ -86,6 +93,14 @@
         });
     }
 
+    bool isCancelled(const AttemptId &id) const override
+    {
+        return m_attempts.locked([&](const Attempts &attempts) {
+            const AttemptRecord *known = attempts.m_table.find(id);
+            return known != nullptr && known->isCancelled();
+        });
+    }
+
 private:
     /// Somebody who wants the outcome of an attempt that runs.
     struct Waiter {
@@ -99,6 +114,7 @@
         AttemptTable m_table;
         std::unordered_map<AttemptId, Waiters> m_waiters; ///< Only of attempts that are waiting or running.
         std::uint64_t m_nextNumber = 1;
+        std::size_t m_unfinished = 0; ///< Attempts that were let in and haven't ended.
     };
 
     /// Decides on an attempt; a copy of one that is here waits for the same outcome.
@@ -106,6 +122,9 @@
     {
         return m_attempts.locked([&](Attempts &attempts) {
             ArrivalDecision decision = attempts.m_table.arrive(id, deadline, m_kernel->clock().now());
+            if (decision.arrival() == Arrival::Run) {
+                ++attempts.m_unfinished;
+            }
             if (decision.arrival() == Arrival::Join) {
                 attempts.m_waiters[id].push_back({attempts.m_nextNumber++,
                                                   [done](const AttemptReport &report) {
@@ -150,6 +169,7 @@
     void finish(const AttemptId &id, const CallOutcome &outcome)
     {
         const Waiters waiters = m_attempts.locked([&](Attempts &attempts) {
+            --attempts.m_unfinished;
             attempts.m_table.finish(id, outcome, m_kernel->clock().now());
             Waiters taken;
             const auto found = attempts.m_waiters.find(id);
--- a/servers/settlement/attempttable.cpp
+++ b/servers/settlement/attempttable.cpp
@@ -147,6 +147,9 @@
 {
     expire(now);
     const auto found = m_records.find(id);
+    if (found != m_records.end()) {
+        found->second = found->second.withIsCancelled(true);
+    }
     if (found != m_records.end() && found->second.phase() == AttemptPhase::Waiting) {
         found->second = found->second.withPhase(AttemptPhase::Fenced);
         m_fenced.emplace(endOf(found->second.deadline()), id);
--- /dev/null
+++ b/tests/system/cancellationtest.cpp
@@ -0,0 +1,114 @@
+// Calls whose caller has gone: those that wait are never run, and neither are the calls below them.
+
+#include "tests/support/fleet.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <future>
+#include <thread>
+
+namespace fescuepond::test
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr const char *Yard = R"(
+service: yard
+kinds:
+  - {name: stock, method: GET, path: /stock/*, rank: 5, idempotent: true, deadline_ms: 8000, retries: 0}
+  - {name: book, method: POST, path: /book/*, rank: 1, idempotent: false, deadline_ms: 8000, retries: 0}
+)";
+constexpr const char *Dispatch = R"(
+service: dispatch
+kinds:
+  - {name: slots, method: GET, path: /slots/*, rank: 5, idempotent: true, deadline_ms: 8000, retries: 0}
+)";
+/// The backend server of the yard serves one call at a time, each for this long.
+constexpr auto ServiceTime = 1000ms;
+/// After this time a caller goes away.
+constexpr auto Patience = 300ms;
+
+class Cancellation : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        ASSERT_EQ(m_fleet.publish({Yard, Dispatch}), 0);
+        m_yard = &m_fleet.addNode({.name = "yard-a",
+                                   .service = "yard",
+                                   .backendFlags = {"--service_ms=" + std::to_string(ServiceTime.count()), "--fixed"},
+                                   .settings = {"backend_threads: 1"}});
+        m_dispatch = &m_fleet.addNode({.name = "dispatch-a",
+                                       .service = "dispatch",
+                                       .backendFlags = {"--service_ms=0", "--downstream=GET yard /stock/below"}});
+        ASSERT_TRUE(m_fleet.waitUntilReady(2));
+    }
+
+    std::future<HttpReply> start(const HttpCall &call) const
+    {
+        return std::async(std::launch::async, [address = m_dispatch->front, call] {
+            return sendHttp(address, call);
+        });
+    }
+
+    /// Occupies the yard's backend server with one call.
+    std::future<HttpReply> occupyYard() const
+    {
+        auto reply = start({.path = "/stock/first", .host = "yard"});
+        std::this_thread::sleep_for(Patience / 2);
+        return reply;
+    }
+
+    /// Waits until all that was sent to the yard would have been served, and counts what was run.
+    std::size_t timesRun(const std::string &path) const
+    {
+        std::this_thread::sleep_for(3 * ServiceTime);
+        std::size_t count = 0;
+        for (const std::string &line : m_yard->journalLines("begin")) {
+            count += line.find(path) == std::string::npos ? 0 : 1;
+        }
+        return count;
+    }
+
+    Fleet m_fleet;
+    FleetNode *m_yard = nullptr;
+    FleetNode *m_dispatch = nullptr;
+};
+
+} // namespace
+
+TEST_F(Cancellation, CallThatWaitsIsNotRunOnceItsCallerHasGone)
+{
+    auto first = occupyYard();
+    EXPECT_EQ(start({.path = "/stock/second", .host = "yard", .timeout = Patience}).get().status, 0);
+    EXPECT_EQ(first.get().outcome(), "answered");
+    EXPECT_EQ(timesRun("/stock/second"), 0);
+}
+
+TEST_F(Cancellation, CallBelowIsNotRunOnceTheCallerOfTheRootHasGone)
+{
+    auto first = occupyYard();
+    EXPECT_EQ(start({.path = "/slots/monday", .host = "dispatch", .timeout = Patience}).get().status, 0);
+    EXPECT_EQ(first.get().outcome(), "answered");
+    EXPECT_EQ(timesRun("/stock/below"), 0);
+    EXPECT_EQ(m_dispatch->journalLines("begin").size(), 1);
+}
+
+TEST_F(Cancellation, NonIdempotentCallIsRunThoughItsCallerHasGone)
+{
+    auto first = occupyYard();
+    const HttpCall book = {.method = "POST",
+                           .path = "/book/monday",
+                           .host = "yard",
+                           .headers = {{"Idempotency-Key", "monday"}},
+                           .timeout = Patience};
+    EXPECT_EQ(start(book).get().status, 0);
+    EXPECT_EQ(first.get().outcome(), "answered");
+    EXPECT_EQ(timesRun("/book/monday"), 1);
+}
+
+} // namespace fescuepond::test
