--- a/core/kernel/metricsregistry.cpp
+++ b/core/kernel/metricsregistry.cpp
@@ -19,11 +19,28 @@
 
 using LogAxis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
 
+/// A label's value as the text format wants it: names in declarations may hold any character.
+std::string escaped(const std::string &value)
+{
+    std::string text;
+    for (const char c : value) {
+        if (c == '\n') {
+            text += "\\n";
+            continue;
+        }
+        if (c == '"' || c == '\\') {
+            text += '\\';
+        }
+        text += c;
+    }
+    return text;
+}
+
 std::string renderLabels(const Labels &labels, const std::string &extra = {})
 {
     std::string text;
     for (const auto &[name, value] : labels) {
-        text += fmt::format("{}{}=\"{}\"", text.empty() ? "" : ",", name, value);
+        text += fmt::format("{}{}=\"{}\"", text.empty() ? "" : ",", name, escaped(value));
     }
     if (!extra.empty()) {
         text += (text.empty() ? "" : ",") + extra;
--- /dev/null
+++ b/tests/core/kernel/eventlogtest.cpp
@@ -0,0 +1,36 @@
+// Tests of the event log's format.
+
+#include "core/kernel/eventlog.h"
+
+#include <gtest/gtest.h>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+std::string logged(const std::string &value)
+{
+    testing::internal::CaptureStderr();
+    {
+        Event("sample").with("key", value);
+    }
+    return testing::internal::GetCapturedStderr();
+}
+
+} // namespace
+
+TEST(EventLog, PlainValueStandsAsItIs)
+{
+    EXPECT_NE(logged("plain").find(" event=sample key=plain\n"), std::string::npos);
+}
+
+TEST(EventLog, ValueThatCouldBreakTheLineIsQuoted)
+{
+    EXPECT_NE(logged("a b").find("key=\"a b\"\n"), std::string::npos);
+    EXPECT_NE(logged("two\nlines event=forged").find("key=\"two\\nlines event=forged\"\n"), std::string::npos);
+    EXPECT_NE(logged("").find("key=\"\"\n"), std::string::npos);
+}
+
+} // namespace fescuepond
