--- a/modules/front/frontplugin.cpp
+++ b/modules/front/frontplugin.cpp
@@ -56,7 +56,7 @@
 private:
     void handle(const HttpRequest &request, HttpRespond respond)
     {
-        if (request.target().starts_with(header::TicketsPath)) {
+        if (request.target().substr(0, request.target().find('?')) == header::TicketsPath) {
             respond(tickets(request));
             return;
         }
--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# Runs the long randomised test of requests that may not be repeated; not part of CI. Prints its seed.
+#   scripts/soak.sh [--seed N] [--minutes M]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+seed=$(od -An -N4 -tu4 /dev/urandom | tr -d ' ')
+minutes=10
+while [ $# -gt 0 ]; do
+  case "$1" in
+    --seed) seed="$2"; shift 2 ;;
+    --minutes) minutes="$2"; shift 2 ;;
+    *) echo "usage: scripts/soak.sh [--seed N] [--minutes M]" >&2; exit 2 ;;
+  esac
+done
+[ -x build/tests/keysoak ] || scripts/build.sh
+FESCUEPOND_BUILD="$PWD/build" build/tests/keysoak --seed="$seed" --minutes="$minutes"
