--- a/modules/ledger/keyhomes.cpp
+++ b/modules/ledger/keyhomes.cpp
@@ -64,7 +64,7 @@
 KeySubmission
 KeyHomes::submit(const KeyPlace &place, const CallRequest &call, const std::string &derivedName, const Done &done)
 {
-    const RequestDigest requestDigest = requestDigestOf(call);
+    const Fingerprint requestDigest = fingerprintOf(call);
     const int allowance = call.context().retryAllowance();
     const auto decision = m_table.locked([&](Table &table) -> std::optional<SubmissionDecision> {
         const auto found = table.m_homes.find(place.home());
--- a/modules/ledger/ledgerencoding.cpp
+++ b/modules/ledger/ledgerencoding.cpp
@@ -158,7 +158,7 @@
         }
         records.push_back(KeyRecord()
                               .withSerial(entry.getSerial())
-                              .withRequestDigest(decodeId<RequestDigest>(entry.getRequestDigest()))
+                              .withRequestDigest(decodeId<Fingerprint>(entry.getRequestDigest()))
                               .withState(KeyState::Ended)
                               .withOutcome(*outcome));
     }
--- a/modules/local/localplugin.cpp
+++ b/modules/local/localplugin.cpp
@@ -11,6 +11,7 @@
 #include "modules/http/httplistener.h"
 #include "servers/ledger/key.h"
 
+#include <atomic>
 #include <memory>
 
 namespace fescuepond
@@ -59,6 +60,10 @@
             });
         return m_listener->start(kernel.settings().localAddress());
     }
+    void refuseNewWork() override
+    {
+        m_refusing = true;
+    }
     std::size_t workInFlight() const override
     {
         return m_listener->requestsInFlight();
@@ -74,6 +79,10 @@
         const auto parentId = CallId::parse(request.header(header::Call));
         const auto parent = parentId ? m_calls->find(*parentId) : std::nullopt;
         CallRequest call = toCall(request, request.host());
+        if (!parent && m_refusing) {
+            respond(toResponse(CallOutcome::notRun(Reason::Leaving, "this node is leaving")));
+            return;
+        }
         if (!parent) {
             m_pipeline->submit(call.withContext(CallContext().withKey(orphanKey(request, call))),
                                [respond](const CallOutcome &outcome) {
@@ -90,6 +99,8 @@
         });
     }
 
+    /// New root requests are refused; calls of requests that run here go on.
+    std::atomic<bool> m_refusing = false;
     EntryPipeline *m_pipeline = nullptr;
     CallsInFlight *m_calls = nullptr;
     std::unique_ptr<HttpListener> m_listener;
--- a/servers/ledger/homeledger.cpp
+++ b/servers/ledger/homeledger.cpp
@@ -23,7 +23,7 @@
     return SubmissionDecision().withVerdict(verdict);
 }
 
-SubmissionDecision repeat(const KeyRecord &record, const RequestDigest &requestDigest)
+SubmissionDecision repeat(const KeyRecord &record, const Fingerprint &requestDigest)
 {
     if (record.requestDigest() != requestDigest) {
         return answer(CallOutcome::notRun(Reason::BadRequest, "the key was used for another request"));
@@ -82,7 +82,7 @@
 }
 
 SubmissionDecision HomeLedger::submit(KeySerial serial,
-                                      const RequestDigest &requestDigest,
+                                      const Fingerprint &requestDigest,
                                       const std::string &derivedName,
                                       TimePoint deadline,
                                       TimePoint now)
@@ -113,7 +113,7 @@
 }
 
 SubmissionDecision
-HomeLedger::start(KeySerial serial, const RequestDigest &requestDigest, const std::string &derivedName, TimePoint now)
+HomeLedger::start(KeySerial serial, const Fingerprint &requestDigest, const std::string &derivedName, TimePoint now)
 {
     // Making room may have moved the watermark past this key.
     if (serial < m_watermark) {
--- a/tests/servers/ledger/homeledgertest.cpp
+++ b/tests/servers/ledger/homeledgertest.cpp
@@ -20,7 +20,7 @@
 
 constexpr auto Second = std::chrono::seconds(1);
 constexpr Incarnation Home(1, 1);
-constexpr RequestDigest Digest(7, 7);
+constexpr Fingerprint Digest(7, 7);
 
 KeyLimits smallLimits()
 {
