Put admission and the path limit into the node as plug-ins

The queue by rank and hash, the adaptive limit and the window for each path run in the target and entry pipelines.

--- a/core/kernel/lockorder.h
+++ b/core/kernel/lockorder.h
@@ -20,6 +20,7 @@
     Quarantine,
     Attempts,
     Retries,
+    PathLimit,
     Admission,
     CallsInFlight,
     Routing,
--- a/core/pipeline/callsinflight.cpp
+++ b/core/pipeline/callsinflight.cpp
@@ -10,7 +10,7 @@
 void CallsInFlight::add(const CallContext &context)
 {
     m_table.locked([&](Table &table) {
-        table.insert_or_assign(context.callId(), context);
+        table.insert_or_assign(context.callId(), Entry{context});
     });
 }
 
@@ -21,7 +21,7 @@
         if (found == table.end()) {
             return 0;
         }
-        const int left = found->second.retryAllowance();
+        const int left = found->second.m_context.retryAllowance();
         table.erase(found);
         return left;
     });
@@ -31,7 +31,7 @@
 {
     return m_table.locked([&](const Table &table) -> std::optional<CallContext> {
         const auto found = table.find(callId);
-        return found == table.end() ? std::nullopt : std::optional(found->second);
+        return found == table.end() ? std::nullopt : std::optional(found->second.m_context);
     });
 }
 
@@ -42,8 +42,9 @@
         if (found == table.end()) {
             return 0;
         }
-        const int taken = std::clamp(wanted, 0, found->second.retryAllowance());
-        found->second = found->second.withRetryAllowance(found->second.retryAllowance() - taken);
+        const int taken = std::clamp(wanted, 0, found->second.m_context.retryAllowance());
+        CallContext &context = found->second.m_context;
+        context = context.withRetryAllowance(found->second.m_context.retryAllowance() - taken);
         return taken;
     });
 }
@@ -53,11 +54,35 @@
     m_table.locked([&](Table &table) {
         const auto found = table.find(callId);
         if (found != table.end()) {
-            found->second = found->second.withRetryAllowance(found->second.retryAllowance() + unused);
+            CallContext &context = found->second.m_context;
+            context = context.withRetryAllowance(found->second.m_context.retryAllowance() + unused);
         }
     });
 }
 
+void CallsInFlight::noteRoomBelow(const CallId &callId, double room)
+{
+    if (room <= 0) {
+        return;
+    }
+    m_table.locked([&](Table &table) {
+        const auto found = table.find(callId);
+        if (found == table.end()) {
+            return;
+        }
+        double &least = found->second.m_roomBelow;
+        least = least <= 0 ? room : std::min(least, room);
+    });
+}
+
+double CallsInFlight::roomBelow(const CallId &callId) const
+{
+    return m_table.locked([&](const Table &table) {
+        const auto found = table.find(callId);
+        return found == table.end() ? 0.0 : found->second.m_roomBelow;
+    });
+}
+
 std::size_t CallsInFlight::size() const
 {
     return m_table.locked([](const Table &table) {
--- a/core/pipeline/callsinflight.h
+++ b/core/pipeline/callsinflight.h
@@ -27,10 +27,18 @@
     int takeAllowance(const CallId &callId, int wanted);
     /// Gives unused retries back; ignored when the call has ended.
     void returnAllowance(const CallId &callId, int unused);
+    /// Notes what an answer to a call made by `callId` told of the room on its path; 0 tells nothing.
+    void noteRoomBelow(const CallId &callId, double room);
+    /// The least room that was noted; 0 when none was.
+    double roomBelow(const CallId &callId) const;
     std::size_t size() const;
 
 private:
-    using Table = std::unordered_map<CallId, CallContext>;
+    struct Entry {
+        CallContext m_context;
+        double m_roomBelow = 0; ///< Least of those that were told.
+    };
+    using Table = std::unordered_map<CallId, Entry>;
     SharedTable<Table> m_table{LockRank::CallsInFlight};
 };
 
--- a/core/values/call.h
+++ b/core/values/call.h
@@ -95,7 +95,9 @@
                      targetLimit,
                      withTargetLimit); ///< Concurrency limit of the target that answered; 0: unsaid.
     FESCUEPOND_FIELD(int, targetInFlight, withTargetInFlight);
-    FESCUEPOND_FIELD(double, pathLimit, withPathLimit); ///< Calls this path takes at once further down; 0: unlimited.
+    FESCUEPOND_FIELD(double,
+                     pathLimit,
+                     withPathLimit); ///< Part of this path's calls that hold a slot below, up to 1; 0: unsaid.
 
 public:
     static CallOutcome notRun(Reason reason, std::string detail);
--- a/modules/admission/admissionplugin.cpp
+++ b/modules/admission/admissionplugin.cpp
@@ -1,9 +1,18 @@
-// Target stage that holds the calls at the local backend server to a limit.
+// Target stage that gives the local backend server no more calls than its limit, the most important first.
+//
+// The decisions are those of servers/admission. This part keeps the calls that wait, a timer for their deadlines, and
+// the metrics. The limit, the load and the room on the path ride back on every outcome.
 
 #include "core/kernel/kernel.h"
+#include "core/kernel/sharedtable.h"
 #include "core/pipeline/callpipeline.h"
+#include "servers/admission/admissioncontroller.h"
 
-#include <atomic>
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
 
 namespace fescuepond
 {
@@ -11,33 +20,188 @@
 namespace
 {
 
+/// A call that waits for a slot.
+struct WaitingCall {
+    CallRequest call;
+    Next next;
+    Done done;
+    AdmissionEntry entry;
+    TimePoint submittedAt;
+};
+
+struct AdmissionTable {
+    explicit AdmissionTable(double slots)
+        : controller(std::make_unique<AdaptiveLimit>(slots), AdmissionRules())
+    {
+    }
+    AdmissionController controller;
+    std::unordered_map<EntryId, WaitingCall> waiting; ///< Exactly the entries that wait in the controller.
+    EntryId nextId = 1;
+    TimePoint timerAt = TimePoint::max(); ///< When a timer for the next deadline is due.
+};
+
+/// A decision with the call that it is about, for use without the lock.
+struct DecidedCall {
+    WaitingCall waiting;
+    Reason refusal;
+};
+using DecidedCalls = std::vector<DecidedCall>;
+
+/// What a target tells of itself with each outcome.
+struct TargetLoad {
+    double limit;
+    int inFlight;
+    double room;
+};
+
+TargetLoad loadOf(const AdmissionController &controller, const AdmissionEntry &entry)
+{
+    return {controller.limit(), static_cast<int>(controller.running() + controller.queued()), controller.room(entry)};
+}
+
+/// What waits at the entry service itself holds no slot above, so for root requests only the room below counts.
+CallOutcome withLoad(const CallOutcome &outcome, const TargetLoad &load, int depth)
+{
+    const double below = outcome.pathLimit() > 0 ? outcome.pathLimit() : 1;
+    const double room = depth == 0 ? below : std::min(below, load.room);
+    return outcome.withTargetLimit(load.limit).withTargetInFlight(load.inFlight).withPathLimit(room);
+}
+
+const char *detailOf(Reason refusal)
+{
+    return refusal == Reason::DeadlineExceeded ? "the deadline is nearer than the likely service time"
+                                               : "the backend server is busy with more important calls";
+}
+
+/// Whether the backend server itself failed, rather than a call that it made.
+bool isBackendFailure(const CallOutcome &outcome)
+{
+    return outcome.reason() == Reason::BackendLost || outcome.reason() == Reason::BackendUnreachable;
+}
+
 class AdmissionPlugin final : public Plugin, public CallStage
 {
 public:
     Result<void> start(Kernel &kernel) override
     {
-        m_limit = kernel.settings().backendSlots();
+        m_kernel = &kernel;
+        m_table = std::make_unique<SharedTable<AdmissionTable>>(LockRank::Admission,
+                                                                static_cast<double>(kernel.settings().backendSlots()));
         kernel.require<TargetPipeline>().add(TargetPlace::Admission, *this);
+        addGauge("fescuepond_admission_limit", &AdmissionController::limit);
+        addGauge("fescuepond_admission_running", &AdmissionController::running);
+        addGauge("fescuepond_admission_queued", &AdmissionController::queued);
         return {};
     }
+    std::size_t workInFlight() const override
+    {
+        return m_table->locked([](const AdmissionTable &table) {
+            return table.controller.running() + table.controller.queued();
+        });
+    }
 
     void handle(const CallRequest &call, const Next &next, Done done) override
     {
-        if (++m_inFlight > m_limit) {
-            --m_inFlight;
-            done(CallOutcome::notRun(Reason::Overload, "the backend server has no free slot")
-                     .withUnusedAllowance(call.context().retryAllowance()));
-            return;
-        }
-        next(call, [this, done = std::move(done)](const CallOutcome &outcome) {
-            --m_inFlight;
-            done(outcome);
+        const TimePoint now = m_kernel->clock().now();
+        const DecidedCalls decided = m_table->locked([&](AdmissionTable &table) {
+            const EntryId id = table.nextId++;
+            const AdmissionEntry entry = makeEntry(id, call.context());
+            table.waiting.emplace(id, WaitingCall{call, next, std::move(done), entry, now});
+            return collect(table, table.controller.submit(entry, now));
         });
+        apply(decided);
     }
 
 private:
-    std::size_t m_limit = 0;
-    std::atomic<std::size_t> m_inFlight = 0;
+    template<typename Figure>
+    void addGauge(const char *name, Figure (AdmissionController::*figure)() const)
+    {
+        m_kernel->metrics().gauge(name, {}, [this, figure] {
+            return m_table->locked([figure](const AdmissionTable &table) {
+                return static_cast<double>((table.controller.*figure)());
+            });
+        });
+    }
+
+    /// Takes the decided calls out of the table, and sees to the timer.
+    DecidedCalls collect(AdmissionTable &table, const AdmissionDecisions &decisions)
+    {
+        DecidedCalls decided;
+        for (const AdmissionDecision &decision : decisions) {
+            const auto found = table.waiting.find(decision.id());
+            decided.push_back({std::move(found->second), decision.refusal()});
+            table.waiting.erase(found);
+        }
+        const auto next = table.controller.nextExpiry();
+        if (next && *next < table.timerAt) {
+            table.timerAt = *next;
+            m_kernel->timers().once(*next, [this] {
+                expire();
+            });
+        }
+        return decided;
+    }
+
+    void expire()
+    {
+        apply(m_table->locked([this](AdmissionTable &table) {
+            table.timerAt = TimePoint::max();
+            return collect(table, table.controller.expire(m_kernel->clock().now()));
+        }));
+    }
+
+    void apply(const DecidedCalls &decided)
+    {
+        for (const DecidedCall &call : decided) {
+            if (call.refusal == Reason::None) {
+                run(call.waiting);
+            } else {
+                refuse(call);
+            }
+        }
+    }
+
+    void refuse(const DecidedCall &decided)
+    {
+        const WaitingCall &waiting = decided.waiting;
+        const CallContext &context = waiting.call.context();
+        m_kernel->metrics().count("fescuepond_admission_refused_total",
+                                  {{"kind", context.rootKind()}, {"reason", toString(decided.refusal)}});
+        const TargetLoad load = m_table->locked([&](const AdmissionTable &table) {
+            return loadOf(table.controller, waiting.entry);
+        });
+        const CallOutcome outcome = CallOutcome::notRun(decided.refusal, detailOf(decided.refusal))
+                                        .withUnusedAllowance(context.retryAllowance());
+        waiting.done(withLoad(outcome, load, context.depth()));
+    }
+
+    void run(const WaitingCall &waiting)
+    {
+        const TimePoint begin = m_kernel->clock().now();
+        m_kernel->metrics().observe("fescuepond_admission_wait_seconds",
+                                    {{"kind", waiting.call.context().rootKind()}},
+                                    begin - waiting.submittedAt);
+        const auto finish = [this, waiting, begin](const CallOutcome &outcome) {
+            finished(waiting, begin, outcome);
+        };
+        waiting.next(waiting.call, finish);
+    }
+
+    void finished(const WaitingCall &waiting, TimePoint begin, const CallOutcome &outcome)
+    {
+        const TimePoint now = m_kernel->clock().now();
+        const RunSample sample = RunSample().withTotal(now - begin).withFailed(isBackendFailure(outcome));
+        std::optional<TargetLoad> load;
+        const DecidedCalls decided = m_table->locked([&](AdmissionTable &table) {
+            load = loadOf(table.controller, waiting.entry);
+            return collect(table, table.controller.finished(waiting.entry.id(), sample, now));
+        });
+        apply(decided);
+        waiting.done(withLoad(outcome, *load, waiting.call.context().depth()));
+    }
+
+    Kernel *m_kernel = nullptr;
+    std::unique_ptr<SharedTable<AdmissionTable>> m_table;
 };
 
 const auto registration = registerPlugin<AdmissionPlugin>("admission", {"pipelines"});
--- a/modules/backend/backendplugin.cpp
+++ b/modules/backend/backendplugin.cpp
@@ -33,7 +33,9 @@
             const CallOutcome outcome = m_client->run(call, begin);
             const Labels labels = {{"kind", call.context().kind()}, {"outcome", toString(outcome.state())}};
             m_kernel->metrics().observe("fescuepond_backend_seconds", labels, m_kernel->clock().now() - begin);
-            done(outcome.withUnusedAllowance(m_calls->remove(call.context().callId())));
+            const double room = m_calls->roomBelow(call.context().callId());
+            const int unused = m_calls->remove(call.context().callId());
+            done(outcome.withPathLimit(room).withUnusedAllowance(unused));
         });
     }
 
--- a/modules/local/localplugin.cpp
+++ b/modules/local/localplugin.cpp
@@ -69,6 +69,7 @@
         call = call.withContext(childOf(*parent).withKey(key).withRetryAllowance(allowance));
         m_pipeline->submit(call, [this, respond, parentId](const CallOutcome &outcome) {
             m_calls->returnAllowance(*parentId, outcome.unusedAllowance());
+            m_calls->noteRoomBelow(*parentId, outcome.pathLimit());
             respond(toResponse(outcome));
         });
     }
--- /dev/null
+++ b/modules/pathlimit/pathlimitplugin.cpp
@@ -0,0 +1,167 @@
+// Entry stage that lets root requests in only as far as the services down their path can hold them.
+//
+// The decisions are those of servers/pathlimit. Calls that a backend server makes pass through: their root request
+// was let in before.
+
+#include "core/kernel/kernel.h"
+#include "core/kernel/sharedtable.h"
+#include "core/pipeline/callpipeline.h"
+#include "servers/pathlimit/pathlimiter.h"
+
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+/// A root request that waits to be let in.
+struct EnteringCall {
+    CallRequest call;
+    Next next;
+    Done done;
+    EntryId id;
+};
+
+struct PathTable {
+    PathLimiter limiter{PathRules()};
+    std::unordered_map<EntryId, EnteringCall> waiting; ///< Exactly the entries that wait in the limiter.
+    EntryId nextId = 1;
+    TimePoint timerAt = TimePoint::max(); ///< When a timer for the next deadline is due.
+};
+
+/// A decision with the call that it is about, for use without the lock.
+struct DecidedCall {
+    EnteringCall entering;
+    Reason refusal;
+};
+using DecidedCalls = std::vector<DecidedCall>;
+
+PathKey pathOf(const CallRequest &call)
+{
+    return PathKey().withService(call.service()).withKind(call.context().kind());
+}
+
+const char *detailOf(Reason refusal)
+{
+    return refusal == Reason::DeadlineExceeded ? "the deadline is nearer than the likely service time"
+                                               : "the services further down have no room for it";
+}
+
+class PathLimitPlugin final : public Plugin, public CallStage
+{
+public:
+    Result<void> start(Kernel &kernel) override
+    {
+        m_kernel = &kernel;
+        kernel.require<EntryPipeline>().add(EntryPlace::PathLimit, *this);
+        kernel.metrics().gauge("fescuepond_path_queued", {}, [this] {
+            return m_table.locked([](const PathTable &table) {
+                return static_cast<double>(table.limiter.queued());
+            });
+        });
+        return {};
+    }
+    std::size_t workInFlight() const override
+    {
+        return m_table.locked([](const PathTable &table) {
+            return table.limiter.queued() + table.limiter.underWay();
+        });
+    }
+
+    void handle(const CallRequest &call, const Next &next, Done done) override
+    {
+        if (call.context().depth() > 0) {
+            next(call, std::move(done));
+            return;
+        }
+        const DecidedCalls decided = m_table.locked([&](PathTable &table) {
+            const EntryId id = table.nextId++;
+            table.waiting.emplace(id, EnteringCall{call, next, std::move(done), id});
+            const AdmissionEntry entry = makeEntry(id, call.context());
+            return collect(table, table.limiter.submit(pathOf(call), entry, m_kernel->clock().now()));
+        });
+        apply(decided);
+    }
+
+private:
+    /// Takes the decided calls out of the table, and sees to the timer.
+    DecidedCalls collect(PathTable &table, const AdmissionDecisions &decisions)
+    {
+        DecidedCalls decided;
+        for (const AdmissionDecision &decision : decisions) {
+            const auto found = table.waiting.find(decision.id());
+            decided.push_back({std::move(found->second), decision.refusal()});
+            table.waiting.erase(found);
+        }
+        const auto next = table.limiter.nextExpiry();
+        if (next && *next < table.timerAt) {
+            table.timerAt = *next;
+            m_kernel->timers().once(*next, [this] {
+                expire();
+            });
+        }
+        return decided;
+    }
+
+    void expire()
+    {
+        apply(m_table.locked([this](PathTable &table) {
+            table.timerAt = TimePoint::max();
+            return collect(table, table.limiter.expire(m_kernel->clock().now()));
+        }));
+    }
+
+    void apply(const DecidedCalls &decided)
+    {
+        for (const DecidedCall &call : decided) {
+            if (call.refusal == Reason::None) {
+                letIn(call.entering);
+            } else {
+                refuse(call);
+            }
+        }
+    }
+
+    void refuse(const DecidedCall &decided)
+    {
+        const CallContext &context = decided.entering.call.context();
+        m_kernel->metrics().count("fescuepond_path_refused_total",
+                                  {{"kind", context.rootKind()}, {"reason", toString(decided.refusal)}});
+        decided.entering.done(CallOutcome::notRun(decided.refusal, detailOf(decided.refusal))
+                                  .withUnusedAllowance(context.retryAllowance()));
+    }
+
+    void letIn(const EnteringCall &entering)
+    {
+        const TimePoint begin = m_kernel->clock().now();
+        entering.next(entering.call, [this, entering, begin](const CallOutcome &outcome) {
+            finished(entering, begin, outcome);
+        });
+    }
+
+    void finished(const EnteringCall &entering, TimePoint begin, const CallOutcome &outcome)
+    {
+        const TimePoint now = m_kernel->clock().now();
+        const auto taken = outcome.state() == CallState::Answered ? std::optional(now - begin) : std::nullopt;
+        const DecidedCalls decided = m_table.locked([&](PathTable &table) {
+            const PathKey path = pathOf(entering.call);
+            return collect(table, table.limiter.finished(path, entering.id, outcome.pathLimit(), taken, now));
+        });
+        apply(decided);
+        entering.done(outcome);
+    }
+
+    Kernel *m_kernel = nullptr;
+    SharedTable<PathTable> m_table{LockRank::PathLimit};
+};
+
+const auto registration = registerPlugin<PathLimitPlugin>("pathlimit", {"pipelines"});
+
+} // namespace
+
+} // namespace fescuepond
--- a/servers/admission/admissioncontroller.cpp
+++ b/servers/admission/admissioncontroller.cpp
@@ -47,9 +47,8 @@
 
 AdmissionDecisions AdmissionController::finished(EntryId id, const RunSample &sample, TimePoint now)
 {
-    const bool saturated = static_cast<double>(m_queue.running()) + 1 > m_limit->limit();
     const AdmissionEntry entry = m_queue.finish(id);
-    m_limit->finished(sample, saturated, now);
+    m_limit->finished(sample, now);
     if (!sample.failed()) {
         m_times.add(entry.kind(), sample.total());
     }
--- a/servers/admission/admissionentry.h
+++ b/servers/admission/admissionentry.h
@@ -68,7 +68,6 @@
 class RunSample
 {
     FESCUEPOND_FIELD(Duration, total, withTotal); ///< From its start to its end, with its own calls below.
-    FESCUEPOND_FIELD(Duration, own, withOwn); ///< Without the time in its own calls below.
     FESCUEPOND_FIELD(bool, failed, withFailed); ///< The backend server gave no answer or said that it is overloaded.
 
 public:
--- a/servers/admission/admissionqueue.cpp
+++ b/servers/admission/admissionqueue.cpp
@@ -10,6 +10,12 @@
 namespace fescuepond
 {
 
+namespace
+{
+/// Zero would mean that the room was not said.
+constexpr double LeastRoom = 0.01;
+} // namespace
+
 AdmissionQueue::AdmissionQueue(QueueRules rules)
     : m_rules(rules)
 {
@@ -160,12 +166,21 @@
     const double ownShare = m_rules.keepShares ? entry.keptShare() : 0;
     double ahead = 0;
     for (const auto &[key, kind] : m_kinds) {
-        const bool counts = m_rules.firstInFirstOut || key.first <= entry.order().rank();
-        ahead += counts ? occupancy(kind) : std::min(occupancy(kind), kind.m_keptShare * slots);
+        if (key == keyOf(entry)) {
+            continue;
+        }
+        const auto runs = static_cast<double>(kind.m_running);
+        if (m_rules.firstInFirstOut || key.first == entry.order().rank()) {
+            ahead += runs; // Which of the equals that wait go first, their hashes say.
+        } else if (key.first < entry.order().rank()) {
+            ahead += occupancy(kind);
+        } else {
+            ahead += std::min(occupancy(kind), kind.m_keptShare * slots);
+        }
     }
-    const double byRank = slots / std::max(1.0, ahead);
+    const double byRank = std::max(0.0, slots - ahead) / std::max(1.0, ownUse);
     const double byShare = ownShare * slots / std::max(1.0, ownUse);
-    return std::min(1.0, std::max(byRank, byShare));
+    return std::clamp(std::max(byRank, byShare), LeastRoom, 1.0);
 }
 
 } // namespace fescuepond
--- a/servers/admission/admissionqueue.h
+++ b/servers/admission/admissionqueue.h
@@ -49,8 +49,8 @@
     {
         return m_running.size();
     }
-    /// The part, up to 1, of the calls at hand that can hold one of `slots` at once, counting for `entry` only its
-    /// equals and the more important ones.
+    /// The part, above 0 and up to 1, of the calls of the entry's kind that can hold one of `slots` at once, after the
+    /// more important ones.
     double room(const AdmissionEntry &entry, double slots) const;
 
 private:
--- a/servers/pathlimit/pathlimiter.cpp
+++ b/servers/pathlimit/pathlimiter.cpp
@@ -12,9 +12,12 @@
 {
 constexpr double LeastWindow = 1; ///< Calls.
 constexpr double MostWindow = 1e6; ///< Calls.
-constexpr double WaitingBelow = 0.5; ///< Calls kept waiting below, for the square root of the window.
+constexpr double WaitingBelow = 1; ///< Calls kept waiting below, for the square root of the window.
 constexpr double Gain = 0.5; ///< Part of the way to the wanted window in one round trip.
-constexpr double GrowthForEachAnswer = 0.5; ///< Calls, while nothing waits below.
+constexpr double SmoothedAnswers = 16; ///< Over which the room is averaged.
+constexpr double SharpFallFactor = 3; ///< When more than so many times the wanted calls wait, the window falls at once.
+constexpr double FastGrowthPart = 0.25; ///< Of the wanted calls that wait; with fewer the window grows fast.
+constexpr double GrowthForEachAnswer = 0.5; ///< Calls, while hardly any wait below.
 constexpr double Headroom = 2; ///< Greatest window for each call under way.
 constexpr double FewestPlaces = 16;
 constexpr double PlacesForEachCall = 1;
@@ -24,14 +27,21 @@
 void PathWindow::answered(double room, std::size_t underWay)
 {
     const double used = static_cast<double>(underWay);
-    if (room >= 1) {
+    // Smoothed, or a queue that is empty for a moment would look like room for many more.
+    m_room += (room - m_room) / SmoothedAnswers;
+    const double wanted = WaitingBelow * std::sqrt(m_size);
+    const double waiting = m_size * (1 - m_room);
+    if (waiting < wanted * FastGrowthPart) {
         // An unused window doesn't grow, or a later flood would come in at once.
         const double bound = std::max(m_size, Headroom * used + FewestPlaces);
         m_size = std::min({m_size + GrowthForEachAnswer, bound, MostWindow});
         return;
     }
-    const double wanted = WaitingBelow * std::sqrt(m_size);
-    m_size += Gain * (wanted - m_size * (1 - room)) / std::max(1.0, m_size);
+    const double held = used * m_room;
+    if (used - held > wanted * SharpFallFactor) {
+        m_size = std::min(m_size, held + wanted);
+    }
+    m_size += Gain * (wanted - waiting) / m_size;
     m_size = std::max(LeastWindow, m_size);
 }
 
--- a/servers/pathlimit/pathlimiter.h
+++ b/servers/pathlimit/pathlimiter.h
@@ -43,7 +43,8 @@
     void answered(double room, std::size_t underWay);
 
 private:
-    double m_size = 16;
+    double m_size = 16; ///< At least 1.
+    double m_room = 1; ///< Moving average.
 };
 
 struct PathRules {
