--- a/core/pipeline/callsinflight.h
+++ b/core/pipeline/callsinflight.h
@@ -19,13 +19,14 @@
 {
 public:
     void add(const CallContext &context);
-    /// Removes a call; completes its outcome with what is left of its retry allowance and with what its children said.
+    /// Removes a call; completes its outcome with what is left of its retry allowance and what its children told.
     CallOutcome remove(const CallId &callId, const CallOutcome &outcome);
     /// The context of the call, or nothing when it doesn't run here.
     std::optional<CallContext> find(const CallId &callId) const;
     /// Takes the part of the call's retry allowance that one child call gets and returns it.
     int takeAllowance(const CallId &callId);
-    /// A child call ended: its unused retries come back. Ignored when the call itself has ended.
+    /// A child call ended: its unused retries come back, and what it told of the room on its path is kept. Ignored when
+    /// the call itself has ended.
     void childEnded(const CallId &callId, const CallOutcome &outcome);
     std::size_t size() const;
 
@@ -33,6 +34,7 @@
     struct Entry {
         CallContext m_context; ///< Its retry allowance is what is left after the children took theirs.
         bool m_hasFailedChild = false;
+        double m_roomBelow = 0; ///< Least room on a path below that an answer told of; 0: none told.
     };
     using Table = std::unordered_map<CallId, Entry>;
     SharedTable<Table> m_table{LockRank::CallsInFlight};
