Take a request of a caller only when all of it is here

POCO's request streams take the end of a connection for the end of a header or of a chunked body, read a negative length as none, and accept any version: such requests were run. Change: HttpStream (modules/http), which both listeners and the backend client are built on, reads messages strictly; the listener reads and writes through it in place of POCO's server classes. Wrong requests get 400, 413 or 431 as not-run.

--- a/modules/backend/backendconnection.cpp
+++ b/modules/backend/backendconnection.cpp
@@ -5,13 +5,9 @@
 #include "core/pipeline/headernames.h"
 #include "modules/http/httpmessage.h"
 
-#include <Poco/Net/HTTPHeaderStream.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/NetException.h>
 
-#include <algorithm>
-#include <array>
-#include <charconv>
 #include <sstream>
 
 namespace fescuepond
@@ -21,24 +17,6 @@
 {
 
 using Poco::Net::HTTPResponse;
-using Poco::Net::MessageException;
-
-constexpr std::size_t LongestLineBytes = 8192;
-constexpr std::size_t PieceBytes = 16'384;
-constexpr int HexadecimalBase = 16;
-constexpr int EndOfStream = std::char_traits<char>::eof();
-
-[[noreturn]] void failTruncated()
-{
-    throw MessageException("the answer breaks off");
-}
-
-void requireRoom(std::size_t bytes, std::size_t mostBytes)
-{
-    if (bytes > mostBytes) {
-        throw MessageException("the answer is too long");
-    }
-}
 
 std::string toText(const CallRequest &call)
 {
@@ -73,22 +51,10 @@
         && response.getStatus() != HTTPResponse::HTTP_SWITCHING_PROTOCOLS;
 }
 
-/// The length of a chunk; extensions after a semicolon are left out.
-std::size_t parseChunkLength(const std::string &line)
-{
-    std::size_t length = 0;
-    const auto [end, error] = std::from_chars(line.data(), line.data() + line.size(), length, HexadecimalBase);
-    const bool isWhole = end == line.data() + line.size() || *end == ';' || *end == ' ';
-    if (error != std::errc() || !isWhole) {
-        throw MessageException("the answer has a chunk without a length");
-    }
-    return length;
-}
-
 } // namespace
 
 BackendConnection::BackendConnection(const Poco::Net::StreamSocket &socket)
-    : HTTPSession(socket)
+    : HttpStream(socket)
 {
 }
 
@@ -131,12 +97,7 @@
     HTTPResponse response;
     do {
         response.clear();
-        Poco::Net::HTTPHeaderInputStream stream(*this);
-        response.read(stream);
-        // The library takes the end of the stream for the end of the header.
-        if (!stream.good()) {
-            failTruncated();
-        }
+        readHeader(response);
     } while (isInformational(response));
     return response;
 }
@@ -155,11 +116,7 @@
     if (!response.hasContentLength()) {
         return &BackendConnection::bodyUntilEnd;
     }
-    const auto declared = response.getContentLength64();
-    if (declared < 0) {
-        throw MessageException("the answer declares a negative length");
-    }
-    m_declaredLength = static_cast<std::size_t>(declared);
+    m_declaredLength = declaredLength(response);
     return &BackendConnection::bodyOfDeclaredLength;
 }
 
@@ -170,70 +127,17 @@
 
 std::string BackendConnection::bodyOfDeclaredLength(std::size_t mostBytes)
 {
-    requireRoom(m_declaredLength, mostBytes);
-    std::string body;
-    readBytes(body, m_declaredLength);
-    return body;
+    return readBody(m_declaredLength, mostBytes);
 }
 
 std::string BackendConnection::chunkedBody(std::size_t mostBytes)
 {
-    std::string body;
-    while (const std::size_t length = parseChunkLength(readLine())) {
-        requireRoom(length, mostBytes - body.size());
-        readBytes(body, length);
-        if (!readLine().empty()) {
-            throw MessageException("a chunk of the answer is longer than it declares");
-        }
-    }
-    // Trailing header fields are read and left out; an empty line ends them.
-    while (!readLine().empty()) { }
-    return body;
+    return readChunkedBody(mostBytes);
 }
 
 std::string BackendConnection::bodyUntilEnd(std::size_t mostBytes)
 {
-    std::string body;
-    for (int c = get(); c != EndOfStream; c = get()) {
-        body.push_back(static_cast<char>(c));
-        requireRoom(body.size(), mostBytes);
-    }
-    return body;
-}
-
-void BackendConnection::readBytes(std::string &bytes, std::size_t count)
-{
-    std::array<char, PieceBytes> piece;
-    while (count > 0) {
-        const int received = read(piece.data(), static_cast<std::streamsize>(std::min(count, piece.size())));
-        if (received <= 0) {
-            failTruncated();
-        }
-        bytes.append(piece.data(), static_cast<std::size_t>(received));
-        count -= static_cast<std::size_t>(received);
-    }
-}
-
-std::string BackendConnection::readLine()
-{
-    std::string line;
-    for (char c = readByte(); c != '\n'; c = readByte()) {
-        line.push_back(c);
-        requireRoom(line.size(), LongestLineBytes);
-    }
-    if (line.ends_with('\r')) {
-        line.pop_back();
-    }
-    return line;
-}
-
-char BackendConnection::readByte()
-{
-    const int c = get();
-    if (c == EndOfStream) {
-        failTruncated();
-    }
-    return static_cast<char>(c);
+    return readBodyUntilEnd(mostBytes);
 }
 
 bool BackendConnection::isReusable()
--- a/modules/backend/backendconnection.h
+++ b/modules/backend/backendconnection.h
@@ -1,16 +1,14 @@
 // One connection to the local backend server, and one exchange of request and answer at a time on it.
 //
-// POCO's HTTPClientSession connects again and repeats what it sent when a write fails, and takes a chunked answer that
-// breaks off for a whole one. This class is built on its base, HTTPSession: it sends a request once, knows whether any
-// of it left, and takes an answer only when all of it is here.
+// POCO's HTTPClientSession connects again and repeats what it sent when a write fails. This class sends a request once
+// and knows whether any of it left.
 
 #pragma once
 
 #include "core/values/call.h"
+#include "modules/http/httpstream.h"
 
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/HTTPSession.h>
-#include <Poco/Net/StreamSocket.h>
 
 #include <cstddef>
 #include <string>
@@ -18,7 +16,7 @@
 namespace fescuepond
 {
 
-class BackendConnection final : private Poco::Net::HTTPSession
+class BackendConnection final : public HttpStream
 {
 public:
     /// `socket` is connected.
@@ -37,11 +35,6 @@
     }
     /// Whether another request may follow: the answer allows it, was whole, and nothing came after it.
     bool isReusable();
-    /// The socket itself, to set its limits or to end it.
-    Poco::Net::StreamSocket &stream()
-    {
-        return socket();
-    }
 
 private:
     using BodyReader = std::string (BackendConnection::*)(std::size_t mostBytes);
@@ -54,12 +47,6 @@
     std::string chunkedBody(std::size_t mostBytes);
     std::string bodyUntilEnd(std::size_t mostBytes);
 
-    /// Reads exactly `count` bytes onto the end of `bytes`.
-    void readBytes(std::string &bytes, std::size_t count);
-    /// Reads a line and returns it without its end.
-    std::string readLine();
-    char readByte();
-
     std::size_t m_declaredLength = 0; ///< Of the answer that is being read, when it declares one.
     bool m_hasSent = false;
     bool m_isKeptByAnswer = true; ///< False while an exchange goes on.
--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -5,11 +5,10 @@
 #include "core/kernel/eventlog.h"
 #include "core/kernel/kernel.h"
 #include "core/kernel/sharedtable.h"
+#include "modules/http/httpstream.h"
 
-#include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/HTTPServerRequestImpl.h>
-#include <Poco/Net/HTTPServerResponseImpl.h>
-#include <Poco/Net/HTTPServerSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/PollSet.h>
 #include <Poco/Net/ServerSocket.h>
@@ -22,6 +21,7 @@
 #include <cerrno>
 #include <map>
 #include <optional>
+#include <sstream>
 #include <thread>
 
 namespace fescuepond
@@ -75,8 +75,8 @@
     return host.substr(0, host.find(':'));
 }
 
-/// Reads headers as values; more bytes than `limit` is an error.
-Headers readHeaders(const Poco::Net::HTTPServerRequest &request, std::size_t limit)
+/// Headers as values; more bytes than `limit` is an error.
+Headers toHeaders(const Poco::Net::HTTPRequest &request, std::size_t limit)
 {
     Headers headers;
     std::size_t bytes = 0;
@@ -90,32 +90,29 @@
     return headers;
 }
 
-/// Reads the whole body. One that is longer than `limit` or ends early is an error.
-std::string readBody(Poco::Net::HTTPServerRequest &request, std::size_t limit)
+void requireKnownVersion(const Poco::Net::HTTPRequest &request)
 {
-    const auto declared = request.getContentLength64();
-    if (declared > static_cast<Poco::Int64>(limit)) {
-        throw RequestError(StatusBodyTooLarge, "the body is too long");
+    const bool isKnown = request.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1
+        || request.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0;
+    if (!isKnown) {
+        throw RequestError(StatusBadRequest, "the request is not HTTP/1.0 or HTTP/1.1");
     }
-    const bool hasBody = declared >= 0 || request.getChunkedTransferEncoding();
-    if (!hasBody) {
-        return {};
-    }
-    std::string body;
-    std::array<char, ReadChunkBytes> chunk;
-    std::istream &stream = request.stream();
-    while (stream.good()) {
-        stream.read(chunk.data(), chunk.size());
-        body.append(chunk.data(), static_cast<std::size_t>(stream.gcount()));
-        if (body.size() > limit) {
-            throw RequestError(StatusBodyTooLarge, "the body is too long");
-        }
-    }
-    const bool isTruncated = declared >= 0 && body.size() < static_cast<std::size_t>(declared);
-    if (isTruncated) {
-        throw RequestError(StatusBadRequest, "the body ends before its declared length");
-    }
-    return body;
+}
+
+std::string toText(const HttpResponse &response, const Poco::Net::HTTPRequest &request, bool keepAlive)
+{
+    Poco::Net::HTTPResponse header;
+    header.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
+    header.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(response.status()));
+    for (const auto &[name, value] : response.headers()) {
+        header.set(name, value);
+    }
+    header.setKeepAlive(keepAlive);
+    header.setContentLength64(static_cast<Poco::Int64>(response.body().size()));
+    std::ostringstream text;
+    header.write(text);
+    const bool isHead = request.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD;
+    return isHead ? text.str() : text.str() + response.body().bytes();
 }
 
 /// Makes the system drop requests for new connections, silently: the caller's system repeats them a second later and is
@@ -161,18 +158,76 @@
 }
 
 /// One connection of a caller. At any time it is either parked in the poll set or owned by one request.
-struct HttpConnection {
-    HttpConnection(const Poco::Net::StreamSocket &socket, const Poco::Net::HTTPServerParams::Ptr &params)
-        : m_socket(socket)
-        , m_session(socket, params)
+class HttpConnection final : public HttpStream
+{
+public:
+    explicit HttpConnection(const Poco::Net::StreamSocket &socket)
+        : HttpStream(socket)
+        , m_socket(socket)
+    {
+    }
+
+    /// Reads a request. Throws a RequestError or a Poco::Exception when it isn't whole or is too long.
+    HttpRequest receive(const NodeSettings &settings)
     {
+        m_header.clear();
+        readHeader(m_header);
+        requireKnownVersion(m_header);
+        Headers headers = toHeaders(m_header, settings.maxHeaderBytes());
+        if (m_header.getExpectContinue()) {
+            send("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        Body body(receiveBody(settings.maxBodyBytes()));
+        return HttpRequest()
+            .withRequestId(AttemptId::random())
+            .withMethod(m_header.getMethod())
+            .withTarget(m_header.getURI())
+            .withHost(hostWithoutPort(m_header.get("Host", "")))
+            .withHeaders(std::move(headers))
+            .withBody(std::move(body));
+    }
+
+    void respond(const HttpResponse &response, bool keepAlive)
+    {
+        send(toText(response, m_header, keepAlive));
+    }
+
+    /// Whether the caller of the latest request wants to send another one.
+    bool wantsKeepAlive() const
+    {
+        return m_header.getKeepAlive();
+    }
+
+    /// Whether some of the next request has arrived.
+    bool hasMore()
+    {
+        return buffered() > 0 || socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
     }
 
     Poco::Net::StreamSocket m_socket;
-    Poco::Net::HTTPServerSession m_session;
-    // The request and response of the library, while a request is in flight.
-    std::unique_ptr<Poco::Net::HTTPServerResponseImpl> m_response;
-    std::unique_ptr<Poco::Net::HTTPServerRequestImpl> m_request;
+
+private:
+    std::string receiveBody(std::size_t limit)
+    {
+        if (m_header.getChunkedTransferEncoding()) {
+            return readChunkedBody(limit);
+        }
+        return m_header.hasContentLength() ? readBody(declaredLength(m_header), limit) : std::string();
+    }
+
+    void send(const std::string &bytes)
+    {
+        std::size_t sent = 0;
+        while (sent < bytes.size()) {
+            const int count = socket().sendBytes(bytes.data() + sent, static_cast<int>(bytes.size() - sent));
+            if (count <= 0) {
+                throw Poco::Net::ConnectionAbortedException("the caller takes no more of the response");
+            }
+            sent += static_cast<std::size_t>(count);
+        }
+    }
+
+    Poco::Net::HTTPRequest m_header; ///< Of the latest request.
 };
 
 using HttpConnectionPtr = std::shared_ptr<HttpConnection>;
@@ -184,12 +239,7 @@
         : m_kernel(kernel)
         , m_name(std::move(name))
         , m_handler(std::move(handler))
-        , m_params(new Poco::Net::HTTPServerParams)
     {
-        m_params->setKeepAlive(true);
-        m_params->setMaxKeepAliveRequests(0);
-        // Zero: asking for more requests never waits.
-        m_params->setKeepAliveTimeout(Poco::Timespan(0));
     }
 
     void setAbandonedHandler(HttpAbandoned handler)
@@ -379,10 +429,7 @@
                     .count());
             socket.setReceiveTimeout(timeout);
             socket.setSendTimeout(timeout);
-            auto connection = std::make_shared<HttpConnection>(socket, m_params);
-            // The session counts the first request apart; this makes all requests alike.
-            connection->m_session.hasMoreRequests();
-            park(connection);
+            park(std::make_shared<HttpConnection>(socket));
         } catch (const Poco::Exception &error) {
             Event("accept_failed").with("listener", m_name).with("error", error.displayText());
         }
@@ -429,8 +476,6 @@
     {
         const auto request = read(connection);
         if (!request) {
-            connection->m_request.reset();
-            connection->m_response.reset();
             --m_inFlight;
             return;
         }
@@ -453,12 +498,11 @@
             });
         std::optional<HttpRequest> request;
         try {
-            connection->m_response = std::make_unique<Poco::Net::HTTPServerResponseImpl>(connection->m_session);
-            connection->m_request = std::make_unique<Poco::Net::HTTPServerRequestImpl>(
-                *connection->m_response, connection->m_session, m_params);
-            request = toValue(*connection->m_request, *connection->m_response);
+            request = connection->receive(settings);
         } catch (const RequestError &error) {
             refuse(connection, error.status(), error.what());
+        } catch (const BodyTooLong &error) {
+            refuse(connection, StatusBodyTooLarge, "the body is too long");
         } catch (const Poco::Net::NoMessageException &) {
             // The caller closed an idle connection.
         } catch (const Poco::Net::MessageException &) {
@@ -470,46 +514,18 @@
         return request;
     }
 
-    HttpRequest toValue(Poco::Net::HTTPServerRequestImpl &request, Poco::Net::HTTPServerResponseImpl &response)
-    {
-        const NodeSettings &settings = m_kernel.settings();
-        Headers headers = readHeaders(request, settings.maxHeaderBytes());
-        if (request.getExpectContinue()) {
-            response.sendContinue();
-        }
-        Body body(readBody(request, settings.maxBodyBytes()));
-        return HttpRequest()
-            .withRequestId(AttemptId::random())
-            .withMethod(request.getMethod())
-            .withTarget(request.getURI())
-            .withHost(hostWithoutPort(request.get("Host", "")))
-            .withHeaders(std::move(headers))
-            .withBody(std::move(body));
-    }
-
     void refuse(const HttpConnectionPtr &connection, int status, const std::string &detail)
     {
         Event("request_refused").with("listener", m_name).with("status", status).with("detail", detail);
         m_kernel.metrics().count("fescuepond_bad_requests_total", {{"listener", m_name}});
         try {
-            Poco::Net::HTTPServerResponseImpl response(connection->m_session);
-            response.setKeepAlive(false);
-            send(response, badRequest(status, detail));
+            connection->respond(badRequest(status, detail), false);
             connection->m_socket.shutdownSend();
         } catch (const Poco::Exception &) {
             // The caller has gone; there is nobody to tell.
         }
     }
 
-    static void send(Poco::Net::HTTPServerResponse &target, const HttpResponse &response)
-    {
-        target.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(response.status()));
-        for (const auto &[name, value] : response.headers()) {
-            target.set(name, value);
-        }
-        target.sendBuffer(response.body().bytes().data(), response.body().size());
-    }
-
     void write(const HttpConnectionPtr &connection, const HttpResponse &response)
     {
         if (!unwatch(connection->m_socket).isNone()) {
@@ -517,16 +533,12 @@
         }
         bool keepAlive = false;
         try {
-            keepAlive = connection->m_request->getKeepAlive() && !m_draining;
-            connection->m_response->setVersion(connection->m_request->getVersion());
-            connection->m_response->setKeepAlive(keepAlive);
-            send(*connection->m_response, response);
+            keepAlive = connection->wantsKeepAlive() && !m_draining;
+            connection->respond(response, keepAlive);
         } catch (const Poco::Exception &error) {
             keepAlive = false;
             Event("response_write_failed").with("listener", m_name).with("error", error.displayText());
         }
-        connection->m_request.reset();
-        connection->m_response.reset();
         // Parked or read again before it stops counting, so that a connection is never missed.
         if (keepAlive) {
             continueConnection(connection);
@@ -539,7 +551,7 @@
     {
         bool hasMore = false;
         try {
-            hasMore = connection->m_session.hasMoreRequests();
+            hasMore = connection->hasMore();
         } catch (const Poco::Exception &) {
             return;
         }
@@ -553,7 +565,6 @@
     Kernel &m_kernel;
     const std::string m_name;
     const HttpHandler m_handler;
-    Poco::Net::HTTPServerParams::Ptr m_params;
     Poco::Net::ServerSocket m_serverSocket;
     Poco::Net::PollSet m_pollSet;
     HttpAbandoned m_abandoned; ///< May be empty.
--- /dev/null
+++ b/modules/http/httpstream.cpp
@@ -0,0 +1,144 @@
+// Reading whole HTTP messages from a connection.
+
+#include "modules/http/httpstream.h"
+
+#include <Poco/Net/HTTPHeaderStream.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+using Poco::Net::MessageException;
+
+constexpr std::size_t LongestLineBytes = 8192;
+constexpr std::size_t PieceBytes = 16'384;
+constexpr int HexadecimalBase = 16;
+constexpr int EndOfStream = std::char_traits<char>::eof();
+
+[[noreturn]] void failTruncated()
+{
+    throw MessageException("the message breaks off");
+}
+
+void requireRoom(std::size_t bytes, std::size_t mostBytes)
+{
+    if (bytes > mostBytes) {
+        throw BodyTooLong();
+    }
+}
+
+/// The length of a chunk; extensions after a semicolon are left out.
+std::size_t parseChunkLength(const std::string &line)
+{
+    std::size_t length = 0;
+    const auto [end, error] = std::from_chars(line.data(), line.data() + line.size(), length, HexadecimalBase);
+    const bool isWhole = end == line.data() + line.size() || *end == ';' || *end == ' ';
+    if (error != std::errc() || !isWhole) {
+        throw MessageException("a chunk without a length");
+    }
+    return length;
+}
+
+} // namespace
+
+BodyTooLong::BodyTooLong()
+    : MessageException("the body is too long")
+{
+}
+
+void HttpStream::readHeader(Poco::Net::HTTPMessage &message)
+{
+    Poco::Net::HTTPHeaderInputStream stream(*this);
+    message.read(stream);
+    // The library takes the end of the stream for the end of the header.
+    if (!stream.good()) {
+        failTruncated();
+    }
+}
+
+std::size_t HttpStream::declaredLength(const Poco::Net::HTTPMessage &message)
+{
+    const std::string &text = message.get(Poco::Net::HTTPMessage::CONTENT_LENGTH);
+    std::size_t length = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), length);
+    if (error != std::errc() || end != text.data() + text.size()) {
+        throw MessageException("a length that is no number");
+    }
+    return length;
+}
+
+std::string HttpStream::readBody(std::size_t length, std::size_t mostBytes)
+{
+    requireRoom(length, mostBytes);
+    std::string body;
+    readBytes(body, length);
+    return body;
+}
+
+std::string HttpStream::readChunkedBody(std::size_t mostBytes)
+{
+    std::string body;
+    while (const std::size_t length = parseChunkLength(readLine())) {
+        requireRoom(length, mostBytes - body.size());
+        readBytes(body, length);
+        if (!readLine().empty()) {
+            throw MessageException("a chunk that is longer than it declares");
+        }
+    }
+    // Trailing header fields are read and left out; an empty line ends them.
+    while (!readLine().empty()) { }
+    return body;
+}
+
+std::string HttpStream::readBodyUntilEnd(std::size_t mostBytes)
+{
+    std::string body;
+    for (int c = get(); c != EndOfStream; c = get()) {
+        body.push_back(static_cast<char>(c));
+        requireRoom(body.size(), mostBytes);
+    }
+    return body;
+}
+
+void HttpStream::readBytes(std::string &bytes, std::size_t count)
+{
+    std::array<char, PieceBytes> piece;
+    while (count > 0) {
+        const int received = read(piece.data(), static_cast<std::streamsize>(std::min(count, piece.size())));
+        if (received <= 0) {
+            failTruncated();
+        }
+        bytes.append(piece.data(), static_cast<std::size_t>(received));
+        count -= static_cast<std::size_t>(received);
+    }
+}
+
+std::string HttpStream::readLine()
+{
+    std::string line;
+    for (char c = readByte(); c != '\n'; c = readByte()) {
+        line.push_back(c);
+        requireRoom(line.size(), LongestLineBytes);
+    }
+    if (line.ends_with('\r')) {
+        line.pop_back();
+    }
+    return line;
+}
+
+char HttpStream::readByte()
+{
+    const int c = get();
+    if (c == EndOfStream) {
+        failTruncated();
+    }
+    return static_cast<char>(c);
+}
+
+} // namespace fescuepond
