Ask a key's home again over a new connection; hand over after the grace

Cause: a lost connection to the home made a keyed call unknown although the home takes it for a re-send; a leaving node closed its ledger before the others had turned away. Change: the forwarder asks the same home up to twice more within the deadline; the hand-over begins with refuseNewWork(). Tests: two nodes that stop at once, a home that is cut off, a cut connection, platform calls counted per keyed request. A benchmark of the ledger. soak.sh runs in a session of its own: paused nodes of an orphaned process group got SIGHUP, seen once as "dispatch-0 ended by itself with code 129" when the shell that had started it ended.

--- /dev/null
+++ b/benchmarks/ledger/ledgercost.cpp
@@ -0,0 +1,107 @@
+// Measures what a keyed call costs its home in the ledger: time for each decision, memory for each record, and bytes
+// on the wire for each record that is handed over.
+
+#include "modules/ledger/ledgerencoding.h"
+#include "servers/ledger/homeledger.h"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+#include <malloc.h>
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+
+DEFINE_uint64(records, 32'768, "Records in the ledger.");
+DEFINE_uint64(rounds, 10, "Times that all records are replaced.");
+DEFINE_uint64(answer_bytes, 200, "Length of an answer's body.");
+
+using namespace fescuepond;
+
+namespace
+{
+
+using SteadyClockTime = std::chrono::steady_clock;
+
+constexpr Incarnation Home(1, 1);
+constexpr TimePoint Now = TimePoint(std::chrono::hours(1));
+constexpr Duration CallTime = std::chrono::seconds(2);
+
+KeyLimits limits()
+{
+    constexpr std::size_t UnlimitedBytes = std::size_t(1) << 40;
+    return KeyLimits()
+        .withMaxRecords(FLAGS_records)
+        .withMaxAnswerBytes(UnlimitedBytes)
+        .withMaxAnswerBytesEach(UnlimitedBytes)
+        .withLifetime(std::chrono::minutes(15));
+}
+
+CallRequest booking(std::size_t number)
+{
+    return CallRequest()
+        .withService("dispatch")
+        .withMethod("POST")
+        .withPath("/book")
+        .withBody(Body(fmt::format("{:0200}", number)));
+}
+
+CallOutcome answer(std::size_t number)
+{
+    const std::size_t length = FLAGS_answer_bytes;
+    return CallOutcome()
+        .withState(CallState::Answered)
+        .withStatus(200)
+        .withHeaders({{"content-type", "application/json"}})
+        .withBody(Body(fmt::format("{:0{}}", number, length)));
+}
+
+std::size_t heapBytes()
+{
+    const auto info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
+/// Starts and ends `count` new keys, each with one re-send.
+void runKeys(HomeLedger &ledger, std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i) {
+        const KeySerial serial = ledger.issue();
+        const Fingerprint fingerprint = fingerprintOf(booking(i));
+        ledger.submit(serial, fingerprint, {}, Now + CallTime, Now);
+        ledger.end(serial, answer(i), Now);
+        ledger.submit(serial, fingerprint, {}, Now + CallTime, Now);
+    }
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const std::size_t before = heapBytes();
+    HomeLedger ledger(
+        Home,
+        limits(),
+        [](const CallId &) {
+            return false;
+        },
+        Now);
+    runKeys(ledger, FLAGS_records);
+    const std::size_t perRecord = (heapBytes() - before) / ledger.size();
+
+    const auto begin = SteadyClockTime::now();
+    runKeys(ledger, FLAGS_records * FLAGS_rounds);
+    const auto took = std::chrono::duration_cast<std::chrono::nanoseconds>(SteadyClockTime::now() - begin);
+    const auto perKey = static_cast<std::size_t>(took.count()) / (FLAGS_records * FLAGS_rounds);
+
+    ledger.close();
+    constexpr std::size_t PartRecords = 64;
+    const std::string part = encodeRecordsPart(ledger.snapshot(Now), 0, PartRecords);
+    fmt::print("records={} bytes_per_record={} ns_per_key_with_resend={} handover_bytes_per_record={}\n",
+               ledger.size(),
+               perRecord,
+               perKey,
+               part.size() / PartRecords);
+    return 0;
+}
--- a/modules/ledger/keyforwarder.cpp
+++ b/modules/ledger/keyforwarder.cpp
@@ -103,6 +103,10 @@
         ask(search, reply->address());
         return;
     }
+    if (!bytes && search->m_repeatsLeft-- > 0) {
+        ask(search, address);
+        return;
+    }
     Event("key_home_missing").with("home", search->m_ticket.place().home().toString()).with("asked", address);
     if (search->m_askedOthers) {
         giveUp(*search);
--- a/modules/ledger/keyforwarder.h
+++ b/modules/ledger/keyforwarder.h
@@ -33,6 +33,8 @@
     std::optional<std::string> movedTo(const Incarnation &home) const;
 
 private:
+    static constexpr int MaxRepeats = 2;
+
     /// One call on its way to the home of its key.
     struct Search {
         Search(Ticket ticket, CallRequest call, Done done, int hopsLeft)
@@ -46,6 +48,8 @@
         const CallRequest m_call;
         const Done m_done;
         int m_hopsLeft; ///< Bounds the way through several hand-overs.
+        /// The home is asked again when the connection to it fails: it takes a key that it knows for a re-send.
+        int m_repeatsLeft = MaxRepeats;
         bool m_askedOthers = false; ///< Other members are asked once.
         std::atomic<bool> m_isLocated = false; ///< One of them has named an address.
     };
--- a/modules/ledger/keyhandover.cpp
+++ b/modules/ledger/keyhandover.cpp
@@ -21,9 +21,23 @@
 constexpr Duration PartTimeout = std::chrono::milliseconds(700);
 constexpr Duration AnnounceTimeout = std::chrono::milliseconds(500);
 constexpr std::size_t RecordsPerPart = 64;
+/// A part holds no further record once its answers have this many bytes together.
+constexpr std::size_t AnswerBytesPerPart = 262'144;
 constexpr int MaxCommits = 3;
 constexpr std::size_t MaxStagedHomes = 64;
 
+/// How many records from `first` on go into one part.
+std::size_t partLength(const KeyRecords &records, std::size_t first)
+{
+    std::size_t bytes = 0;
+    std::size_t count = 0;
+    while (first + count < records.size() && count < RecordsPerPart && bytes < AnswerBytesPerPart) {
+        bytes += records[first + count].outcome().body().size();
+        ++count;
+    }
+    return count;
+}
+
 bool isAccepted(const std::optional<std::string> &bytes)
 {
     const auto reply = bytes ? decodeRecordsReply(*bytes) : std::nullopt;
@@ -100,12 +114,11 @@
 
 void KeyHandover::sendPart(const TransferPointer &transfer, std::size_t first)
 {
-    const std::size_t total = transfer->m_snapshot.records().size();
-    if (first >= total) {
+    const std::size_t count = partLength(transfer->m_snapshot.records(), first);
+    if (count == 0) {
         commit(transfer);
         return;
     }
-    const std::size_t count = std::min(RecordsPerPart, total - first);
     m_messages.ask(transfer->m_address,
                    PeerTopic::KeyRecords,
                    encodeRecordsPart(transfer->m_snapshot, first, count),
--- a/modules/ledger/keyhomes.cpp
+++ b/modules/ledger/keyhomes.cpp
@@ -64,7 +64,7 @@
 KeySubmission
 KeyHomes::submit(const KeyPlace &place, const CallRequest &call, const std::string &derivedName, const Done &done)
 {
-    const Fingerprint requestDigest = fingerprintOf(call);
+    const Fingerprint fingerprint = fingerprintOf(call);
     const int allowance = call.context().retryAllowance();
     const auto decision = m_table.locked([&](Table &table) -> std::optional<SubmissionDecision> {
         const auto found = table.m_homes.find(place.home());
@@ -73,7 +73,7 @@
         }
         Home &home = found->second;
         const auto decided = home.m_ledger.submit(
-            place.serial(), requestDigest, derivedName, call.context().deadline(), m_kernel.clock().now());
+            place.serial(), fingerprint, derivedName, call.context().deadline(), m_kernel.clock().now());
         if (decided.verdict() == SubmissionVerdict::Wait) {
             home.m_waiters[place.serial()].push_back({allowance, done});
         }
--- a/modules/ledger/ledger.capnp
+++ b/modules/ledger/ledger.capnp
@@ -26,7 +26,7 @@
 
 struct KeyRecord {
   serial @0 :UInt64;
-  requestDigest @1 :Wire.Id;
+  fingerprint @1 :Wire.Id;
   outcome @2 :Wire.Outcome;
 }
 
--- a/modules/ledger/ledger.capnp.h
+++ b/modules/ledger/ledger.capnp.h
@@ -355,8 +355,8 @@
 
   inline  ::uint64_t getSerial() const;
 
-  inline bool hasRequestDigest() const;
-  inline  ::fescuepond::wire::Id::Reader getRequestDigest() const;
+  inline bool hasFingerprint() const;
+  inline  ::fescuepond::wire::Id::Reader getFingerprint() const;
 
   inline bool hasOutcome() const;
   inline  ::fescuepond::wire::Outcome::Reader getOutcome() const;
@@ -392,12 +392,12 @@
   inline  ::uint64_t getSerial();
   inline void setSerial( ::uint64_t value);
 
-  inline bool hasRequestDigest();
-  inline  ::fescuepond::wire::Id::Builder getRequestDigest();
-  inline void setRequestDigest( ::fescuepond::wire::Id::Reader value);
-  inline  ::fescuepond::wire::Id::Builder initRequestDigest();
-  inline void adoptRequestDigest(::capnp::Orphan< ::fescuepond::wire::Id>&& value);
-  inline ::capnp::Orphan< ::fescuepond::wire::Id> disownRequestDigest();
+  inline bool hasFingerprint();
+  inline  ::fescuepond::wire::Id::Builder getFingerprint();
+  inline void setFingerprint( ::fescuepond::wire::Id::Reader value);
+  inline  ::fescuepond::wire::Id::Builder initFingerprint();
+  inline void adoptFingerprint(::capnp::Orphan< ::fescuepond::wire::Id>&& value);
+  inline ::capnp::Orphan< ::fescuepond::wire::Id> disownFingerprint();
 
   inline bool hasOutcome();
   inline  ::fescuepond::wire::Outcome::Builder getOutcome();
@@ -424,7 +424,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::fescuepond::wire::Id::Pipeline getRequestDigest();
+  inline  ::fescuepond::wire::Id::Pipeline getFingerprint();
   inline  ::fescuepond::wire::Outcome::Pipeline getOutcome();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
@@ -979,41 +979,41 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool KeyRecord::Reader::hasRequestDigest() const {
+inline bool KeyRecord::Reader::hasFingerprint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool KeyRecord::Builder::hasRequestDigest() {
+inline bool KeyRecord::Builder::hasFingerprint() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::fescuepond::wire::Id::Reader KeyRecord::Reader::getRequestDigest() const {
+inline  ::fescuepond::wire::Id::Reader KeyRecord::Reader::getFingerprint() const {
   return ::capnp::_::PointerHelpers< ::fescuepond::wire::Id>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::fescuepond::wire::Id::Builder KeyRecord::Builder::getRequestDigest() {
+inline  ::fescuepond::wire::Id::Builder KeyRecord::Builder::getFingerprint() {
   return ::capnp::_::PointerHelpers< ::fescuepond::wire::Id>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::fescuepond::wire::Id::Pipeline KeyRecord::Pipeline::getRequestDigest() {
+inline  ::fescuepond::wire::Id::Pipeline KeyRecord::Pipeline::getFingerprint() {
   return  ::fescuepond::wire::Id::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void KeyRecord::Builder::setRequestDigest( ::fescuepond::wire::Id::Reader value) {
+inline void KeyRecord::Builder::setFingerprint( ::fescuepond::wire::Id::Reader value) {
   ::capnp::_::PointerHelpers< ::fescuepond::wire::Id>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::fescuepond::wire::Id::Builder KeyRecord::Builder::initRequestDigest() {
+inline  ::fescuepond::wire::Id::Builder KeyRecord::Builder::initFingerprint() {
   return ::capnp::_::PointerHelpers< ::fescuepond::wire::Id>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void KeyRecord::Builder::adoptRequestDigest(
+inline void KeyRecord::Builder::adoptFingerprint(
     ::capnp::Orphan< ::fescuepond::wire::Id>&& value) {
   ::capnp::_::PointerHelpers< ::fescuepond::wire::Id>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::fescuepond::wire::Id> KeyRecord::Builder::disownRequestDigest() {
+inline ::capnp::Orphan< ::fescuepond::wire::Id> KeyRecord::Builder::disownFingerprint() {
   return ::capnp::_::PointerHelpers< ::fescuepond::wire::Id>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
--- a/modules/ledger/ledgerencoding.cpp
+++ b/modules/ledger/ledgerencoding.cpp
@@ -112,7 +112,7 @@
         const KeyRecord &record = snapshot.records()[first + i];
         auto builder = part[static_cast<unsigned>(i)];
         builder.setSerial(record.serial());
-        encode(record.requestDigest(), builder.initRequestDigest());
+        encode(record.fingerprint(), builder.initFingerprint());
         encode(record.outcome(), builder.initOutcome());
     }
     return toBytes(message);
@@ -158,7 +158,7 @@
         }
         records.push_back(KeyRecord()
                               .withSerial(entry.getSerial())
-                              .withRequestDigest(decodeId<Fingerprint>(entry.getRequestDigest()))
+                              .withFingerprint(decodeId<Fingerprint>(entry.getFingerprint()))
                               .withState(KeyState::Ended)
                               .withOutcome(*outcome));
     }
--- a/modules/ledger/ledgerplugin.cpp
+++ b/modules/ledger/ledgerplugin.cpp
@@ -53,7 +53,8 @@
         return {};
     }
 
-    void beginDrain() override
+    /// Hands over only now: while others still turn away, this node goes on being the home of new keys.
+    void refuseNewWork() override
     {
         m_isDraining = true;
         m_handover->begin();
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -14,4 +14,5 @@
   esac
 done
 [ -x build/tests/keysoak ] || scripts/build.sh
-FESCUEPOND_BUILD="$PWD/build" build/tests/keysoak --seed="$seed" --minutes="$minutes"
+# A session of its own: the system sends SIGHUP to paused processes of a group whose shell has ended.
+FESCUEPOND_BUILD="$PWD/build" exec setsid --wait build/tests/keysoak --seed="$seed" --minutes="$minutes"
--- a/servers/ledger/homeledger.cpp
+++ b/servers/ledger/homeledger.cpp
@@ -23,9 +23,9 @@
     return SubmissionDecision().withVerdict(verdict);
 }
 
-SubmissionDecision repeat(const KeyRecord &record, const Fingerprint &requestDigest)
+SubmissionDecision repeat(const KeyRecord &record, const Fingerprint &fingerprint)
 {
-    if (record.requestDigest() != requestDigest) {
+    if (record.fingerprint() != fingerprint) {
         return answer(CallOutcome::notRun(Reason::BadRequest, "the key was used for another request"));
     }
     return record.state() == KeyState::Running ? verdict(SubmissionVerdict::Wait) : answer(record.outcome());
@@ -82,14 +82,14 @@
 }
 
 SubmissionDecision HomeLedger::submit(KeySerial serial,
-                                      const Fingerprint &requestDigest,
+                                      const Fingerprint &fingerprint,
                                       const std::string &derivedName,
                                       TimePoint deadline,
                                       TimePoint now)
 {
     const auto found = m_records.find(serial);
     if (found != m_records.end()) {
-        return repeat(found->second, requestDigest);
+        return repeat(found->second, fingerprint);
     }
     if (serial < m_watermark) {
         return answer(tooOld("the key is older than the records that its home keeps"));
@@ -109,11 +109,11 @@
     if (!makeRoom()) {
         return answer(CallOutcome::notRun(Reason::Overload, "the home of the key holds too many recent keys"));
     }
-    return start(serial, requestDigest, derivedName, now);
+    return start(serial, fingerprint, derivedName, now);
 }
 
 SubmissionDecision
-HomeLedger::start(KeySerial serial, const Fingerprint &requestDigest, const std::string &derivedName, TimePoint now)
+HomeLedger::start(KeySerial serial, const Fingerprint &fingerprint, const std::string &derivedName, TimePoint now)
 {
     // Making room may have moved the watermark past this key.
     if (serial < m_watermark) {
@@ -122,7 +122,7 @@
     const auto [record, isNew] = m_records.emplace(serial,
                                                    KeyRecord()
                                                        .withSerial(serial)
-                                                       .withRequestDigest(requestDigest)
+                                                       .withFingerprint(fingerprint)
                                                        .withState(KeyState::Running)
                                                        .withChangedAt(now)
                                                        .withDerivedName(derivedName));
--- a/servers/ledger/homeledger.h
+++ b/servers/ledger/homeledger.h
@@ -68,7 +68,7 @@
 
     /// Decides on a submission of key `serial`; with Start, the record is Running from then on.
     SubmissionDecision submit(KeySerial serial,
-                              const Fingerprint &requestDigest,
+                              const Fingerprint &fingerprint,
                               const std::string &derivedName,
                               TimePoint deadline,
                               TimePoint now);
@@ -117,7 +117,7 @@
     };
 
     SubmissionDecision
-    start(KeySerial serial, const Fingerprint &requestDigest, const std::string &derivedName, TimePoint now);
+    start(KeySerial serial, const Fingerprint &fingerprint, const std::string &derivedName, TimePoint now);
     /// Evicts the oldest records while the limits are passed; false when that does not help.
     bool makeRoom();
     bool isEvictable(const KeyRecord &record) const;
--- a/servers/ledger/keyrecord.h
+++ b/servers/ledger/keyrecord.h
@@ -22,7 +22,7 @@
 class KeyRecord
 {
     FESCUEPOND_FIELD(KeySerial, serial, withSerial);
-    FESCUEPOND_FIELD(Fingerprint, requestDigest, withRequestDigest);
+    FESCUEPOND_FIELD(Fingerprint, fingerprint, withFingerprint);
     FESCUEPOND_FIELD(KeyState, state, withState);
     FESCUEPOND_FIELD(CallOutcome, outcome, withOutcome); ///< Set when ended: answered or unknown, never not-run.
     FESCUEPOND_FIELD(TimePoint, changedAt, withChangedAt);
--- a/tests/system/atmostoncetest.cpp
+++ b/tests/system/atmostoncetest.cpp
@@ -2,6 +2,7 @@
 
 #include "tests/support/fleet.h"
 #include "tests/support/keyhistory.h"
+#include "tests/support/relay.h"
 
 #include <gtest/gtest.h>
 
@@ -107,6 +108,22 @@
         return ticket;
     }
 
+    /// Calls to the platform that a node made for keys, from its metrics.
+    static int platformCalls(const FleetNode &node, const std::string &operation)
+    {
+        HttpCall call;
+        call.path = "/metrics";
+        std::istringstream lines(sendHttp(node.operatorAddress, call).body);
+        const std::string name = "fescuepond_key_platform_calls_total{operation=\"" + operation + "\"} ";
+        std::string line;
+        while (std::getline(lines, line)) {
+            if (line.starts_with(name)) {
+                return std::stoi(line.substr(name.size()));
+            }
+        }
+        return 0;
+    }
+
     void setServiceTime(int milliseconds) const
     {
         for (const FleetNode *node : m_nodes) {
@@ -268,6 +285,74 @@
     EXPECT_EQ(m_history.outcomes()["answered"], 8);
 }
 
+/// The first node is reached by the others through a relay, which can cut it off.
+class AtMostOnceBehindRelay : public AtMostOnce
+{
+protected:
+    void SetUp() override
+    {
+        AtMostOnce::SetUp();
+        m_home = &m_fleet.addNode({.name = "dispatch-d",
+                                   .service = "dispatch",
+                                   .zone = "zone-d",
+                                   .backendFlags = {"--fixed", "--service_ms=20"},
+                                   .settings = {"peer_advertised_address: " + m_relay.address()}});
+        m_relay.setTarget(m_home->peer);
+        m_nodes.push_back(m_home);
+        ASSERT_TRUE(m_fleet.waitUntilReady(m_nodes.size()));
+    }
+
+    Relay m_relay;
+    FleetNode *m_home = nullptr;
+};
+
+TEST_F(AtMostOnceBehindRelay, AKeyWhoseHomeIsCutOffIsUnknownElsewhereAndAnsweredAfterwards)
+{
+    const std::string used = freshTicket(*m_home);
+    const std::string unused = freshTicket(*m_home);
+    ASSERT_EQ(send(*m_nodes[0], withTicket(used)).outcome(), "answered");
+    m_relay.setTarget("");
+    m_relay.cut();
+    EXPECT_EQ(reasonOf(send(*m_nodes[0], withTicket(used))), "key-home-gone");
+    EXPECT_EQ(reasonOf(send(*m_nodes[1], withTicket(unused))), "key-home-gone");
+    EXPECT_EQ(send(*m_home, withTicket(unused)).outcome(), "answered");
+    m_relay.setTarget(m_home->peer);
+    EXPECT_EQ(send(*m_nodes[1], withTicket(unused)).outcome(), "answered");
+    EXPECT_EQ(send(*m_nodes[2], withTicket(used)).outcome(), "answered");
+    expectCleanHistory();
+}
+
+TEST_F(AtMostOnceBehindRelay, ALostConnectionToTheHomeIsNotSeenByTheCaller)
+{
+    const std::string ticket = freshTicket(*m_home);
+    setServiceTime(800);
+    std::thread cutter([this] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        m_relay.cut();
+    });
+    EXPECT_EQ(send(*m_nodes[0], withTicket(ticket)).outcome(), "answered");
+    cutter.join();
+    expectCleanHistory();
+}
+
+TEST_F(AtMostOnce, TwoNodesThatStopAtOnceHandTheirRecordsToTheThird)
+{
+    std::vector<std::string> tickets;
+    for (const FleetNode *leaving : {m_nodes[0], m_nodes[1]}) {
+        tickets.push_back(freshTicket(*leaving));
+        ASSERT_EQ(send(*leaving, withTicket(tickets.back())).outcome(), "answered");
+        tickets.push_back(freshTicket(*leaving));
+    }
+    m_nodes[0]->process->signal(SIGTERM);
+    m_nodes[1]->process->signal(SIGTERM);
+    EXPECT_EQ(m_nodes[0]->process->wait(std::chrono::seconds(20)), 0);
+    EXPECT_EQ(m_nodes[1]->process->wait(std::chrono::seconds(20)), 0);
+    for (const std::string &ticket : tickets) {
+        EXPECT_EQ(send(*m_nodes[2], withTicket(ticket)).outcome(), "answered");
+    }
+    expectCleanHistory();
+}
+
 TEST_F(AtMostOnce, ANodeThatStartsAfterAHandOverFindsTheSuccessor)
 {
     const std::string used = freshTicket(*m_nodes[0]);
@@ -280,6 +365,25 @@
     expectCleanHistory();
 }
 
+TEST_F(AtMostOnce, PlatformCallsForEachKeyedRequestAreCounted)
+{
+    send(*m_nodes[0], withKey("counted"));
+    EXPECT_EQ(platformCalls(*m_nodes[0], "create"), 1);
+    EXPECT_EQ(platformCalls(*m_nodes[0], "read"), 0);
+    send(*m_nodes[0], withKey("counted"));
+    EXPECT_EQ(platformCalls(*m_nodes[0], "create"), 1);
+    send(*m_nodes[1], withKey("counted"));
+    EXPECT_EQ(platformCalls(*m_nodes[1], "create"), 1);
+    EXPECT_EQ(platformCalls(*m_nodes[1], "read"), 1);
+    send(*m_nodes[1], withKey("counted"));
+    EXPECT_EQ(platformCalls(*m_nodes[1], "read"), 1);
+    send(*m_nodes[2], withTicket(freshTicket(*m_nodes[0])));
+    send(*m_nodes[2], booking("no-key"));
+    EXPECT_EQ(platformCalls(*m_nodes[2], "create"), 0);
+    EXPECT_EQ(platformCalls(*m_nodes[2], "read"), 0);
+    expectCleanHistory();
+}
+
 TEST_F(AtMostOnce, AKeyIsGoodForOneRequestOnly)
 {
     ASSERT_EQ(send(*m_nodes[0], withKey("one")).outcome(), "answered");
