--- a/core/pipeline/callsinflight.cpp
+++ b/core/pipeline/callsinflight.cpp
@@ -2,6 +2,8 @@
 
 #include "core/pipeline/callsinflight.h"
 
+#include <algorithm>
+
 namespace fescuepond
 {
 
@@ -15,6 +17,12 @@
     return outcome.state() != CallState::Answered || outcome.status() >= FirstServerError;
 }
 
+/// The lesser of two rooms, of which 0 means that nothing was told.
+double leastRoom(double a, double b)
+{
+    return a > 0 && b > 0 ? std::min(a, b) : std::max(a, b);
+}
+
 } // namespace
 
 void CallsInFlight::add(const CallContext &context)
@@ -36,7 +44,7 @@
         const bool isFailedBelow =
             entry.m_hasFailedChild && outcome.state() == CallState::Answered && isFailure(outcome);
         const CallOutcome ended = isFailedBelow ? outcome.withReason(Reason::FailedBelow) : outcome;
-        return ended.withUnusedAllowance(entry.m_context.retryAllowance());
+        return ended.withUnusedAllowance(entry.m_context.retryAllowance()).withPathLimit(entry.m_roomBelow);
     });
 }
 
@@ -73,6 +81,7 @@
         CallContext &context = found->second.m_context;
         context = context.withRetryAllowance(context.retryAllowance() + outcome.unusedAllowance());
         found->second.m_hasFailedChild = found->second.m_hasFailedChild || isFailure(outcome);
+        found->second.m_roomBelow = leastRoom(found->second.m_roomBelow, outcome.pathLimit());
     });
 }
 
