Hand key records over in parts that a message between nodes can hold

Cause: 64 answers of up to 256 KiB make a part far above the limit of a message (2.2 MB by default). Change: a part ends once its answers reach max_body_bytes, and no longer answer is kept. Test: AtMostOnce.ManyLongRecordsAreHandedOver, 150 records of 20 KB. Not seen to fail: 64 of them made 1.3 MB.

--- a/modules/ledger/keyhandover.cpp
+++ b/modules/ledger/keyhandover.cpp
@@ -21,18 +21,26 @@
 constexpr Duration PartTimeout = std::chrono::milliseconds(700);
 constexpr Duration AnnounceTimeout = std::chrono::milliseconds(500);
 constexpr std::size_t RecordsPerPart = 64;
-/// A part holds no further record once its answers have this many bytes together.
-constexpr std::size_t AnswerBytesPerPart = 262'144;
 constexpr int MaxCommits = 3;
 constexpr std::size_t MaxStagedHomes = 64;
 
-/// How many records from `first` on go into one part.
-std::size_t partLength(const KeyRecords &records, std::size_t first)
+std::size_t answerLength(const CallOutcome &outcome)
+{
+    std::size_t length = outcome.body().size() + outcome.detail().size();
+    for (const auto &[name, value] : outcome.headers()) {
+        length += name.size() + value.size();
+    }
+    return length;
+}
+
+/// How many records from `first` on go into one part. It ends once its answers have `mostBytes` together: a message
+/// between nodes may be a little more than twice as long.
+std::size_t partLength(const KeyRecords &records, std::size_t first, std::size_t mostBytes)
 {
     std::size_t bytes = 0;
     std::size_t count = 0;
-    while (first + count < records.size() && count < RecordsPerPart && bytes < AnswerBytesPerPart) {
-        bytes += records[first + count].outcome().body().size();
+    while (first + count < records.size() && count < RecordsPerPart && bytes < mostBytes) {
+        bytes += answerLength(records[first + count].outcome());
         ++count;
     }
     return count;
@@ -114,7 +122,8 @@
 
 void KeyHandover::sendPart(const TransferPointer &transfer, std::size_t first)
 {
-    const std::size_t count = partLength(transfer->m_snapshot.records(), first);
+    const std::size_t mostBytes = m_kernel.settings().maxBodyBytes();
+    const std::size_t count = partLength(transfer->m_snapshot.records(), first, mostBytes);
     if (count == 0) {
         commit(transfer);
         return;
--- a/modules/ledger/keyhomes.cpp
+++ b/modules/ledger/keyhomes.cpp
@@ -2,7 +2,7 @@
 
 #include "modules/ledger/keyhomes.h"
 
-#include "core/kernel/eventlog.h"
+#include <algorithm>
 
 namespace fescuepond
 {
@@ -16,12 +16,13 @@
 constexpr Duration KeyLifetime = std::chrono::minutes(15);
 constexpr Duration ExpireInterval = std::chrono::seconds(5);
 
-KeyLimits limits()
+/// A kept answer is no longer than a body that a message between nodes may hold.
+KeyLimits limits(const NodeSettings &settings)
 {
     return KeyLimits()
         .withMaxRecords(MaxRecords)
         .withMaxAnswerBytes(MaxAnswerBytes)
-        .withMaxAnswerBytesEach(MaxAnswerBytesEach)
+        .withMaxAnswerBytesEach(std::min(MaxAnswerBytesEach, settings.maxBodyBytes()))
         .withLifetime(KeyLifetime);
 }
 
@@ -37,7 +38,7 @@
     , m_pipeline(pipeline)
     , m_calls(calls)
     , m_own(own)
-    , m_limits(limits())
+    , m_limits(limits(kernel.settings()))
 {
     m_table.locked([&](Table &table) {
         table.m_homes.emplace(own, Home{HomeLedger(own, m_limits, inFlightCheck(), kernel.clock().now()), {}});
--- a/tests/system/atmostoncetest.cpp
+++ b/tests/system/atmostoncetest.cpp
@@ -353,6 +353,25 @@
     expectCleanHistory();
 }
 
+TEST_F(AtMostOnce, ManyLongRecordsAreHandedOver)
+{
+    constexpr int Keys = 150;
+    const std::string padding(20'000, 'x');
+    std::vector<HttpCall> calls;
+    for (int i = 0; i < Keys; ++i) {
+        calls.push_back(withTicket(freshTicket(*m_nodes[0])));
+        // The stand-in's answer repeats the body.
+        calls.back().body += "-" + padding;
+        ASSERT_EQ(send(*m_nodes[0], calls.back()).outcome(), "answered");
+    }
+    m_nodes[0]->process->signal(SIGTERM);
+    EXPECT_EQ(m_nodes[0]->process->wait(std::chrono::seconds(20)), 0);
+    for (const HttpCall &call : calls) {
+        EXPECT_EQ(send(*m_nodes[1], call).outcome(), "answered");
+    }
+    expectCleanHistory();
+}
+
 TEST_F(AtMostOnce, ANodeThatStartsAfterAHandOverFindsTheSuccessor)
 {
     const std::string used = freshTicket(*m_nodes[0]);
