--- a/servers/routing/targetload.cpp
+++ b/servers/routing/targetload.cpp
@@ -13,8 +13,10 @@
 namespace
 {
 
-/// Taken for a target that hasn't said its limit.
+/// Taken for a target that hasn't said its limit, or not lately.
 constexpr double UnknownLimit = 40;
+/// A limit counts for so long. It must end: a target with a low one may be sent nothing that would tell a better one.
+constexpr Duration LimitLife = std::chrono::seconds(5);
 /// What a target said of its load counts for so long.
 constexpr Duration ReportLife = std::chrono::seconds(1);
 /// Doubtful outcomes in a row after which a target is ejected.
@@ -93,7 +95,8 @@
 {
     const bool isFresh = load.reported() > 0 && now - load.reportedAt() < ReportLife;
     const int inFlight = isFresh ? std::max(load.inFlight(), load.reported()) : load.inFlight();
-    return (inFlight + 1) / (load.limit() > 0 ? load.limit() : UnknownLimit);
+    const bool hasLimit = load.limit() > 0 && now - load.reportedAt() < LimitLife;
+    return (inFlight + 1) / (hasLimit ? load.limit() : UnknownLimit);
 }
 
 } // namespace fescuepond
--- a/tests/servers/routing/routertest.cpp
+++ b/tests/servers/routing/routertest.cpp
@@ -19,7 +19,8 @@
 RouteCandidate candidate(const std::string &name, const std::string &zone, double limit, int inFlight)
 {
     const Member target = Member().withName(name).withZone(zone).withRegion("r");
-    return RouteCandidate().withTarget(target).withLoad(TargetLoad().withLimit(limit).withInFlight(inFlight));
+    return RouteCandidate().withTarget(target).withLoad(
+        TargetLoad().withLimit(limit).withReportedAt(now).withInFlight(inFlight));
 }
 
 std::map<std::string, int> chosen(const RouteCandidates &candidates, int times = 2000)
@@ -59,6 +60,15 @@
     EXPECT_EQ(counts.at("big"), 2000);
 }
 
+TEST(Router, LowLimitThatWasSaidLongAgoDoesNotKeepATargetIdle)
+{
+    const auto low = candidate("low", "a", 1, 0);
+    const auto other = candidate("other", "a", 60, 1);
+    EXPECT_EQ(chosen({low, other}).count("low"), 0);
+    const auto longAgo = low.withLoad(low.load().withReportedAt(now - std::chrono::seconds(6)));
+    EXPECT_EQ(chosen({longAgo, other}).at("low"), 2000);
+}
+
 TEST(Router, EjectedAndSuspectTargetsAreUsedOnlyWhenOthersLack)
 {
     const auto a = candidate("a", "a", 10, 0);
