Measure the cost of gossip decisions; copy no records to choose one

Cause: choosing a member and expiring suspects copied all records each second. Change: both work on references. core/kernel/random.h replaces two copies of a random source.

--- a/benchmarks/controlcost/controlcost.cpp
+++ b/benchmarks/controlcost/controlcost.cpp
@@ -33,6 +33,12 @@
 constexpr auto PollInterval = std::chrono::milliseconds(20);
 constexpr auto KnownLimit = std::chrono::seconds(60);
 constexpr double BytesPerKilobyte = 1024;
+/// Nodes without any configuration would ask each other for one.
+constexpr const char *Declaration = R"(
+service: service-0
+kinds:
+  - {name: read, method: GET, path: /*, rank: 5, idempotent: true, deadline_ms: 1000, retries: 0}
+)";
 
 /// The sum of all values of a metric in Prometheus text.
 double metricSum(const std::string &text, const std::string &name)
@@ -126,6 +132,7 @@
 void measure(int size)
 {
     Fleet fleet;
+    fleet.publish({Declaration});
     Nodes nodes;
     for (int i = 0; i < size; ++i) {
         nodes.push_back(&fleet.addNode({.name = fmt::format("node-{}", i),
--- a/modules/membership/announcer.cpp
+++ b/modules/membership/announcer.cpp
@@ -4,11 +4,10 @@
 
 #include "core/kernel/eventlog.h"
 #include "core/kernel/kernel.h"
+#include "core/kernel/random.h"
 #include "core/pipeline/collections.h"
 #include "modules/membership/memberencoding.h"
 
-#include <random>
-
 namespace fescuepond
 {
 
@@ -20,12 +19,6 @@
 /// At most one stale object is removed in this time.
 constexpr Duration CollectInterval = std::chrono::seconds(10);
 
-std::uint64_t randomWord()
-{
-    thread_local std::mt19937_64 generator(std::random_device{}());
-    return generator();
-}
-
 std::optional<Member> recordIn(const PlatformReply &reply)
 {
     return reply.objects().empty() ? std::nullopt : memberFromJson(reply.objects().front().value());
--- a/modules/membership/gossiper.cpp
+++ b/modules/membership/gossiper.cpp
@@ -4,10 +4,10 @@
 
 #include "core/kernel/eventlog.h"
 #include "core/kernel/kernel.h"
+#include "core/kernel/random.h"
 #include "modules/membership/gossipencoding.h"
 
 #include <atomic>
-#include <random>
 
 namespace fescuepond
 {
@@ -26,12 +26,6 @@
 /// Members that are tried in turn as relay of one part of a broadcast.
 constexpr std::size_t RelayTries = 4;
 
-std::uint64_t randomWord()
-{
-    thread_local std::mt19937_64 generator(std::random_device{}());
-    return generator();
-}
-
 } // namespace
 
 struct Gossiper::IndirectProbe {
--- a/modules/membership/membershipplugin.cpp
+++ b/modules/membership/membershipplugin.cpp
@@ -2,13 +2,13 @@
 
 #include "core/kernel/eventlog.h"
 #include "core/kernel/kernel.h"
+#include "core/kernel/random.h"
 #include "core/pipeline/interfaces.h"
 #include "modules/membership/announcer.h"
 #include "modules/membership/gossiper.h"
 
 #include <array>
 #include <memory>
-#include <random>
 
 namespace fescuepond
 {
@@ -89,7 +89,7 @@
     void meetOthers()
     {
         const Members others = m_members->read([](const MemberView &view) {
-            return chooseHelpers(view, {}, FirstComparisons, std::random_device{}());
+            return chooseHelpers(view, {}, FirstComparisons, randomWord());
         });
         for (const Member &other : others) {
             m_gossiper->compareWith(other.peerAddress());
--- a/servers/membership/gossip.cpp
+++ b/servers/membership/gossip.cpp
@@ -198,17 +198,17 @@
 
 std::optional<Member> chooseProbed(const MemberView &view, std::uint64_t random)
 {
-    Members living;
-    Members dead;
+    std::vector<const Member *> living;
+    std::vector<const Member *> dead;
     for (const auto &[name, entry] : view.entries()) {
-        (entry.member().state() == MemberState::Dead ? dead : living).push_back(entry.member());
+        (entry.member().state() == MemberState::Dead ? dead : living).push_back(&entry.member());
     }
     const std::uint64_t high = random >> HalfWordBits;
     const bool triesDead = !dead.empty() && (living.empty() || random % DeadProbePeriod == 0);
     if (triesDead) {
-        return pick(dead, high);
+        return *pick(dead, high);
     }
-    return living.empty() ? std::nullopt : std::optional(pick(living, high));
+    return living.empty() ? std::nullopt : std::optional(*pick(living, high));
 }
 
 Members chooseHelpers(const MemberView &view, const std::string &probed, std::size_t count, std::uint64_t random)
@@ -229,22 +229,22 @@
 
 std::optional<Member> chooseCompared(const MemberView &view, std::uint64_t random)
 {
-    Members all;
-    Members ownZone;
+    std::vector<const Member *> all;
+    std::vector<const Member *> ownZone;
     for (const auto &[name, entry] : view.entries()) {
         if (entry.member().state() != MemberState::Alive) {
             continue;
         }
-        all.push_back(entry.member());
+        all.push_back(&entry.member());
         if (entry.member().zone() == view.self().zone()) {
-            ownZone.push_back(entry.member());
+            ownZone.push_back(&entry.member());
         }
     }
     const std::uint64_t high = random >> HalfWordBits;
     if (!ownZone.empty() && random % OwnZonePeriod == 0) {
-        return pick(ownZone, high);
+        return *pick(ownZone, high);
     }
-    return all.empty() ? std::nullopt : std::optional(pick(all, high));
+    return all.empty() ? std::nullopt : std::optional(*pick(all, high));
 }
 
 GossipStep<GossipRequest> makeProbe(MemberView view, const std::string &receiver)
@@ -334,18 +334,26 @@
 MemberView expired(MemberView view, TimePoint now)
 {
     const Duration suspicion = suspicionTime(view.size());
-    const MemberEntries entries = view.entries();
-    for (const auto &[name, entry] : entries) {
+    Members overdue;
+    NameSet forgotten;
+    for (const auto &[name, entry] : view.entries()) {
         const Duration age = now - entry.changedAt();
-        const Member &member = entry.member();
-        const bool isDue = member.state() == MemberState::Suspect && age >= suspicion;
-        if (isDue && (age >= UnreachableMemory || failedAlone(view, entry))) {
-            view = std::move(view).withRecord(member.withState(MemberState::Dead), now);
+        if (entry.member().state() == MemberState::Suspect && age >= suspicion) {
+            overdue.push_back(entry.member());
+        }
+        if (entry.member().state() == MemberState::Dead && age >= DeadMemory) {
+            forgotten.insert(name);
         }
-        if (member.state() == MemberState::Dead && age >= DeadMemory) {
-            view = std::move(view).without(name);
+    }
+    for (const Member &suspect : overdue) {
+        const MemberEntry &entry = view.entries().at(suspect.name());
+        if (now - entry.changedAt() >= UnreachableMemory || failedAlone(view, entry)) {
+            view = std::move(view).withRecord(suspect.withState(MemberState::Dead), now);
         }
     }
+    for (const std::string &name : forgotten) {
+        view = std::move(view).without(name);
+    }
     return view;
 }
 
