Read bodies of requests strictly, and let a refused caller read its refusal

Refusals of 4xx never reached the caller. HEAD was answered 502, Expect: 100-continue in silence.

Change: modules/http/bodyreader reads framing and body strictly over the session's bytes; refusals are written whole and the caller's input is discarded for up to 500 ms, so that the response isn't lost to a reset. The backend client expects no body for HEAD. In the fleet of the tests, a restarted node's backend server waits for the node's new local address.

--- a/modules/backend/backendclient.cpp
+++ b/modules/backend/backendclient.cpp
@@ -50,15 +50,16 @@
     stream.flush();
 }
 
-/// Reads the whole answer. One that ends before its declared length is an error.
-CallOutcome receiveAnswer(Poco::Net::HTTPClientSession &session)
+/// Reads the whole answer to `method`. One that ends before its declared length is an error.
+CallOutcome receiveAnswer(Poco::Net::HTTPClientSession &session, const std::string &method)
 {
     Poco::Net::HTTPResponse response;
     std::istream &stream = session.receiveResponse(response);
     std::string body;
     Poco::StreamCopier::copyToString(stream, body);
     const auto declared = response.getContentLength64();
-    if (declared >= 0 && body.size() != static_cast<std::size_t>(declared)) {
+    const bool hasBody = method != Poco::Net::HTTPRequest::HTTP_HEAD;
+    if (hasBody && declared >= 0 && body.size() != static_cast<std::size_t>(declared)) {
         throw Poco::Net::MessageException("the answer ends before its declared length");
     }
     Headers headers;
@@ -101,7 +102,7 @@
     }
     try {
         sendCall(*session, call);
-        CallOutcome answer = receiveAnswer(*session);
+        CallOutcome answer = receiveAnswer(*session, call.method());
         if (session->getKeepAlive()) {
             keepSession(std::move(session));
         }
--- /dev/null
+++ b/modules/http/bodyreader.cpp
@@ -0,0 +1,138 @@
+// Reads the body of a request strictly.
+
+#include "modules/http/bodyreader.h"
+
+#include <charconv>
+#include <optional>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+constexpr int StatusBadRequest = 400;
+constexpr int StatusBodyTooLarge = 413;
+constexpr int Hexadecimal = 16;
+/// Of the line with a chunk's length and its extensions, and of a line of the trailer.
+constexpr std::size_t LongestLine = 1024;
+constexpr std::size_t MostTrailerLines = 64;
+
+std::size_t parseNumber(const std::string &text, int base, const char *fault)
+{
+    std::size_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number, base);
+    const bool isWhole = !text.empty() && error == std::errc() && end == text.data() + text.size();
+    if (!isWhole) {
+        throw RequestError(StatusBadRequest, fault);
+    }
+    return number;
+}
+
+char nextByte(const ByteSource &source)
+{
+    const int byte = source();
+    if (byte < 0) {
+        throw RequestError(StatusBadRequest, "the body ends before its declared length");
+    }
+    return static_cast<char>(byte);
+}
+
+/// Reads a line up to its CR LF, which is not part of the result.
+std::string readLine(const ByteSource &source)
+{
+    std::string line;
+    while (line.size() <= LongestLine) {
+        const char byte = nextByte(source);
+        if (byte == '\r') {
+            if (nextByte(source) != '\n') {
+                break;
+            }
+            return line;
+        }
+        line += byte;
+    }
+    throw RequestError(StatusBadRequest, "a line of the chunked body is malformed");
+}
+
+void appendBytes(const ByteSource &source, std::size_t count, std::string &body)
+{
+    body.reserve(body.size() + count);
+    for (std::size_t i = 0; i < count; ++i) {
+        body += nextByte(source);
+    }
+}
+
+void skipTrailer(const ByteSource &source)
+{
+    for (std::size_t i = 0; i < MostTrailerLines; ++i) {
+        if (readLine(source).empty()) {
+            return;
+        }
+    }
+    throw RequestError(StatusBadRequest, "the trailer is too long");
+}
+
+std::string readChunked(const ByteSource &source, std::size_t limit)
+{
+    std::string body;
+    while (true) {
+        const std::string line = readLine(source);
+        const std::string digits = line.substr(0, line.find_first_of("; \t"));
+        const std::size_t length = parseNumber(digits, Hexadecimal, "the length of a chunk is no number");
+        if (length == 0) {
+            skipTrailer(source);
+            return body;
+        }
+        if (length > limit - body.size()) {
+            throw RequestError(StatusBodyTooLarge, "the body is too long");
+        }
+        appendBytes(source, length, body);
+        if (!readLine(source).empty()) {
+            throw RequestError(StatusBadRequest, "a chunk is longer than its length");
+        }
+    }
+}
+
+} // namespace
+
+BodyFraming framingOf(const HeaderFields &fields)
+{
+    constexpr int Decimal = 10;
+    std::optional<std::size_t> length;
+    bool isChunked = false;
+    for (const auto &[name, value] : fields) {
+        const std::string lower = toLower(name);
+        if (lower == "transfer-encoding") {
+            if (isChunked || toLower(value) != "chunked") {
+                throw RequestError(StatusBadRequest, "the transfer encoding is not known");
+            }
+            isChunked = true;
+        }
+        if (lower == "content-length") {
+            if (length) {
+                throw RequestError(StatusBadRequest, "Content-Length stands twice");
+            }
+            length = parseNumber(value, Decimal, "Content-Length is no number");
+        }
+    }
+    if (isChunked && length) {
+        throw RequestError(StatusBadRequest, "the body has both a length and chunks");
+    }
+    return BodyFraming().withIsChunked(isChunked).withLength(length.value_or(0));
+}
+
+std::string readBody(const ByteSource &source, const BodyFraming &framing, std::size_t limit)
+{
+    if (framing.isChunked()) {
+        return readChunked(source, limit);
+    }
+    if (framing.length() > limit) {
+        throw RequestError(StatusBodyTooLarge, "the body is too long");
+    }
+    std::string body;
+    appendBytes(source, framing.length(), body);
+    return body;
+}
+
+} // namespace fescuepond
--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -5,6 +5,7 @@
 #include "core/kernel/eventlog.h"
 #include "core/kernel/kernel.h"
 #include "core/kernel/sharedtable.h"
+#include "modules/http/bodyreader.h"
 
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
@@ -22,6 +23,7 @@
 #include <cerrno>
 #include <map>
 #include <optional>
+#include <sstream>
 #include <thread>
 
 namespace fescuepond
@@ -31,40 +33,19 @@
 {
 
 constexpr int AcceptBacklog = 512;
-constexpr std::size_t ReadChunkBytes = 16384;
 constexpr long PollTimeoutMicroseconds = 250'000;
 constexpr Duration EmptySetPause = std::chrono::milliseconds(50);
 /// In which a connection whose handshake had begun is completed by the system.
 constexpr Duration HandshakeTime = std::chrono::milliseconds(200);
 /// In which the first request of a connection that was taken last arrives.
 constexpr Duration IdleGrace = std::chrono::milliseconds(500);
+/// In which the input of a caller that was refused is still read.
+constexpr Duration DiscardTime = std::chrono::milliseconds(500);
+constexpr long DiscardPollMicroseconds = 100'000;
+constexpr std::size_t DiscardChunkBytes = 16384;
 constexpr int StatusBadRequest = 400;
-constexpr int StatusBodyTooLarge = 413;
 constexpr int StatusHeaderTooLarge = 431;
 
-/// A fault of a request that the caller is told of before its connection is closed.
-class RequestError : public std::exception
-{
-public:
-    RequestError(int status, const char *message)
-        : m_status(status)
-        , m_message(message)
-    {
-    }
-    const char *what() const noexcept override
-    {
-        return m_message;
-    }
-    int status() const
-    {
-        return m_status;
-    }
-
-private:
-    const int m_status;
-    const char *const m_message;
-};
-
 HttpResponse badRequest(int status, const std::string &detail)
 {
     return toResponse(CallOutcome::notRun(Reason::BadRequest, detail)).withStatus(status);
@@ -90,32 +71,14 @@
     return headers;
 }
 
-/// Reads the whole body. One that is longer than `limit` or ends early is an error.
-std::string readBody(Poco::Net::HTTPServerRequest &request, std::size_t limit)
+/// The header's fields with repeated names, in their order.
+HeaderFields fieldsOf(const Poco::Net::HTTPServerRequest &request)
 {
-    const auto declared = request.getContentLength64();
-    if (declared > static_cast<Poco::Int64>(limit)) {
-        throw RequestError(StatusBodyTooLarge, "the body is too long");
-    }
-    const bool hasBody = declared >= 0 || request.getChunkedTransferEncoding();
-    if (!hasBody) {
-        return {};
-    }
-    std::string body;
-    std::array<char, ReadChunkBytes> chunk;
-    std::istream &stream = request.stream();
-    while (stream.good()) {
-        stream.read(chunk.data(), chunk.size());
-        body.append(chunk.data(), static_cast<std::size_t>(stream.gcount()));
-        if (body.size() > limit) {
-            throw RequestError(StatusBodyTooLarge, "the body is too long");
-        }
-    }
-    const bool isTruncated = declared >= 0 && body.size() < static_cast<std::size_t>(declared);
-    if (isTruncated) {
-        throw RequestError(StatusBadRequest, "the body ends before its declared length");
+    HeaderFields fields;
+    for (const auto &[name, value] : request) {
+        fields.emplace_back(name, value);
     }
-    return body;
+    return fields;
 }
 
 /// Makes the system drop requests for new connections, silently: the caller's system repeats them a second later and is
@@ -153,6 +116,18 @@
     }
 }
 
+/// A session that gives its bytes one by one.
+class ByteSession final : public Poco::Net::HTTPServerSession
+{
+public:
+    using HTTPServerSession::HTTPServerSession;
+
+    int nextByte()
+    {
+        return get();
+    }
+};
+
 /// One connection of a caller. At any time it is either parked in the poll set or owned by one request.
 struct HttpConnection {
     HttpConnection(const Poco::Net::StreamSocket &socket, const Poco::Net::HTTPServerParams::Ptr &params)
@@ -162,7 +137,7 @@
     }
 
     Poco::Net::StreamSocket m_socket;
-    Poco::Net::HTTPServerSession m_session;
+    ByteSession m_session;
     // The request and response of the library, while a request is in flight.
     std::unique_ptr<Poco::Net::HTTPServerResponseImpl> m_response;
     std::unique_ptr<Poco::Net::HTTPServerRequestImpl> m_request;
@@ -388,11 +363,14 @@
             connection->m_response = std::make_unique<Poco::Net::HTTPServerResponseImpl>(connection->m_session);
             connection->m_request = std::make_unique<Poco::Net::HTTPServerRequestImpl>(
                 *connection->m_response, connection->m_session, m_params);
-            request = toValue(*connection->m_request, *connection->m_response);
+            connection->m_response->setVersion(connection->m_request->getVersion());
+            request = toValue(*connection);
         } catch (const RequestError &error) {
             refuse(connection, error.status(), error.what());
         } catch (const Poco::Net::NoMessageException &) {
             // The caller closed an idle connection.
+        } catch (const Poco::SyntaxException &) {
+            refuse(connection, StatusBadRequest, "a number in the header is not valid");
         } catch (const Poco::Net::MessageException &) {
             refuse(connection, StatusBadRequest, "the request is not valid HTTP");
         } catch (const Poco::Exception &error) {
@@ -402,14 +380,19 @@
         return request;
     }
 
-    HttpRequest toValue(Poco::Net::HTTPServerRequestImpl &request, Poco::Net::HTTPServerResponseImpl &response)
+    HttpRequest toValue(HttpConnection &connection)
     {
         const NodeSettings &settings = m_kernel.settings();
+        const Poco::Net::HTTPServerRequestImpl &request = *connection.m_request;
         Headers headers = readHeaders(request, settings.maxHeaderBytes());
+        const BodyFraming framing = framingOf(fieldsOf(request));
         if (request.getExpectContinue()) {
-            response.sendContinue();
+            connection.m_response->sendContinue();
         }
-        Body body(readBody(request, settings.maxBodyBytes()));
+        const auto source = [&connection] {
+            return connection.m_session.nextByte();
+        };
+        Body body(readBody(source, framing, settings.maxBodyBytes()));
         return HttpRequest()
             .withMethod(request.getMethod())
             .withTarget(request.getURI())
@@ -423,15 +406,46 @@
         Event("request_refused").with("listener", m_name).with("status", status).with("detail", detail);
         m_kernel.metrics().count("fescuepond_bad_requests_total", {{"listener", m_name}});
         try {
-            Poco::Net::HTTPServerResponseImpl response(connection->m_session);
-            response.setKeepAlive(false);
-            send(response, badRequest(status, detail));
-            connection->m_socket.shutdownSend();
+            sendAndClose(connection->m_socket, badRequest(status, detail));
         } catch (const Poco::Exception &) {
             // The caller has gone; there is nobody to tell.
         }
     }
 
+    /// Sends a response outside the library's session, which may have stopped in the middle of a request.
+    static void sendAndClose(Poco::Net::StreamSocket &socket, const HttpResponse &response)
+    {
+        Poco::Net::HTTPResponse message;
+        message.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
+        message.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(response.status()));
+        for (const auto &[name, value] : response.headers()) {
+            message.set(name, value);
+        }
+        message.setContentLength64(static_cast<Poco::Int64>(response.body().size()));
+        message.setKeepAlive(false);
+        std::ostringstream text;
+        message.write(text);
+        text << response.body().bytes();
+        const std::string bytes = text.str();
+        socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+        socket.shutdownSend();
+        discardInput(socket);
+    }
+
+    /// Reads what the caller still sends, for a bounded time: closing before would reset the connection, and the caller
+    /// would lose the response.
+    static void discardInput(Poco::Net::StreamSocket &socket)
+    {
+        const auto end = std::chrono::steady_clock::now() + DiscardTime;
+        std::array<char, DiscardChunkBytes> chunk;
+        while (std::chrono::steady_clock::now() < end) {
+            const bool hasMore = socket.poll(Poco::Timespan(DiscardPollMicroseconds), Poco::Net::Socket::SELECT_READ);
+            if (hasMore && socket.receiveBytes(chunk.data(), chunk.size()) <= 0) {
+                return;
+            }
+        }
+    }
+
     static void send(Poco::Net::HTTPServerResponse &target, const HttpResponse &response)
     {
         target.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(response.status()));
--- a/tests/standins/backendstandin.cpp
+++ b/tests/standins/backendstandin.cpp
@@ -5,7 +5,7 @@
 // answer is ready. Requests with these paths are special:
 //     /crash...     ends the process at once
 // Control port, POST /set?NAME=VALUE:
-//     local=ADDRESS     the node's local listener
+//     local=ADDRESS     the node's local listener; empty: calls wait until it is set
 //     service_ms=N      mean service time
 //     load=N            report this load
 //     silent=1          never answer again
@@ -62,6 +62,7 @@
 using Poco::Net::HTTPServerResponse;
 
 constexpr int MostThreads = 800;
+constexpr auto LocalAddressTimeout = std::chrono::seconds(5);
 constexpr int ColdStartFactor = 10;
 constexpr int ReportUnset = -1;
 constexpr const char *CallHeader = "X-Fescuepond-Call";
@@ -167,19 +168,25 @@
     std::atomic<bool> isSilent = false;
     std::atomic<bool> isFailing = false;
 
+    /// Waits for a while when the node beside this backend server has just started and its address isn't known yet.
     std::string localAddress()
     {
-        const std::lock_guard guard(m_mutex);
+        std::unique_lock lock(m_mutex);
+        m_localSet.wait_for(lock, LocalAddressTimeout, [this] {
+            return !m_local.empty();
+        });
         return m_local;
     }
     void setLocalAddress(const std::string &address)
     {
         const std::lock_guard guard(m_mutex);
         m_local = address;
+        m_localSet.notify_all();
     }
 
 private:
     std::mutex m_mutex;
+    std::condition_variable m_localSet;
     std::string m_local = FLAGS_local;
 };
 
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -224,6 +224,11 @@
         settings << line << '\n';
     }
     settings.close();
+    // The new process listens on other ports: until they are known, the backend server's own calls wait.
+    HttpCall call;
+    call.method = "POST";
+    call.path = "/set?local=";
+    sendHttp(node.backendControl, call);
     node.process = std::make_unique<Process>(
         programPath("fescuepond"), std::vector<std::string>{"node", "--settings=" + base + ".yaml"}, base + ".log");
     node.process->waitForLine("event=node_started");
@@ -234,8 +239,6 @@
     node.local = addressOf("local");
     node.peer = addressOf("peer");
     node.operatorAddress = addressOf("operator");
-    HttpCall call;
-    call.method = "POST";
     call.path = "/set?local=" + node.local;
     sendHttp(node.backendControl, call);
 }
--- /dev/null
+++ b/tests/system/frontrobustnesstest.cpp
@@ -0,0 +1,193 @@
+// Requests at the front listener that are malformed, cut, slow or forged: each gets a clear answer or a closed
+// connection, never a wrong answer, and what was refused did not run.
+
+#include "tests/support/fleet.h"
+#include "tests/support/rawconnection.h"
+
+#include <gtest/gtest.h>
+
+namespace fescuepond::test
+{
+
+namespace
+{
+
+constexpr const char *Yard = R"(
+service: yard
+kinds:
+  - {name: stock, method: "*", path: /stock/*, rank: 5, idempotent: true, deadline_ms: 5000}
+)";
+
+constexpr auto AnswerTimeout = std::chrono::seconds(8);
+
+class FrontRobustness : public testing::Test
+{
+protected:
+    FrontRobustness()
+    {
+        m_fleet.publish({Yard});
+        m_node = &m_fleet.addNode(
+            {.name = "yard-a", .service = "yard", .settings = {"request_read_timeout_ms: 1500", "http_threads: 4"}});
+        EXPECT_TRUE(m_fleet.waitUntilReady(1));
+    }
+
+    /// Sends `bytes` on a new connection and returns the first line of what comes back; empty when it was closed.
+    std::string statusLineFor(const std::string &bytes, bool finishes = false)
+    {
+        RawConnection connection(m_node->front);
+        connection.send(bytes);
+        if (finishes) {
+            connection.finishSending();
+        }
+        const std::string &received = connection.receiveUntil("\r\n", AnswerTimeout);
+        return received.substr(0, received.find("\r\n"));
+    }
+
+    std::size_t runCount() const
+    {
+        return m_node->journalLines("begin").size();
+    }
+
+    Fleet m_fleet;
+    const FleetNode *m_node = nullptr;
+};
+
+struct RefusedCase {
+    std::string name;
+    std::string bytes;
+    std::string status; ///< Beginning of the status line; empty: the connection may also just be closed.
+    bool finishes = false; ///< The caller closes its side for sending.
+};
+
+} // namespace
+
+TEST_F(FrontRobustness, WhatIsNotAWholeRequestIsRefusedAndDoesNotRun)
+{
+    const std::string host = "Host: yard\r\n";
+    const std::string longHeader = "X-Long: " + std::string(6000, 'x') + "\r\n";
+    const std::vector<RefusedCase> cases = {
+        {"no request at all", "GARBAGE\r\n\r\n", ""},
+        {"binary", std::string("\x16\x03\x01\0\xff\r\n\r\n", 9), ""},
+        {"header too long",
+         "GET /stock/a HTTP/1.1\r\n" + host + longHeader + "X-2" + longHeader + "X-3" + longHeader + "\r\n",
+         "HTTP/1.1 431"},
+        {"one header without end", "GET /stock/a HTTP/1.1\r\nX: " + std::string(400000, 'x'), ""},
+        {"body too long", "POST /stock/a HTTP/1.1\r\n" + host + "Content-Length: 2000000\r\n\r\n", "HTTP/1.1 413"},
+        {"body cut", "POST /stock/a HTTP/1.1\r\n" + host + "Content-Length: 10\r\n\r\n12345", "HTTP/1.1 400", true},
+        {"chunked body cut",
+         "POST /stock/a HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n8\r\n1234",
+         "HTTP/1.1 400",
+         true},
+        {"chunked body without its last chunk",
+         "POST /stock/a HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n4\r\n1234\r\n",
+         "HTTP/1.1 400",
+         true},
+        {"chunk size that is no number",
+         "POST /stock/a HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\nzz\r\n1234\r\n0\r\n\r\n",
+         "HTTP/1.1 400",
+         true},
+        {"two lengths",
+         "POST /stock/a HTTP/1.1\r\n" + host + "Content-Length: 4\r\nContent-Length: 5\r\n\r\n12345",
+         "HTTP/1.1 400"},
+        {"length that is no number",
+         "POST /stock/a HTTP/1.1\r\n" + host + "Content-Length: many\r\n\r\n",
+         "HTTP/1.1 400"},
+        {"negative length", "POST /stock/a HTTP/1.1\r\n" + host + "Content-Length: -4\r\n\r\n", "HTTP/1.1 400"},
+        {"length and chunks",
+         "POST /stock/a HTTP/1.1\r\n" + host
+             + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /stock/b HTTP/1.1\r\n\r\n",
+         "HTTP/1.1 400"},
+        {"unknown transfer encoding",
+         "POST /stock/a HTTP/1.1\r\n" + host + "Transfer-Encoding: gzip\r\n\r\n1234",
+         "HTTP/1.1 400"},
+        {"header cut", "GET /stock/a HTTP/1.1\r\nHost: ya", "", true},
+    };
+    for (const RefusedCase &entry : cases) {
+        const std::string line = statusLineFor(entry.bytes, entry.finishes);
+        EXPECT_TRUE(line.starts_with(entry.status)) << entry.name << ": '" << line << "'";
+        EXPECT_FALSE(line.starts_with("HTTP/1.1 2")) << entry.name << ": '" << line << "'";
+    }
+    EXPECT_EQ(runCount(), 0);
+    // The node goes on serving.
+    EXPECT_EQ(statusLineFor("GET /stock/a HTTP/1.1\r\n" + host + "\r\n"), "HTTP/1.1 200 OK");
+}
+
+TEST_F(FrontRobustness, UnusualButWholeRequestsAreAnswered)
+{
+    const std::string host = "Host: yard\r\n";
+    EXPECT_EQ(statusLineFor("GET /stock/a HTTP/1.1\r\n" + host + "\r\n", true), "HTTP/1.1 200 OK");
+    EXPECT_EQ(statusLineFor("POST /stock/chunked HTTP/1.1\r\n" + host
+                            + "Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n3\r\nefg\r\n0\r\n\r\n"),
+              "HTTP/1.1 200 OK");
+    // A line without a colon names no header and is not passed on.
+    EXPECT_EQ(statusLineFor("GET /stock/b HTTP/1.1\r\n" + host + "nonsense\r\n\r\n"), "HTTP/1.1 200 OK");
+    EXPECT_NE(m_node->journalLines("begin")[1].find("/stock/chunked abcdefg"), std::string::npos);
+
+    RawConnection dribbling(m_node->front);
+    dribbling.dribble("GET /stock/slow HTTP/1.1\r\nHost: yard\r\n\r\n", std::chrono::milliseconds(2));
+    EXPECT_TRUE(dribbling.receiveUntil("\r\n", AnswerTimeout).starts_with("HTTP/1.1 200"));
+
+    RawConnection expecting(m_node->front);
+    expecting.send("POST /stock/expect HTTP/1.1\r\n" + host + "Content-Length: 4\r\nExpect: 100-continue\r\n\r\n");
+    EXPECT_TRUE(expecting.receiveUntil("\r\n\r\n", AnswerTimeout).starts_with("HTTP/1.1 100"));
+    expecting.send("body");
+    EXPECT_NE(expecting.receiveUntil("HTTP/1.1 200", AnswerTimeout).find("HTTP/1.1 200"), std::string::npos);
+}
+
+TEST_F(FrontRobustness, PipelinedRequestsAreAnsweredInTheirOrder)
+{
+    // The service that is named tells the answers apart.
+    RawConnection connection(m_node->front);
+    connection.send(
+        "GET /stock/1 HTTP/1.1\r\nHost: yard\r\n\r\n"
+        "GET /stock/2 HTTP/1.1\r\nHost: nosuch\r\n\r\n"
+        "POST /stock/3 HTTP/1.1\r\nHost: yard\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi");
+    ASSERT_TRUE(connection.isClosedWithin(AnswerTimeout));
+    const std::string &received = connection.received();
+    const auto first = received.find("HTTP/1.1 200");
+    const auto second = received.find("HTTP/1.1 404");
+    const auto third = received.find("HTTP/1.1 200", second);
+    EXPECT_EQ(first, 0) << received;
+    ASSERT_NE(second, std::string::npos) << received;
+    EXPECT_NE(third, std::string::npos) << received;
+    EXPECT_EQ(runCount(), 2);
+}
+
+TEST_F(FrontRobustness, HeadHasTheHeaderOnlyAndItsConnectionGoesOn)
+{
+    RawConnection connection(m_node->front);
+    connection.send("HEAD /stock/a HTTP/1.1\r\nHost: yard\r\n\r\n");
+    const std::string head = connection.receiveUntil("\r\n\r\n", AnswerTimeout);
+    EXPECT_TRUE(head.starts_with("HTTP/1.1 200")) << head;
+    EXPECT_TRUE(head.ends_with("\r\n\r\n")) << head;
+    connection.send("GET /stock/b HTTP/1.1\r\nHost: nosuch\r\nConnection: close\r\n\r\n");
+    EXPECT_TRUE(connection.isClosedWithin(AnswerTimeout));
+    EXPECT_EQ(connection.received().find("HTTP/1.1 404"), head.size()) << connection.received();
+}
+
+TEST_F(FrontRobustness, AForgedInternalHeaderIsNotBelieved)
+{
+    const std::string forged(32, 'a');
+    EXPECT_EQ(statusLineFor("GET /stock/a HTTP/1.1\r\nHost: yard\r\nX-Fescuepond-Call: " + forged + "\r\n\r\n"),
+              "HTTP/1.1 200 OK");
+    ASSERT_EQ(runCount(), 1);
+    EXPECT_EQ(m_node->journalLines("begin")[0].find(forged), std::string::npos);
+}
+
+TEST_F(FrontRobustness, CallersThatSendTooSlowlyHoldNobodyUp)
+{
+    // As many as there are threads for HTTP; each is cut off when its time has passed.
+    std::vector<std::unique_ptr<RawConnection>> slow;
+    for (int i = 0; i < 4; ++i) {
+        slow.push_back(std::make_unique<RawConnection>(m_node->front));
+        slow.back()->send("POST /stock/a HTTP/1.1\r\nHost: yard\r\nContent-Length: 100\r\n\r\n1");
+    }
+    EXPECT_EQ(statusLineFor("GET /stock/b HTTP/1.1\r\nHost: yard\r\n\r\n"), "HTTP/1.1 200 OK");
+    for (const auto &connection : slow) {
+        EXPECT_TRUE(connection->isClosedWithin(AnswerTimeout));
+        EXPECT_EQ(connection->received().find("HTTP/1.1 2"), std::string::npos);
+    }
+    EXPECT_EQ(runCount(), 1);
+}
+
+} // namespace fescuepond::test
