--- a/benchmarks/experiment/simulation.cpp
+++ b/benchmarks/experiment/simulation.cpp
@@ -444,7 +444,7 @@
     Answer answer{.m_isOk = isOk};
     if (m_policy.admission) {
         // What waits at the entry service itself holds no slot above.
-        const double own = call->m_level == 0 ? 1 : target.m_admission->room(call->m_entry);
+        const double own = call->m_level == 0 ? MostRoom : target.m_admission->room(call->m_entry);
         answer.m_room = std::min(call->m_roomBelow, own);
     }
     const bool isKnown = target.m_calls.erase(call->m_entry.id()) > 0;
--- a/core/values/call.h
+++ b/core/values/call.h
@@ -97,7 +97,7 @@
     FESCUEPOND_FIELD(int, targetInFlight, withTargetInFlight);
     FESCUEPOND_FIELD(double,
                      pathLimit,
-                     withPathLimit); ///< Part of this path's calls that hold a slot below, up to 1; 0: unsaid.
+                     withPathLimit); ///< Room for each call of this path at its narrowest service; 0: unsaid.
 
 public:
     static CallOutcome notRun(Reason reason, std::string detail);
--- a/modules/admission/admissionplugin.cpp
+++ b/modules/admission/admissionplugin.cpp
@@ -62,7 +62,7 @@
 /// What waits at the entry service itself holds no slot above, so for root requests only the room below counts.
 CallOutcome withLoad(const CallOutcome &outcome, const TargetLoad &load, int depth)
 {
-    const double below = outcome.pathLimit() > 0 ? outcome.pathLimit() : 1;
+    const double below = outcome.pathLimit() > 0 ? outcome.pathLimit() : MostRoom;
     const double room = depth == 0 ? below : std::min(below, load.room);
     return outcome.withTargetLimit(load.limit).withTargetInFlight(load.inFlight).withPathLimit(room);
 }
--- a/servers/admission/admissioncontroller.h
+++ b/servers/admission/admissioncontroller.h
@@ -14,7 +14,7 @@
 
 struct AdmissionRules {
     QueueRules queue;
-    double queueFactor = 1.5; ///< Places in the queue for each slot.
+    double queueFactor = 0.75; ///< Places in the queue for each slot.
     bool refuseDoomed = true; ///< Refuses calls whose deadline is nearer than the likely service time.
 };
 
--- a/servers/admission/admissionqueue.cpp
+++ b/servers/admission/admissionqueue.cpp
@@ -180,7 +180,7 @@
     }
     const double byRank = std::max(0.0, slots - ahead) / std::max(1.0, ownUse);
     const double byShare = ownShare * slots / std::max(1.0, ownUse);
-    return std::clamp(std::max(byRank, byShare), LeastRoom, 1.0);
+    return std::clamp(std::max(byRank, byShare), LeastRoom, MostRoom);
 }
 
 } // namespace fescuepond
--- a/servers/admission/admissionqueue.h
+++ b/servers/admission/admissionqueue.h
@@ -16,6 +16,9 @@
 namespace fescuepond
 {
 
+/// The greatest room that is told: a service with free slots could hold so many times the calls of a kind.
+constexpr double MostRoom = 2;
+
 /// What a queue does besides its order, for measurements with a mechanism switched off.
 struct QueueRules {
     bool keepShares = true;
@@ -49,8 +52,8 @@
     {
         return m_running.size();
     }
-    /// The part, above 0 and up to 1, of the calls of the entry's kind that can hold one of `slots` at once, after the
-    /// more important ones.
+    /// How many of the slots the calls of the entry's kind could hold after the more important calls, for each call of
+    /// the kind that is here: above 0, up to MostRoom. Below 1, calls wait.
     double room(const AdmissionEntry &entry, double slots) const;
 
 private:
--- a/servers/pathlimit/pathlimiter.cpp
+++ b/servers/pathlimit/pathlimiter.cpp
@@ -12,7 +12,7 @@
 {
 constexpr double LeastWindow = 1; ///< Calls.
 constexpr double MostWindow = 1e6; ///< Calls.
-constexpr double WaitingBelow = 1; ///< Calls kept waiting below, for the square root of the window.
+constexpr double WaitingBelow = 0.5; ///< Calls kept waiting below, for the square root of the window.
 constexpr double Gain = 0.5; ///< Part of the way to the wanted window in one round trip.
 constexpr double SmoothedAnswers = 16; ///< Over which the room is averaged.
 constexpr double SharpFallFactor = 3; ///< When more than so many times the wanted calls wait, the window falls at once.
--- a/servers/pathlimit/pathlimiter.h
+++ b/servers/pathlimit/pathlimiter.h
@@ -4,8 +4,8 @@
 // down their path can hold them, and a little more, so that a slot that frees below is taken at once. Requests that
 // use other paths find the slots of the entry service free.
 //
-// Every answer says which part of the calls on its path can hold a slot at once at the narrowest service (the room).
-// With w calls under way, w * (1 - room) of them wait; the window moves so that a few wait. Many callers of one
+// Every answer says how many slots the narrowest service on its path has for each call of the kind that is there (the
+// room). With w calls under way, w * (1 - room) of them wait; the window moves so that a few wait. Many callers of one
 // narrow service each keep a few waiting there, and so come to equal windows without messages of their own.
 
 #pragma once
--- /dev/null
+++ b/tests/servers/admission/admissioncontrollertest.cpp
@@ -0,0 +1,135 @@
+// Admission at a target: every submission ends once, deadlines, and the limit.
+
+#include "servers/admission/admissioncontroller.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <set>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+const TimePoint Start{std::chrono::hours(1)};
+
+AdmissionEntry entryOf(EntryId id, Rank rank, Duration untilDeadline)
+{
+    return AdmissionEntry()
+        .withOrder(ShedOrder().withRank(rank).withRootHash(id).withEntryId(id))
+        .withKind("kind")
+        .withRootKind("service/kind")
+        .withDeadline(Start + untilDeadline);
+}
+
+AdmissionController controllerWith(double slots)
+{
+    return {std::make_unique<FixedLimit>(slots), AdmissionRules()};
+}
+
+} // namespace
+
+TEST(AdmissionController, RunsWhatFitsAndTheNextWhenOneEnds)
+{
+    AdmissionController controller = controllerWith(1);
+    EXPECT_TRUE(controller.submit(entryOf(1, 0, milliseconds(100)), Start).at(0).runs());
+    EXPECT_TRUE(controller.submit(entryOf(2, 5, milliseconds(100)), Start).empty());
+    EXPECT_TRUE(controller.submit(entryOf(3, 1, milliseconds(100)), Start).empty());
+    const auto decisions = controller.finished(1, RunSample().withTotal(milliseconds(5)), Start);
+    EXPECT_EQ(decisions, AdmissionDecisions{AdmissionDecision().withId(3)});
+}
+
+TEST(AdmissionController, WaitingCallLeavesAtItsDeadline)
+{
+    AdmissionController controller = controllerWith(1);
+    controller.submit(entryOf(1, 0, milliseconds(100)), Start);
+    controller.submit(entryOf(2, 0, milliseconds(50)), Start);
+    EXPECT_EQ(controller.nextExpiry(), Start + milliseconds(50));
+    const auto decisions = controller.expire(Start + milliseconds(50));
+    ASSERT_EQ(decisions.size(), 1U);
+    EXPECT_EQ(decisions[0], AdmissionDecision().withId(2).withRefusal(Reason::DeadlineExceeded));
+}
+
+TEST(AdmissionController, CallThatCannotBeAnsweredInTimeIsRefusedAtOnce)
+{
+    AdmissionController controller = controllerWith(1);
+    for (EntryId id = 1; id <= 100; ++id) {
+        controller.submit(entryOf(id, 0, milliseconds(1000)), Start);
+        controller.finished(id, RunSample().withTotal(milliseconds(80)), Start);
+    }
+    const auto decisions = controller.submit(entryOf(200, 0, milliseconds(40)), Start);
+    ASSERT_EQ(decisions.size(), 1U);
+    EXPECT_EQ(decisions[0].refusal(), Reason::DeadlineExceeded);
+    EXPECT_TRUE(controller.submit(entryOf(201, 0, milliseconds(150)), Start).at(0).runs());
+}
+
+TEST(AdmissionController, EverySubmissionEndsExactlyOnceAndTheLimitHolds)
+{
+    ASSERT_TRUE(rc::check("one decision for each entry; no more than the limit run", [] {
+        constexpr double Slots = 3;
+        AdmissionController controller = controllerWith(Slots);
+        std::set<EntryId> running;
+        std::map<EntryId, int> decided;
+        TimePoint now = Start;
+        const auto apply = [&](const AdmissionDecisions &decisions) {
+            for (const AdmissionDecision &decision : decisions) {
+                ++decided[decision.id()];
+                if (decision.runs()) {
+                    running.insert(decision.id());
+                }
+            }
+            RC_ASSERT(static_cast<double>(running.size()) <= Slots);
+        };
+        EntryId submitted = 0;
+        for (const int step : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 12))) {
+            now += milliseconds(1);
+            if (step < 6 || running.empty()) {
+                const auto untilDeadline = now - Start + milliseconds(step * 3);
+                apply(controller.submit(entryOf(++submitted, step % 3, untilDeadline), now));
+            } else {
+                const EntryId ended = *running.begin();
+                running.erase(running.begin());
+                apply(controller.finished(ended, RunSample().withTotal(milliseconds(2)), now));
+            }
+        }
+        apply(controller.expire(now + std::chrono::hours(1)));
+        while (!running.empty()) {
+            const EntryId ended = *running.begin();
+            running.erase(running.begin());
+            apply(controller.finished(ended, RunSample(), now + std::chrono::hours(1)));
+        }
+        RC_ASSERT(decided.size() == submitted);
+        for (const auto &[id, count] : decided) {
+            RC_ASSERT(count == 1);
+        }
+    }));
+}
+
+TEST(AdaptiveLimit, StartsLowAndReachesTheSlots)
+{
+    AdaptiveLimit limit(40);
+    EXPECT_DOUBLE_EQ(limit.limit(), 10);
+    for (int answer = 0; answer < 120; ++answer) {
+        limit.finished(RunSample().withTotal(std::chrono::seconds(1)), Start);
+    }
+    EXPECT_DOUBLE_EQ(limit.limit(), 40);
+}
+
+TEST(AdaptiveLimit, ShrinksWhileTheBackendServerFailsAndRecovers)
+{
+    AdaptiveLimit limit(40);
+    for (int answer = 0; answer < 200; ++answer) {
+        limit.finished(RunSample().withFailed(true), Start + milliseconds(answer * 100));
+    }
+    EXPECT_DOUBLE_EQ(limit.limit(), 1);
+    for (int answer = 0; answer < 200; ++answer) {
+        limit.finished(RunSample(), Start + std::chrono::minutes(1));
+    }
+    EXPECT_DOUBLE_EQ(limit.limit(), 40);
+}
+
+} // namespace fescuepond
--- /dev/null
+++ b/tests/servers/admission/admissionqueuetest.cpp
@@ -0,0 +1,102 @@
+// The order of the admission queue: rank, hash, kept shares, displacement.
+
+#include "servers/admission/admissionqueue.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+const TimePoint Start{std::chrono::hours(1)};
+const TimePoint Later = Start + std::chrono::seconds(1);
+
+AdmissionEntry entryOf(EntryId id, Rank rank, std::uint64_t hash = 0, const std::string &kind = "kind")
+{
+    return AdmissionEntry()
+        .withOrder(ShedOrder().withRank(rank).withRootHash(hash).withEntryId(id))
+        .withRootKind(kind)
+        .withDeadline(Later);
+}
+
+} // namespace
+
+TEST(AdmissionQueue, MostImportantEntryIsTakenFirst)
+{
+    AdmissionQueue queue{QueueRules()};
+    queue.push(entryOf(1, 5, 7), Later, 10, 0);
+    queue.push(entryOf(2, 3, 9), Later, 10, 0);
+    queue.push(entryOf(3, 3, 4), Later, 10, 0);
+    EXPECT_EQ(queue.take(3)->id(), 3U);
+    EXPECT_EQ(queue.take(3)->id(), 2U);
+    EXPECT_EQ(queue.take(3)->id(), 1U);
+}
+
+TEST(AdmissionQueue, FullQueueRefusesTheLeastImportantEntryAndNotTheNewcomer)
+{
+    AdmissionQueue queue{QueueRules()};
+    EXPECT_FALSE(queue.push(entryOf(1, 5), Later, 1, 0));
+    const auto refused = queue.push(entryOf(2, 1), Later, 1, 0);
+    ASSERT_TRUE(refused);
+    EXPECT_EQ(refused->id(), 1U);
+    EXPECT_EQ(queue.push(entryOf(3, 9), Later, 1, 0)->id(), 3U);
+}
+
+TEST(AdmissionQueue, KindKeepsItsShareOfSlotsAgainstMoreUrgentOnes)
+{
+    AdmissionQueue queue{QueueRules()};
+    for (EntryId id = 1; id <= 20; ++id) {
+        queue.push(entryOf(id, 0, id, "flood"), Later, 40, 0);
+    }
+    for (EntryId id = 21; id <= 30; ++id) {
+        queue.push(entryOf(id, 6, id, "menu").withKeptShare(0.2), Later, 40, 0);
+    }
+    std::size_t menus = 0;
+    while (const auto entry = queue.take(10)) {
+        menus += entry->rootKind() == "menu" ? 1 : 0;
+    }
+    EXPECT_EQ(menus, 2U);
+}
+
+TEST(AdmissionQueue, RoomCountsOnlyWhatGoesAhead)
+{
+    AdmissionQueue queue{QueueRules()};
+    for (EntryId id = 1; id <= 10; ++id) {
+        queue.push(entryOf(id, 5, id, "bulk"), Later, 20, 4);
+    }
+    while (queue.take(4)) { }
+    EXPECT_DOUBLE_EQ(queue.room(entryOf(11, 5, 0, "bulk"), 4), 0.4);
+    EXPECT_DOUBLE_EQ(queue.room(entryOf(12, 0, 0, "urgent"), 4), MostRoom);
+}
+
+TEST(AdmissionQueue, SheddingOrderIsExactInRandomRuns)
+{
+    ASSERT_TRUE(rc::check("refused entries are the least important ones", [] {
+        AdmissionQueue queue{QueueRules()};
+        std::vector<AdmissionEntry> waiting;
+        const auto capacity = *rc::gen::inRange<std::size_t>(1, 8);
+        const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+            rc::gen::pair(rc::gen::inRange(0, 4), rc::gen::inRange(0, 9)));
+        EntryId id = 1;
+        for (const auto &[rank, hash] : steps) {
+            const AdmissionEntry entry = entryOf(id++, rank, static_cast<std::uint64_t>(hash));
+            waiting.push_back(entry);
+            const auto refused = queue.push(entry, Later, capacity, 0);
+            if (refused) {
+                for (const AdmissionEntry &other : waiting) {
+                    RC_ASSERT(other.order() <= refused->order());
+                }
+                std::erase(waiting, *refused);
+            }
+            RC_ASSERT(queue.queued() == waiting.size());
+            RC_ASSERT(queue.queued() <= capacity);
+        }
+    }));
+}
+
+} // namespace fescuepond
--- /dev/null
+++ b/tests/servers/pathlimit/pathlimitertest.cpp
@@ -0,0 +1,88 @@
+// The window of a path: it follows the room below, and callers of one narrow service share it.
+
+#include "servers/pathlimit/pathlimiter.h"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <vector>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+const TimePoint Start{std::chrono::hours(1)};
+const PathKey Path = PathKey().withService("dispatch").withKind("stock");
+
+AdmissionEntry entryOf(EntryId id)
+{
+    return AdmissionEntry()
+        .withOrder(ShedOrder().withRootHash(id).withEntryId(id))
+        .withDeadline(Start + std::chrono::seconds(1));
+}
+
+} // namespace
+
+TEST(PathWindow, FallsToWhatTheServicesBelowHold)
+{
+    PathWindow window;
+    for (int answer = 0; answer < 2000; ++answer) {
+        const auto underWay = static_cast<std::size_t>(window.size());
+        window.answered(60 / std::max(1.0, window.size()), underWay);
+    }
+    EXPECT_GT(window.size(), 60);
+    EXPECT_LT(window.size(), 75);
+}
+
+TEST(PathWindow, CallersOfOneServiceComeToEqualWindows)
+{
+    std::vector<PathWindow> windows(4);
+    for (int answer = 0; answer < 200; ++answer) {
+        windows[0].answered(MostRoom, 100); // It had the service for itself.
+    }
+    for (int answer = 0; answer < 20'000; ++answer) {
+        double sum = 0;
+        for (const PathWindow &window : windows) {
+            sum += window.size();
+        }
+        PathWindow &window = windows[static_cast<std::size_t>(answer) % windows.size()];
+        window.answered(std::min(MostRoom, 100 / sum), static_cast<std::size_t>(window.size()));
+    }
+    for (const PathWindow &window : windows) {
+        EXPECT_NEAR(window.size(), 26, 4);
+    }
+}
+
+TEST(PathLimiter, PathWithoutRoomDoesNotHoldUpAnother)
+{
+    PathLimiter limiter{PathRules()};
+    const PathKey other = Path.withKind("browse");
+    std::size_t letIn = 0;
+    EntryId id = 1;
+    for (; id <= 100; ++id) {
+        for (const AdmissionDecision &decision : limiter.submit(Path, entryOf(id), Start)) {
+            letIn += decision.runs() ? 1 : 0;
+        }
+    }
+    EXPECT_LT(letIn, 50U);
+    EXPECT_GT(limiter.queued(), 0U);
+    EXPECT_TRUE(limiter.submit(other, entryOf(id), Start).at(0).runs());
+}
+
+TEST(PathLimiter, WaitingRequestLeavesAtItsDeadline)
+{
+    PathLimiter limiter{PathRules()};
+    std::size_t decided = 0;
+    for (EntryId id = 1; id <= 30; ++id) {
+        decided += limiter.submit(Path, entryOf(id), Start).size();
+    }
+    EXPECT_EQ(decided + limiter.queued(), 30U);
+    EXPECT_EQ(limiter.nextExpiry(), Start + std::chrono::seconds(1));
+    const std::size_t waiting = limiter.queued();
+    EXPECT_EQ(limiter.expire(Start + std::chrono::seconds(1)).size(), waiting);
+    EXPECT_EQ(limiter.queued(), 0U);
+}
+
+} // namespace fescuepond
