--- a/core/pipeline/callsinflight.cpp
+++ b/core/pipeline/callsinflight.cpp
@@ -7,6 +7,24 @@
 namespace fescuepond
 {
 
+namespace
+{
+
+constexpr int FirstServerError = 500;
+
+bool isFailure(const CallOutcome &outcome)
+{
+    return outcome.state() != CallState::Answered || outcome.status() >= FirstServerError;
+}
+
+/// The lesser of two rooms, of which 0 means that nothing was told.
+double leastRoom(double a, double b)
+{
+    return a > 0 && b > 0 ? std::min(a, b) : std::max(a, b);
+}
+
+} // namespace
+
 void CallsInFlight::add(const CallContext &context)
 {
     m_table.locked([&](Table &table) {
@@ -14,16 +32,19 @@
     });
 }
 
-int CallsInFlight::remove(const CallId &callId)
+CallOutcome CallsInFlight::remove(const CallId &callId, const CallOutcome &outcome)
 {
     return m_table.locked([&](Table &table) {
         const auto found = table.find(callId);
         if (found == table.end()) {
-            return 0;
+            return outcome.withUnusedAllowance(0);
         }
-        const int left = found->second.m_context.retryAllowance();
+        const Entry entry = found->second;
         table.erase(found);
-        return left;
+        const bool isFailedBelow =
+            entry.m_hasFailedChild && outcome.state() == CallState::Answered && isFailure(outcome);
+        const CallOutcome ended = isFailedBelow ? outcome.withReason(Reason::FailedBelow) : outcome;
+        return ended.withUnusedAllowance(entry.m_context.retryAllowance()).withPathLimit(entry.m_roomBelow);
     });
 }
 
@@ -35,51 +56,32 @@
     });
 }
 
-int CallsInFlight::takeAllowance(const CallId &callId, int wanted)
+int CallsInFlight::takeAllowance(const CallId &callId)
 {
     return m_table.locked([&](Table &table) {
         const auto found = table.find(callId);
         if (found == table.end()) {
             return 0;
         }
-        const int taken = std::clamp(wanted, 0, found->second.m_context.retryAllowance());
         CallContext &context = found->second.m_context;
-        context = context.withRetryAllowance(found->second.m_context.retryAllowance() - taken);
+        // Half, rounded up: a chain passes its last retry down to the end, and siblings called at once get some too.
+        const int taken = (context.retryAllowance() + 1) / 2;
+        context = context.withRetryAllowance(context.retryAllowance() - taken);
         return taken;
     });
 }
 
-void CallsInFlight::returnAllowance(const CallId &callId, int unused)
-{
-    m_table.locked([&](Table &table) {
-        const auto found = table.find(callId);
-        if (found != table.end()) {
-            CallContext &context = found->second.m_context;
-            context = context.withRetryAllowance(found->second.m_context.retryAllowance() + unused);
-        }
-    });
-}
-
-void CallsInFlight::noteRoomBelow(const CallId &callId, double room)
+void CallsInFlight::childEnded(const CallId &callId, const CallOutcome &outcome)
 {
-    if (room <= 0) {
-        return;
-    }
     m_table.locked([&](Table &table) {
         const auto found = table.find(callId);
         if (found == table.end()) {
             return;
         }
-        double &least = found->second.m_roomBelow;
-        least = least <= 0 ? room : std::min(least, room);
-    });
-}
-
-double CallsInFlight::roomBelow(const CallId &callId) const
-{
-    return m_table.locked([&](const Table &table) {
-        const auto found = table.find(callId);
-        return found == table.end() ? 0.0 : found->second.m_roomBelow;
+        CallContext &context = found->second.m_context;
+        context = context.withRetryAllowance(context.retryAllowance() + outcome.unusedAllowance());
+        found->second.m_hasFailedChild = found->second.m_hasFailedChild || isFailure(outcome);
+        found->second.m_roomBelow = leastRoom(found->second.m_roomBelow, outcome.pathLimit());
     });
 }
 
--- a/core/pipeline/callsinflight.h
+++ b/core/pipeline/callsinflight.h
@@ -19,24 +19,22 @@
 {
 public:
     void add(const CallContext &context);
-    /// Removes a call and returns what is left of its retry allowance.
-    int remove(const CallId &callId);
+    /// Removes a call; completes its outcome with what is left of its retry allowance and what its children told.
+    CallOutcome remove(const CallId &callId, const CallOutcome &outcome);
     /// The context of the call, or nothing when it doesn't run here.
     std::optional<CallContext> find(const CallId &callId) const;
-    /// Takes up to `wanted` retries from the call's allowance and returns how many were taken.
-    int takeAllowance(const CallId &callId, int wanted);
-    /// Gives unused retries back; ignored when the call has ended.
-    void returnAllowance(const CallId &callId, int unused);
-    /// Notes what an answer to a call made by `callId` told of the room on its path; 0 tells nothing.
-    void noteRoomBelow(const CallId &callId, double room);
-    /// The least room that was noted; 0 when none was.
-    double roomBelow(const CallId &callId) const;
+    /// Takes the part of the call's retry allowance that one child call gets and returns it.
+    int takeAllowance(const CallId &callId);
+    /// A child call ended: its unused retries come back, and what it told of the room on its path is kept. Ignored when
+    /// the call itself has ended.
+    void childEnded(const CallId &callId, const CallOutcome &outcome);
     std::size_t size() const;
 
 private:
     struct Entry {
-        CallContext m_context;
-        double m_roomBelow = 0; ///< Least of those that were told.
+        CallContext m_context; ///< Its retry allowance is what is left after the children took theirs.
+        bool m_hasFailedChild = false;
+        double m_roomBelow = 0; ///< Least room on a path below that an answer told of; 0: none told.
     };
     using Table = std::unordered_map<CallId, Entry>;
     SharedTable<Table> m_table{LockRank::CallsInFlight};
--- a/modules/local/localplugin.cpp
+++ b/modules/local/localplugin.cpp
@@ -9,7 +9,9 @@
 #include "core/pipeline/headernames.h"
 #include "modules/http/callencoding.h"
 #include "modules/http/httplistener.h"
+#include "servers/ledger/key.h"
 
+#include <atomic>
 #include <memory>
 
 namespace fescuepond
@@ -30,6 +32,21 @@
         .withDepth(parent.depth() + 1);
 }
 
+/// What the backend server adds to the key of a child call.
+std::string ownKey(const HttpRequest &request)
+{
+    return keyOfRoot(request.header(header::Ticket), request.header(header::IdempotencyKey)).toString();
+}
+
+/// The key of a call whose parent does not run here. If it names one, the parent has ended, and the call must not run
+/// a second time as a request of its own: its key stays that of a child, which the ledger refuses.
+std::string orphanKey(const HttpRequest &request, const CallRequest &call)
+{
+    const auto parentId = CallId::parse(request.header(header::Call));
+    return parentId ? keyOfChild(CallContext().withCallId(*parentId), call, ownKey(request)).toString()
+                    : ownKey(request);
+}
+
 class LocalPlugin final : public Plugin
 {
 public:
@@ -43,6 +60,10 @@
             });
         return m_listener->start(kernel.settings().localAddress());
     }
+    void refuseNewWork() override
+    {
+        m_refusing = true;
+    }
     std::size_t workInFlight() const override
     {
         return m_listener->requestsInFlight();
@@ -58,28 +79,34 @@
         const auto parentId = CallId::parse(request.header(header::Call));
         const auto parent = parentId ? m_calls->find(*parentId) : std::nullopt;
         CallRequest call = toCall(request, request.host());
-        const std::string key = request.header(header::IdempotencyKey);
+        if (!parent && m_refusing) {
+            respond(toResponse(CallOutcome::notRun(Reason::Leaving, "this node is leaving")));
+            return;
+        }
         if (!parent) {
-            m_pipeline->submit(call.withContext(CallContext().withKey(key)), [respond](const CallOutcome &outcome) {
-                respond(toResponse(outcome));
-            });
+            m_pipeline->submit(call.withContext(CallContext().withKey(orphanKey(request, call))),
+                               [respond](const CallOutcome &outcome) {
+                                   respond(toResponse(outcome));
+                               });
             return;
         }
-        const int allowance = m_calls->takeAllowance(*parentId, parent->retryAllowance());
-        call = call.withContext(childOf(*parent).withKey(key).withRetryAllowance(allowance));
+        const int allowance = m_calls->takeAllowance(*parentId);
+        const KeyName key = keyOfChild(*parent, call, ownKey(request));
+        call = call.withContext(childOf(*parent).withKey(key.toString()).withRetryAllowance(allowance));
         m_pipeline->submit(call, [this, respond, parentId](const CallOutcome &outcome) {
-            m_calls->returnAllowance(*parentId, outcome.unusedAllowance());
-            m_calls->noteRoomBelow(*parentId, outcome.pathLimit());
+            m_calls->childEnded(*parentId, outcome);
             respond(toResponse(outcome));
         });
     }
 
+    /// New root requests are refused; calls of requests that run here go on.
+    std::atomic<bool> m_refusing = false;
     EntryPipeline *m_pipeline = nullptr;
     CallsInFlight *m_calls = nullptr;
     std::unique_ptr<HttpListener> m_listener;
 };
 
-const auto registration = registerPlugin<LocalPlugin>("local", {"pipelines", "classification", "routing"});
+const auto registration = registerPlugin<LocalPlugin>("local", {"pipelines", "classification", "routing", "ledger"});
 
 } // namespace
 
--- a/modules/peer/wireencoding.cpp
+++ b/modules/peer/wireencoding.cpp
@@ -41,6 +41,36 @@
     return Body(std::string(reinterpret_cast<const char *>(data.begin()), data.size()));
 }
 
+/// Nothing when the body does not match its digest.
+std::optional<CallRequest> decodeCall(wire::Call::Reader reader, TimePoint deadline)
+{
+    Body body = asBody(reader.getBody());
+    if (body.digest() != reader.getBodyDigest()) {
+        return std::nullopt;
+    }
+    const CallContext context = CallContext()
+                                    .withCallId(decodeId<CallId>(reader.getCallId()))
+                                    .withRootId(decodeId<RootId>(reader.getRootId()))
+                                    .withAttemptId(decodeId<AttemptId>(reader.getAttemptId()))
+                                    .withKind(reader.getKind())
+                                    .withRootKind(reader.getRootKind())
+                                    .withRank(reader.getRank())
+                                    .withKeptShare(reader.getKeptShare())
+                                    .withIdempotent(reader.getIdempotent())
+                                    .withKey(reader.getKey())
+                                    .withDeadline(deadline)
+                                    .withRetryAllowance(reader.getRetryAllowance())
+                                    .withDepth(reader.getDepth())
+                                    .withCrashCount(reader.getCrashCount());
+    return CallRequest()
+        .withContext(context)
+        .withService(reader.getService())
+        .withMethod(reader.getMethod())
+        .withPath(reader.getPath())
+        .withHeaders(decodeHeaders(reader.getHeaders()))
+        .withBody(std::move(body));
+}
+
 } // namespace
 
 void encodeId(std::uint64_t high, std::uint64_t low, wire::Id::Builder builder)
@@ -49,6 +79,17 @@
     builder.setLow(low);
 }
 
+void encode(const WireDeadline &deadline, wire::Deadline::Builder builder)
+{
+    builder.setRemainingNs(deadline.remainingNs());
+    builder.setSenderClockNs(deadline.senderClockNs());
+}
+
+WireDeadline decode(wire::Deadline::Reader reader)
+{
+    return WireDeadline().withRemainingNs(reader.getRemainingNs()).withSenderClockNs(reader.getSenderClockNs());
+}
+
 void encode(const CallRequest &call, TimePoint now, wire::Call::Builder builder)
 {
     const CallContext &context = call.context();
@@ -61,7 +102,7 @@
     builder.setKeptShare(context.keptShare());
     builder.setIdempotent(context.idempotent());
     builder.setKey(context.key());
-    builder.setRemainingNs((context.deadline() - now).count());
+    encode(toWire(context.deadline(), now), builder.initDeadline());
     builder.setRetryAllowance(context.retryAllowance());
     builder.setDepth(context.depth());
     builder.setCrashCount(context.crashCount());
@@ -73,33 +114,14 @@
     builder.setBodyDigest(call.body().digest());
 }
 
+std::optional<CallRequest> decode(wire::Call::Reader reader, const PeerClock &clock, TimePoint now)
+{
+    return decodeCall(reader, fromWire(decode(reader.getDeadline()), clock, now));
+}
+
 std::optional<CallRequest> decode(wire::Call::Reader reader, TimePoint now)
 {
-    Body body = asBody(reader.getBody());
-    if (body.digest() != reader.getBodyDigest()) {
-        return std::nullopt;
-    }
-    const CallContext context = CallContext()
-                                    .withCallId(decodeId<CallId>(reader.getCallId()))
-                                    .withRootId(decodeId<RootId>(reader.getRootId()))
-                                    .withAttemptId(decodeId<AttemptId>(reader.getAttemptId()))
-                                    .withKind(reader.getKind())
-                                    .withRootKind(reader.getRootKind())
-                                    .withRank(reader.getRank())
-                                    .withKeptShare(reader.getKeptShare())
-                                    .withIdempotent(reader.getIdempotent())
-                                    .withKey(reader.getKey())
-                                    .withDeadline(now + Duration(reader.getRemainingNs()))
-                                    .withRetryAllowance(reader.getRetryAllowance())
-                                    .withDepth(reader.getDepth())
-                                    .withCrashCount(reader.getCrashCount());
-    return CallRequest()
-        .withContext(context)
-        .withService(reader.getService())
-        .withMethod(reader.getMethod())
-        .withPath(reader.getPath())
-        .withHeaders(decodeHeaders(reader.getHeaders()))
-        .withBody(std::move(body));
+    return decodeCall(reader, fromWire(decode(reader.getDeadline()), now));
 }
 
 void encode(const CallOutcome &outcome, wire::Outcome::Builder builder)
@@ -139,4 +161,25 @@
         .withPathLimit(reader.getPathLimit());
 }
 
+void encode(const AttemptReport &report, wire::Peer::SettleResults::Builder builder)
+{
+    builder.setStatus(static_cast<std::uint8_t>(report.status()));
+    if (report.status() == AttemptStatus::Finished) {
+        encode(report.outcome(), builder.initOutcome());
+    }
+}
+
+std::optional<AttemptReport> decode(wire::Peer::SettleResults::Reader reader)
+{
+    if (reader.getStatus() > static_cast<std::uint8_t>(AttemptStatus::Forgotten)) {
+        return std::nullopt;
+    }
+    const AttemptReport report = AttemptReport().withStatus(static_cast<AttemptStatus>(reader.getStatus()));
+    if (report.status() != AttemptStatus::Finished) {
+        return report;
+    }
+    auto outcome = decode(reader.getOutcome());
+    return outcome ? std::optional(report.withOutcome(*std::move(outcome))) : std::nullopt;
+}
+
 } // namespace fescuepond
--- /dev/null
+++ b/modules/quarantine/quarantine.capnp
@@ -0,0 +1,17 @@
+# What nodes tell each other of requests that may crash backend servers.
+
+@0xc8a1f0f6c1f3b57d;
+
+using Cxx = import "/capnp/c++.capnp";
+using Wire = import "../peer/peer.capnp";
+$Cxx.namespace("fescuepond::wire");
+
+struct SuspicionRecord {
+  fingerprint @0 :Wire.Id;
+  losses @1 :List(Wire.Id);
+  cleared @2 :List(Wire.Id);
+}
+
+struct SuspicionNews {
+  records @0 :List(SuspicionRecord);
+}
