--- a/benchmarks/experiment/main.cpp
+++ b/benchmarks/experiment/main.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cstdio>
 #include <fstream>
@@ -96,6 +97,7 @@
     std::vector<RunResult> results(jobs.size());
     std::atomic<std::size_t> next = 0;
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(FLAGS_jobs));
     for (int thread = 0; thread < FLAGS_jobs; ++thread) {
         threads.emplace_back([&] {
             for (std::size_t job = next++; job < jobs.size(); job = next++) {
--- a/benchmarks/experiment/simulation.cpp
+++ b/benchmarks/experiment/simulation.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <numeric>
 
 namespace fescuepond::experiment
@@ -87,8 +88,8 @@
     m_phase = phase;
     for (std::size_t service = 0; service < m_targets.size(); ++service) {
         auto &targets = m_targets[service];
-        const auto alive =
-            static_cast<std::size_t>(phase.aliveTargets[service] * static_cast<double>(targets.size()) + 0.5);
+        const double part = phase.aliveTargets[service];
+        const auto alive = static_cast<std::size_t>(std::lround(part * static_cast<double>(targets.size())));
         for (std::size_t index = 0; index < targets.size(); ++index) {
             setAlive(service, *targets[index], index < std::max<std::size_t>(1, alive));
             targets[index]->m_backend->setTimeFactor(phase.timeFactor[service]);
@@ -542,7 +543,7 @@
     }
     m_result.hasTrigger = true;
     const auto sliceOf = [](double seconds) {
-        return static_cast<std::size_t>(seconds / RunResult::SliceSeconds + 0.5);
+        return static_cast<std::size_t>(std::lround(seconds / RunResult::SliceSeconds));
     };
     const auto &slices = m_result.doneBySlice;
     const auto sum = [&](std::size_t begin, std::size_t count) {
--- a/tests/servers/admission/admissioncontrollertest.cpp
+++ b/tests/servers/admission/admissioncontrollertest.cpp
@@ -15,7 +15,7 @@
 {
 
 using std::chrono::milliseconds;
-const TimePoint Start{std::chrono::hours(1)};
+const TimePoint start{std::chrono::hours(1)};
 
 AdmissionEntry entryOf(EntryId id, Rank rank, Duration untilDeadline)
 {
@@ -23,7 +23,7 @@
         .withOrder(ShedOrder().withRank(rank).withRootHash(id).withEntryId(id))
         .withKind("kind")
         .withRootKind("service/kind")
-        .withDeadline(Start + untilDeadline);
+        .withDeadline(start + untilDeadline);
 }
 
 AdmissionController controllerWith(double slots)
@@ -36,20 +36,20 @@
 TEST(AdmissionController, RunsWhatFitsAndTheNextWhenOneEnds)
 {
     AdmissionController controller = controllerWith(1);
-    EXPECT_TRUE(controller.submit(entryOf(1, 0, milliseconds(100)), Start).at(0).runs());
-    EXPECT_TRUE(controller.submit(entryOf(2, 5, milliseconds(100)), Start).empty());
-    EXPECT_TRUE(controller.submit(entryOf(3, 1, milliseconds(100)), Start).empty());
-    const auto decisions = controller.finished(1, RunSample().withTotal(milliseconds(5)), Start);
+    EXPECT_TRUE(controller.submit(entryOf(1, 0, milliseconds(100)), start).at(0).runs());
+    EXPECT_TRUE(controller.submit(entryOf(2, 5, milliseconds(100)), start).empty());
+    EXPECT_TRUE(controller.submit(entryOf(3, 1, milliseconds(100)), start).empty());
+    const auto decisions = controller.finished(1, RunSample().withTotal(milliseconds(5)), start);
     EXPECT_EQ(decisions, AdmissionDecisions{AdmissionDecision().withId(3)});
 }
 
 TEST(AdmissionController, WaitingCallLeavesAtItsDeadline)
 {
     AdmissionController controller = controllerWith(1);
-    controller.submit(entryOf(1, 0, milliseconds(100)), Start);
-    controller.submit(entryOf(2, 0, milliseconds(50)), Start);
-    EXPECT_EQ(controller.nextExpiry(), Start + milliseconds(50));
-    const auto decisions = controller.expire(Start + milliseconds(50));
+    controller.submit(entryOf(1, 0, milliseconds(100)), start);
+    controller.submit(entryOf(2, 0, milliseconds(50)), start);
+    EXPECT_EQ(controller.nextExpiry(), start + milliseconds(50));
+    const auto decisions = controller.expire(start + milliseconds(50));
     ASSERT_EQ(decisions.size(), 1U);
     EXPECT_EQ(decisions[0], AdmissionDecision().withId(2).withRefusal(Reason::DeadlineExceeded));
 }
@@ -58,13 +58,13 @@
 {
     AdmissionController controller = controllerWith(1);
     for (EntryId id = 1; id <= 100; ++id) {
-        controller.submit(entryOf(id, 0, milliseconds(1000)), Start);
-        controller.finished(id, RunSample().withTotal(milliseconds(80)), Start);
+        controller.submit(entryOf(id, 0, milliseconds(1000)), start);
+        controller.finished(id, RunSample().withTotal(milliseconds(80)), start);
     }
-    const auto decisions = controller.submit(entryOf(200, 0, milliseconds(40)), Start);
+    const auto decisions = controller.submit(entryOf(200, 0, milliseconds(40)), start);
     ASSERT_EQ(decisions.size(), 1U);
     EXPECT_EQ(decisions[0].refusal(), Reason::DeadlineExceeded);
-    EXPECT_TRUE(controller.submit(entryOf(201, 0, milliseconds(150)), Start).at(0).runs());
+    EXPECT_TRUE(controller.submit(entryOf(201, 0, milliseconds(150)), start).at(0).runs());
 }
 
 TEST(AdmissionController, EverySubmissionEndsExactlyOnceAndTheLimitHolds)
@@ -74,7 +74,7 @@
         AdmissionController controller = controllerWith(Slots);
         std::set<EntryId> running;
         std::map<EntryId, int> decided;
-        TimePoint now = Start;
+        TimePoint now = start;
         const auto apply = [&](const AdmissionDecisions &decisions) {
             for (const AdmissionDecision &decision : decisions) {
                 ++decided[decision.id()];
@@ -88,7 +88,7 @@
         for (const int step : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 12))) {
             now += milliseconds(1);
             if (step < 6 || running.empty()) {
-                const auto untilDeadline = now - Start + milliseconds(step * 3);
+                const auto untilDeadline = now - start + milliseconds(step * 3);
                 apply(controller.submit(entryOf(++submitted, step % 3, untilDeadline), now));
             } else {
                 const EntryId ended = *running.begin();
@@ -114,7 +114,7 @@
     AdaptiveLimit limit(40);
     EXPECT_DOUBLE_EQ(limit.limit(), 10);
     for (int answer = 0; answer < 120; ++answer) {
-        limit.finished(RunSample().withTotal(std::chrono::seconds(1)), Start);
+        limit.finished(RunSample().withTotal(std::chrono::seconds(1)), start);
     }
     EXPECT_DOUBLE_EQ(limit.limit(), 40);
 }
@@ -123,11 +123,11 @@
 {
     AdaptiveLimit limit(40);
     for (int answer = 0; answer < 200; ++answer) {
-        limit.finished(RunSample().withFailed(true), Start + milliseconds(answer * 100));
+        limit.finished(RunSample().withFailed(true), start + milliseconds(answer * 100));
     }
     EXPECT_DOUBLE_EQ(limit.limit(), 1);
     for (int answer = 0; answer < 200; ++answer) {
-        limit.finished(RunSample(), Start + std::chrono::minutes(1));
+        limit.finished(RunSample(), start + std::chrono::minutes(1));
     }
     EXPECT_DOUBLE_EQ(limit.limit(), 40);
 }
--- a/tests/servers/admission/admissionqueuetest.cpp
+++ b/tests/servers/admission/admissionqueuetest.cpp
@@ -13,15 +13,15 @@
 namespace
 {
 
-const TimePoint Start{std::chrono::hours(1)};
-const TimePoint Later = Start + std::chrono::seconds(1);
+const TimePoint start{std::chrono::hours(1)};
+const TimePoint later = start + std::chrono::seconds(1);
 
 AdmissionEntry entryOf(EntryId id, Rank rank, std::uint64_t hash = 0, const std::string &kind = "kind")
 {
     return AdmissionEntry()
         .withOrder(ShedOrder().withRank(rank).withRootHash(hash).withEntryId(id))
         .withRootKind(kind)
-        .withDeadline(Later);
+        .withDeadline(later);
 }
 
 } // namespace
@@ -29,9 +29,9 @@
 TEST(AdmissionQueue, MostImportantEntryIsTakenFirst)
 {
     AdmissionQueue queue{QueueRules()};
-    queue.push(entryOf(1, 5, 7), Later, 10, 0);
-    queue.push(entryOf(2, 3, 9), Later, 10, 0);
-    queue.push(entryOf(3, 3, 4), Later, 10, 0);
+    queue.push(entryOf(1, 5, 7), later, 10, 0);
+    queue.push(entryOf(2, 3, 9), later, 10, 0);
+    queue.push(entryOf(3, 3, 4), later, 10, 0);
     EXPECT_EQ(queue.take(3)->id(), 3U);
     EXPECT_EQ(queue.take(3)->id(), 2U);
     EXPECT_EQ(queue.take(3)->id(), 1U);
@@ -40,21 +40,21 @@
 TEST(AdmissionQueue, FullQueueRefusesTheLeastImportantEntryAndNotTheNewcomer)
 {
     AdmissionQueue queue{QueueRules()};
-    EXPECT_FALSE(queue.push(entryOf(1, 5), Later, 1, 0));
-    const auto refused = queue.push(entryOf(2, 1), Later, 1, 0);
+    EXPECT_FALSE(queue.push(entryOf(1, 5), later, 1, 0));
+    const auto refused = queue.push(entryOf(2, 1), later, 1, 0);
     ASSERT_TRUE(refused);
     EXPECT_EQ(refused->id(), 1U);
-    EXPECT_EQ(queue.push(entryOf(3, 9), Later, 1, 0)->id(), 3U);
+    EXPECT_EQ(queue.push(entryOf(3, 9), later, 1, 0)->id(), 3U);
 }
 
 TEST(AdmissionQueue, KindKeepsItsShareOfSlotsAgainstMoreUrgentOnes)
 {
     AdmissionQueue queue{QueueRules()};
     for (EntryId id = 1; id <= 20; ++id) {
-        queue.push(entryOf(id, 0, id, "flood"), Later, 40, 0);
+        queue.push(entryOf(id, 0, id, "flood"), later, 40, 0);
     }
     for (EntryId id = 21; id <= 30; ++id) {
-        queue.push(entryOf(id, 6, id, "menu").withKeptShare(0.2), Later, 40, 0);
+        queue.push(entryOf(id, 6, id, "menu").withKeptShare(0.2), later, 40, 0);
     }
     std::size_t menus = 0;
     while (const auto entry = queue.take(10)) {
@@ -67,7 +67,7 @@
 {
     AdmissionQueue queue{QueueRules()};
     for (EntryId id = 1; id <= 10; ++id) {
-        queue.push(entryOf(id, 5, id, "bulk"), Later, 20, 4);
+        queue.push(entryOf(id, 5, id, "bulk"), later, 20, 4);
     }
     while (queue.take(4)) { }
     EXPECT_DOUBLE_EQ(queue.room(entryOf(11, 5, 0, "bulk"), 4), 0.4);
@@ -86,7 +86,7 @@
         for (const auto &[rank, hash] : steps) {
             const AdmissionEntry entry = entryOf(id++, rank, static_cast<std::uint64_t>(hash));
             waiting.push_back(entry);
-            const auto refused = queue.push(entry, Later, capacity, 0);
+            const auto refused = queue.push(entry, later, capacity, 0);
             if (refused) {
                 for (const AdmissionEntry &other : waiting) {
                     RC_ASSERT(other.order() <= refused->order());
--- a/tests/servers/pathlimit/pathlimitertest.cpp
+++ b/tests/servers/pathlimit/pathlimitertest.cpp
@@ -13,14 +13,14 @@
 namespace
 {
 
-const TimePoint Start{std::chrono::hours(1)};
-const PathKey Path = PathKey().withService("dispatch").withKind("stock");
+const TimePoint start{std::chrono::hours(1)};
+const PathKey path = PathKey().withService("dispatch").withKind("stock");
 
 AdmissionEntry entryOf(EntryId id)
 {
     return AdmissionEntry()
         .withOrder(ShedOrder().withRootHash(id).withEntryId(id))
-        .withDeadline(Start + std::chrono::seconds(1));
+        .withDeadline(start + std::chrono::seconds(1));
 }
 
 } // namespace
@@ -58,17 +58,17 @@
 TEST(PathLimiter, PathWithoutRoomDoesNotHoldUpAnother)
 {
     PathLimiter limiter{PathRules()};
-    const PathKey other = Path.withKind("browse");
+    const PathKey other = path.withKind("browse");
     std::size_t letIn = 0;
     EntryId id = 1;
     for (; id <= 100; ++id) {
-        for (const AdmissionDecision &decision : limiter.submit(Path, entryOf(id), Start)) {
+        for (const AdmissionDecision &decision : limiter.submit(path, entryOf(id), start)) {
             letIn += decision.runs() ? 1 : 0;
         }
     }
     EXPECT_LT(letIn, 50U);
     EXPECT_GT(limiter.queued(), 0U);
-    EXPECT_TRUE(limiter.submit(other, entryOf(id), Start).at(0).runs());
+    EXPECT_TRUE(limiter.submit(other, entryOf(id), start).at(0).runs());
 }
 
 TEST(PathLimiter, WaitingRequestLeavesAtItsDeadline)
@@ -76,12 +76,12 @@
     PathLimiter limiter{PathRules()};
     std::size_t decided = 0;
     for (EntryId id = 1; id <= 30; ++id) {
-        decided += limiter.submit(Path, entryOf(id), Start).size();
+        decided += limiter.submit(path, entryOf(id), start).size();
     }
     EXPECT_EQ(decided + limiter.queued(), 30U);
-    EXPECT_EQ(limiter.nextExpiry(), Start + std::chrono::seconds(1));
+    EXPECT_EQ(limiter.nextExpiry(), start + std::chrono::seconds(1));
     const std::size_t waiting = limiter.queued();
-    EXPECT_EQ(limiter.expire(Start + std::chrono::seconds(1)).size(), waiting);
+    EXPECT_EQ(limiter.expire(start + std::chrono::seconds(1)).size(), waiting);
     EXPECT_EQ(limiter.queued(), 0U);
 }
 
--- a/tests/system/admissiontest.cpp
+++ b/tests/system/admissiontest.cpp
@@ -59,6 +59,7 @@
     Counts flood;
     Counts urgent;
     std::vector<std::thread> callers;
+    callers.reserve(FloodCallers);
     for (int caller = 0; caller < FloodCallers; ++caller) {
         callers.emplace_back([&] {
             sendMany(yard.front, "/browse/all", FloodRequests, flood);
