Leave a path open until an answer shows it narrow; start a cold target at half its slots

Cause: a window of 16 held up calls beside ones that hung at a silent backend server (SilentConnection.ToTheBackendServerEndsItsCallsAtTheirDeadlineAndOthersAreServed: 16 of 20 got to it; served again after 4306 ms, limit 3 s), and with a slow start at a quarter the 20 that hung filled the limit of 15. Change: windows open at 256 and fall to what is held at the first answers that show waiting; slow start from half of the slots.

--- a/servers/admission/limitstrategy.cpp
+++ b/servers/admission/limitstrategy.cpp
@@ -9,7 +9,9 @@
 
 namespace
 {
-constexpr double StartPart = 0.25; ///< Of the slots, after a cold start.
+/// Of the slots, after a cold start. Not less: routing compares utilisation, and a target whose limit looks far smaller
+/// than that of its equals gets no calls by which it could grow.
+constexpr double StartPart = 0.5;
 constexpr double GrowthForEachAnswer = 0.25; ///< Calls.
 constexpr double FailureWeight = 0.05; ///< Of the newest call in the moving average.
 constexpr double MostFailures = 0.3; ///< Part of calls.
--- a/servers/pathlimit/pathlimiter.cpp
+++ b/servers/pathlimit/pathlimiter.cpp
@@ -11,7 +11,6 @@
 namespace
 {
 constexpr double LeastWindow = 1; ///< Calls.
-constexpr double MostWindow = 1e6; ///< Calls.
 constexpr double WaitingBelow = 0.5; ///< Calls kept waiting below, for the square root of the window.
 constexpr double Gain = 0.5; ///< Part of the way to the wanted window in one round trip.
 constexpr double SmoothedAnswers = 16; ///< Over which the room is averaged.
@@ -29,12 +28,12 @@
     const double used = static_cast<double>(underWay);
     // Smoothed, or a queue that is empty for a moment would look like room for many more.
     m_room += (room - m_room) / SmoothedAnswers;
-    const double wanted = WaitingBelow * std::sqrt(m_size);
-    const double waiting = m_size * (1 - m_room);
+    const double wanted = WaitingBelow * std::sqrt(std::max(1.0, std::min(m_size, used)));
+    const double waiting = std::min(m_size, used) * (1 - m_room);
     if (waiting < wanted * FastGrowthPart) {
         // An unused window doesn't grow, or a later flood would come in at once.
-        const double bound = std::max(m_size, Headroom * used + FewestPlaces);
-        m_size = std::min({m_size + GrowthForEachAnswer, bound, MostWindow});
+        const double bound = std::max(m_size, Headroom * used + OpenWindow);
+        m_size = std::min(m_size + GrowthForEachAnswer, bound);
         return;
     }
     const double held = used * m_room;
--- a/servers/pathlimit/pathlimiter.h
+++ b/servers/pathlimit/pathlimiter.h
@@ -31,6 +31,9 @@
     friend auto operator<=>(const PathKey &, const PathKey &) = default;
 };
 
+/// The window, in calls, of a path that nothing has shown to be narrow.
+constexpr double OpenWindow = 256;
+
 /// How many calls of one path may be under way.
 class PathWindow
 {
@@ -43,7 +46,7 @@
     void answered(double room, std::size_t underWay);
 
 private:
-    double m_size = 16; ///< At least 1.
+    double m_size = OpenWindow; ///< At least 1.
     double m_room = 1; ///< Moving average.
 };
 
--- a/tests/servers/pathlimit/pathlimitertest.cpp
+++ b/tests/servers/pathlimit/pathlimitertest.cpp
@@ -23,6 +23,19 @@
         .withDeadline(start + std::chrono::seconds(1));
 }
 
+/// Lets calls run whose answers tell that there is hardly any room below.
+void makeNarrow(PathLimiter &limiter)
+{
+    constexpr EntryId FirstId = 1000;
+    constexpr EntryId Count = 60;
+    for (EntryId id = FirstId; id < FirstId + Count; ++id) {
+        ASSERT_TRUE(limiter.submit(path, entryOf(id), start).at(0).runs());
+    }
+    for (EntryId id = FirstId; id < FirstId + Count; ++id) {
+        limiter.finished(path, id, 0.1, std::nullopt, start);
+    }
+}
+
 } // namespace
 
 TEST(PathWindow, FallsToWhatTheServicesBelowHold)
@@ -59,6 +72,7 @@
 {
     PathLimiter limiter{PathRules()};
     const PathKey other = path.withKind("browse");
+    makeNarrow(limiter);
     std::size_t letIn = 0;
     EntryId id = 1;
     for (; id <= 100; ++id) {
@@ -74,6 +88,7 @@
 TEST(PathLimiter, WaitingRequestLeavesAtItsDeadline)
 {
     PathLimiter limiter{PathRules()};
+    makeNarrow(limiter);
     std::size_t decided = 0;
     for (EntryId id = 1; id <= 30; ++id) {
         decided += limiter.submit(path, entryOf(id), start).size();
@@ -81,6 +96,7 @@
     EXPECT_EQ(decided + limiter.queued(), 30U);
     EXPECT_EQ(limiter.nextExpiry(), start + std::chrono::seconds(1));
     const std::size_t waiting = limiter.queued();
+    EXPECT_GT(waiting, 0U);
     EXPECT_EQ(limiter.expire(start + std::chrono::seconds(1)).size(), waiting);
     EXPECT_EQ(limiter.queued(), 0U);
 }
