--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -5,6 +5,7 @@
 #include "core/kernel/eventlog.h"
 #include "core/kernel/kernel.h"
 #include "core/kernel/sharedtable.h"
+#include "modules/http/bodyreader.h"
 #include "modules/http/httpstream.h"
 
 #include <Poco/Net/HTTPRequest.h>
@@ -31,40 +32,19 @@
 {
 
 constexpr int AcceptBacklog = 512;
-constexpr std::size_t ReadChunkBytes = 16384;
 constexpr long PollTimeoutMicroseconds = 250'000;
 constexpr Duration EmptySetPause = std::chrono::milliseconds(50);
 /// In which a connection whose handshake had begun is completed by the system.
 constexpr Duration HandshakeTime = std::chrono::milliseconds(200);
 /// In which the first request of a connection that was taken last arrives.
 constexpr Duration IdleGrace = std::chrono::milliseconds(500);
+/// In which the input of a caller that was refused is still read.
+constexpr Duration DiscardTime = std::chrono::milliseconds(500);
+constexpr long DiscardPollMicroseconds = 100'000;
+constexpr std::size_t DiscardChunkBytes = 16384;
 constexpr int StatusBadRequest = 400;
-constexpr int StatusBodyTooLarge = 413;
 constexpr int StatusHeaderTooLarge = 431;
 
-/// A fault of a request that the caller is told of before its connection is closed.
-class RequestError : public std::exception
-{
-public:
-    RequestError(int status, const char *message)
-        : m_status(status)
-        , m_message(message)
-    {
-    }
-    const char *what() const noexcept override
-    {
-        return m_message;
-    }
-    int status() const
-    {
-        return m_status;
-    }
-
-private:
-    const int m_status;
-    const char *const m_message;
-};
-
 HttpResponse badRequest(int status, const std::string &detail)
 {
     return toResponse(CallOutcome::notRun(Reason::BadRequest, detail)).withStatus(status);
@@ -174,10 +154,14 @@
         readHeader(m_header);
         requireKnownVersion(m_header);
         Headers headers = toHeaders(m_header, settings.maxHeaderBytes());
+        const BodyFraming framing = framingOf(HeaderFields(m_header.begin(), m_header.end()));
         if (m_header.getExpectContinue()) {
             send("HTTP/1.1 100 Continue\r\n\r\n");
         }
-        Body body(receiveBody(settings.maxBodyBytes()));
+        const auto source = [this] {
+            return get();
+        };
+        Body body(fescuepond::readBody(source, framing, settings.maxBodyBytes()));
         return HttpRequest()
             .withRequestId(AttemptId::random())
             .withMethod(m_header.getMethod())
@@ -207,14 +191,6 @@
     Poco::Net::StreamSocket m_socket;
 
 private:
-    std::string receiveBody(std::size_t limit)
-    {
-        if (m_header.getChunkedTransferEncoding()) {
-            return readChunkedBody(limit);
-        }
-        return m_header.hasContentLength() ? readBody(declaredLength(m_header), limit) : std::string();
-    }
-
     void send(const std::string &bytes)
     {
         std::size_t sent = 0;
@@ -501,8 +477,6 @@
             request = connection->receive(settings);
         } catch (const RequestError &error) {
             refuse(connection, error.status(), error.what());
-        } catch (const BodyTooLong &error) {
-            refuse(connection, StatusBodyTooLarge, "the body is too long");
         } catch (const Poco::Net::NoMessageException &) {
             // The caller closed an idle connection.
         } catch (const Poco::Net::MessageException &) {
@@ -521,11 +495,26 @@
         try {
             connection->respond(badRequest(status, detail), false);
             connection->m_socket.shutdownSend();
+            discardInput(connection->m_socket);
         } catch (const Poco::Exception &) {
             // The caller has gone; there is nobody to tell.
         }
     }
 
+    /// Reads what the caller still sends, for a bounded time: closing before would reset the connection, and the caller
+    /// would lose the response.
+    static void discardInput(Poco::Net::StreamSocket &socket)
+    {
+        const auto end = std::chrono::steady_clock::now() + DiscardTime;
+        std::array<char, DiscardChunkBytes> chunk;
+        while (std::chrono::steady_clock::now() < end) {
+            const bool hasMore = socket.poll(Poco::Timespan(DiscardPollMicroseconds), Poco::Net::Socket::SELECT_READ);
+            if (hasMore && socket.receiveBytes(chunk.data(), chunk.size()) <= 0) {
+                return;
+            }
+        }
+    }
+
     void write(const HttpConnectionPtr &connection, const HttpResponse &response)
     {
         if (!unwatch(connection->m_socket).isNone()) {
--- a/modules/ledger/keyhandover.cpp
+++ b/modules/ledger/keyhandover.cpp
@@ -24,6 +24,28 @@
 constexpr int MaxCommits = 3;
 constexpr std::size_t MaxStagedHomes = 64;
 
+std::size_t answerLength(const CallOutcome &outcome)
+{
+    std::size_t length = outcome.body().size() + outcome.detail().size();
+    for (const auto &[name, value] : outcome.headers()) {
+        length += name.size() + value.size();
+    }
+    return length;
+}
+
+/// How many records from `first` on go into one part. It ends once its answers have `mostBytes` together: a message
+/// between nodes may be a little more than twice as long.
+std::size_t partLength(const KeyRecords &records, std::size_t first, std::size_t mostBytes)
+{
+    std::size_t bytes = 0;
+    std::size_t count = 0;
+    while (first + count < records.size() && count < RecordsPerPart && bytes < mostBytes) {
+        bytes += answerLength(records[first + count].outcome());
+        ++count;
+    }
+    return count;
+}
+
 bool isAccepted(const std::optional<std::string> &bytes)
 {
     const auto reply = bytes ? decodeRecordsReply(*bytes) : std::nullopt;
@@ -100,12 +122,12 @@
 
 void KeyHandover::sendPart(const TransferPointer &transfer, std::size_t first)
 {
-    const std::size_t total = transfer->m_snapshot.records().size();
-    if (first >= total) {
+    const std::size_t mostBytes = m_kernel.settings().maxBodyBytes();
+    const std::size_t count = partLength(transfer->m_snapshot.records(), first, mostBytes);
+    if (count == 0) {
         commit(transfer);
         return;
     }
-    const std::size_t count = std::min(RecordsPerPart, total - first);
     m_messages.ask(transfer->m_address,
                    PeerTopic::KeyRecords,
                    encodeRecordsPart(transfer->m_snapshot, first, count),
