--- a/modules/http/httpstream.cpp
+++ b/modules/http/httpstream.cpp
@@ -2,6 +2,8 @@
 
 #include "modules/http/httpstream.h"
 
+#include "modules/http/bodyreader.h"
+
 #include <Poco/Net/HTTPHeaderStream.h>
 
 #include <algorithm>
@@ -16,9 +18,7 @@
 
 using Poco::Net::MessageException;
 
-constexpr std::size_t LongestLineBytes = 8192;
 constexpr std::size_t PieceBytes = 16'384;
-constexpr int HexadecimalBase = 16;
 constexpr int EndOfStream = std::char_traits<char>::eof();
 
 [[noreturn]] void failTruncated()
@@ -33,18 +33,6 @@
     }
 }
 
-/// The length of a chunk; extensions after a semicolon are left out.
-std::size_t parseChunkLength(const std::string &line)
-{
-    std::size_t length = 0;
-    const auto [end, error] = std::from_chars(line.data(), line.data() + line.size(), length, HexadecimalBase);
-    const bool isWhole = end == line.data() + line.size() || *end == ';' || *end == ' ';
-    if (error != std::errc() || !isWhole) {
-        throw MessageException("a chunk without a length");
-    }
-    return length;
-}
-
 } // namespace
 
 BodyTooLong::BodyTooLong()
@@ -83,17 +71,14 @@
 
 std::string HttpStream::readChunkedBody(std::size_t mostBytes)
 {
-    std::string body;
-    while (const std::size_t length = parseChunkLength(readLine())) {
-        requireRoom(length, mostBytes - body.size());
-        readBytes(body, length);
-        if (!readLine().empty()) {
-            throw MessageException("a chunk that is longer than it declares");
-        }
+    const auto source = [this] {
+        return get();
+    };
+    try {
+        return fescuepond::readBody(source, BodyFraming().withIsChunked(true), mostBytes);
+    } catch (const RequestError &error) {
+        throw MessageException(error.what());
     }
-    // Trailing header fields are read and left out; an empty line ends them.
-    while (!readLine().empty()) { }
-    return body;
 }
 
 std::string HttpStream::readBodyUntilEnd(std::size_t mostBytes)
@@ -119,26 +104,4 @@
     }
 }
 
-std::string HttpStream::readLine()
-{
-    std::string line;
-    for (char c = readByte(); c != '\n'; c = readByte()) {
-        line.push_back(c);
-        requireRoom(line.size(), LongestLineBytes);
-    }
-    if (line.ends_with('\r')) {
-        line.pop_back();
-    }
-    return line;
-}
-
-char HttpStream::readByte()
-{
-    const int c = get();
-    if (c == EndOfStream) {
-        failTruncated();
-    }
-    return static_cast<char>(c);
-}
-
 } // namespace fescuepond
--- a/modules/http/httpstream.h
+++ b/modules/http/httpstream.h
@@ -50,9 +50,6 @@
 private:
     /// Reads exactly `count` bytes onto the end of `bytes`.
     void readBytes(std::string &bytes, std::size_t count);
-    /// Reads a line and returns it without its end.
-    std::string readLine();
-    char readByte();
 };
 
 } // namespace fescuepond
