--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -38,6 +38,9 @@
 constexpr Duration HandshakeTime = std::chrono::milliseconds(200);
 /// In which the first request of a connection that was taken last arrives.
 constexpr Duration IdleGrace = std::chrono::milliseconds(500);
+/// A caller that ends its side so soon after its request does so to say that no other follows, and waits for the
+/// response.
+constexpr Duration HalfCloseTime = std::chrono::milliseconds(100);
 /// In which the input of a caller that was refused is still read.
 constexpr Duration DiscardTime = std::chrono::milliseconds(500);
 constexpr long DiscardPollMicroseconds = 100'000;
@@ -279,7 +282,12 @@
 
 private:
     using ParkedConnections = std::map<Poco::Net::Socket, HttpConnectionPtr>;
-    using WatchedConnections = std::map<Poco::Net::Socket, AttemptId>;
+    /// A request without a response, whose caller may go away.
+    struct Watched {
+        AttemptId m_requestId;
+        TimePoint m_since;
+    };
+    using WatchedConnections = std::map<Poco::Net::Socket, Watched>;
 
     void pollLoop()
     {
@@ -320,36 +328,38 @@
             return;
         }
         m_watched.locked([&](WatchedConnections &watched) {
-            watched.insert_or_assign(connection->m_socket, requestId);
+            watched.insert_or_assign(connection->m_socket, Watched{requestId, m_kernel.clock().now()});
         });
         m_pollSet.add(connection->m_socket, Poco::Net::PollSet::POLL_READ);
     }
 
-    /// Ends watching and returns the request; none when the connection isn't watched. Whoever gets it takes the
+    /// Ends watching and returns the request; nothing when the connection isn't watched. Whoever gets it takes the
     /// connection out of the poll set.
-    AttemptId unwatch(const Poco::Net::Socket &socket)
+    std::optional<Watched> unwatch(const Poco::Net::Socket &socket)
     {
-        return m_watched.locked([&](WatchedConnections &watched) {
+        return m_watched.locked([&](WatchedConnections &watched) -> std::optional<Watched> {
             const auto found = watched.find(socket);
-            const AttemptId requestId = found == watched.end() ? AttemptId() : found->second;
-            if (found != watched.end()) {
-                watched.erase(found);
+            if (found == watched.end()) {
+                return std::nullopt;
             }
-            return requestId;
+            const Watched taken = found->second;
+            watched.erase(found);
+            return taken;
         });
     }
 
     /// Handles an event of a connection that is watched: it has ended, or the next request came early.
     bool noteAbandoned(const Poco::Net::Socket &socket)
     {
-        const AttemptId requestId = unwatch(socket);
-        if (requestId.isNone()) {
+        const auto request = unwatch(socket);
+        if (!request) {
             return false;
         }
         leavePollSet(socket);
-        if (hasEnded(socket)) {
+        const bool mayBeHalfClosed = m_kernel.clock().now() - request->m_since < HalfCloseTime;
+        if (!mayBeHalfClosed && hasEnded(socket)) {
             m_kernel.metrics().count("fescuepond_requests_abandoned_total", {{"listener", m_name}});
-            m_kernel.pool().post(Lane::Decision, [self = shared_from_this(), requestId] {
+            m_kernel.pool().post(Lane::Decision, [self = shared_from_this(), requestId = request->m_requestId] {
                 self->m_abandoned(requestId);
             });
         }
@@ -517,7 +527,7 @@
 
     void write(const HttpConnectionPtr &connection, const HttpResponse &response)
     {
-        if (!unwatch(connection->m_socket).isNone()) {
+        if (unwatch(connection->m_socket)) {
             leavePollSet(connection->m_socket);
         }
         bool keepAlive = false;
