Give a keyed request its outcome at its deadline while the platform is slow

Cause: a request whose key waits for the platform had no limit of its own; 40 keys at a platform that takes 1.5 s for each call left their callers without an outcome. Change: the deadline ends the wait, not run, and a later answer of the platform starts nothing; at most 256 keys wait. Before: EveryCallerHasAnOutcomeInTimeWhileThePlatformIsSlow failed, 0 of 40 not run within 4 s, "key slow-0 has no outcome at its caller".

--- a/modules/ledger/keybinder.cpp
+++ b/modules/ledger/keybinder.cpp
@@ -17,6 +17,8 @@
 constexpr Duration BindingLifetime = std::chrono::hours(1);
 constexpr Duration RemoveInterval = std::chrono::seconds(1);
 constexpr int MaxRemovalsPerInterval = 5;
+/// Keys that wait for the platform at once. More only make each other late.
+constexpr std::size_t MaxBindingsInFlight = 256;
 
 } // namespace
 
@@ -39,6 +41,10 @@
         bound(BindingDecision().withAction(BindingAction::Use).withBinding(proposed.withTicket(*known)));
         return;
     }
+    if (++m_inFlight > MaxBindingsInFlight) {
+        finish(refuseBinding("too many keys wait for the platform"), bound);
+        return;
+    }
     write(proposed, MaxBindingWrites, bound);
 }
 
@@ -92,6 +98,7 @@
 
 void KeyBinder::finish(const BindingDecision &decision, const Bound &bound)
 {
+    --m_inFlight;
     if (decision.action() == BindingAction::Use) {
         const KeyBinding &binding = decision.binding();
         m_table.locked([&](Table &table) {
--- a/modules/ledger/keybinder.h
+++ b/modules/ledger/keybinder.h
@@ -10,6 +10,7 @@
 #include "core/pipeline/interfaces.h"
 #include "servers/ledger/binding.h"
 
+#include <atomic>
 #include <deque>
 #include <functional>
 #include <string>
@@ -50,6 +51,7 @@
     Kernel &m_kernel;
     Platform &m_platform;
     SharedTable<Table> m_table{LockRank::KeyRecords};
+    std::atomic<std::size_t> m_inFlight = 0; ///< Bindings between bind() and finish().
 };
 
 } // namespace fescuepond
--- a/modules/ledger/keyhandover.cpp
+++ b/modules/ledger/keyhandover.cpp
@@ -217,6 +217,10 @@
         }
         case wire::KeyRecords::MOVED_TO:
             m_forwarder.homeMoved(home, root.getMovedTo());
+            // Parts that came here before the home chose another successor.
+            m_staged.locked([&](Staged &staged) {
+                staged.erase(home);
+            });
             reply = reply.withAccepted(true);
             break;
         case wire::KeyRecords::LOCATE:
--- a/modules/ledger/ledgerplugin.cpp
+++ b/modules/ledger/ledgerplugin.cpp
@@ -139,15 +139,30 @@
             return;
         }
         const KeyBinding proposed = KeyBinding().withScopedKey(scopedKey(call, key)).withTicket(toTicket(*place));
-        m_binder->bind(proposed, [this, call, done](const BindingDecision &decision) {
-            if (decision.action() == BindingAction::Refuse) {
-                done(decision.refusal().withUnusedAllowance(call.context().retryAllowance()));
-                return;
+        // Whoever sets it decides how the submission goes on: the platform's answer, or the deadline.
+        const auto isDecided = std::make_shared<std::atomic<bool>>(false);
+        const auto timer = m_kernel->timers().once(call.context().deadline(), [this, call, done, isDecided] {
+            if (!isDecided->exchange(true)) {
+                refuse(call, done, Reason::PlatformUnavailable, "the platform did not say in time who may run the key");
+            }
+        });
+        m_binder->bind(proposed, [this, call, done, isDecided, timer](const BindingDecision &decision) {
+            m_kernel->timers().cancel(timer);
+            if (!isDecided->exchange(true)) {
+                bound(decision, call, done);
             }
-            bring(decision.binding().ticket(), call, done);
         });
     }
 
+    void bound(const BindingDecision &decision, const CallRequest &call, const Done &done)
+    {
+        if (decision.action() == BindingAction::Refuse) {
+            done(decision.refusal().withUnusedAllowance(call.context().retryAllowance()));
+            return;
+        }
+        bring(decision.binding().ticket(), call, done);
+    }
+
     void enterTicket(const CallRequest &call, const KeyName &key, const Done &done, bool)
     {
         const auto ticket = Ticket::parse(key.text());
--- a/servers/ledger/binding.cpp
+++ b/servers/ledger/binding.cpp
@@ -25,13 +25,13 @@
         .withRefusal(CallOutcome::notRun(reason, std::move(detail)));
 }
 
-BindingDecision refuseUnavailable()
+} // namespace
+
+BindingDecision refuseBinding(std::string detail)
 {
-    return refuse(Reason::PlatformUnavailable, "the platform can't say who may run this key; send it again later");
+    return refuse(Reason::PlatformUnavailable, std::move(detail));
 }
 
-} // namespace
-
 BindingDecision afterBindingWrite(PlatformStatus status, const KeyBinding &proposed)
 {
     // A lost answer and a conflict look the same from here: only a read tells what stands there.
@@ -52,7 +52,8 @@
         return refuse(Reason::Internal, "the platform's object for this key can't be read");
     }
     const bool mayWrite = status == PlatformStatus::NotFound && writesLeft > 0;
-    return mayWrite ? next(BindingAction::Write) : refuseUnavailable();
+    return mayWrite ? next(BindingAction::Write)
+                    : refuseBinding("the platform can't say who may run this key; send it again later");
 }
 
 } // namespace fescuepond
--- a/servers/ledger/binding.h
+++ b/servers/ledger/binding.h
@@ -45,6 +45,9 @@
 /// Greatest number of conditional creates for one submission.
 constexpr int MaxBindingWrites = 2;
 
+/// The platform can't say who may run the key; nothing was run.
+BindingDecision refuseBinding(std::string detail);
+
 /// What follows a conditional create of `proposed`.
 BindingDecision afterBindingWrite(PlatformStatus status, const KeyBinding &proposed);
 
--- a/tests/system/atmostoncetest.cpp
+++ b/tests/system/atmostoncetest.cpp
@@ -243,6 +243,27 @@
     expectCleanHistory();
 }
 
+TEST_F(AtMostOnce, EveryCallerHasAnOutcomeInTimeWhileThePlatformIsSlow)
+{
+    constexpr int Keys = 40;
+    m_fleet.setPlatformMode("slow=1500");
+    std::vector<std::thread> callers;
+    callers.reserve(Keys);
+    for (int i = 0; i < Keys; ++i) {
+        callers.emplace_back([this, i] {
+            HttpCall call = withKey("slow-" + std::to_string(i));
+            // Twice the deadline of the kind.
+            call.timeout = std::chrono::seconds(4);
+            send(*m_nodes[0], call);
+        });
+    }
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    EXPECT_EQ(m_history.outcomes()["not-run"], Keys);
+    expectCleanHistory();
+}
+
 TEST_F(AtMostOnce, ALostAnswerToTheCreateIsReadBack)
 {
     m_fleet.setPlatformMode("lose=1");
