--- a/core/values/call.h
+++ b/core/values/call.h
@@ -23,6 +23,8 @@
     FESCUEPOND_FIELD(CallId, callId, withCallId);
     FESCUEPOND_FIELD(RootId, rootId, withRootId);
     FESCUEPOND_FIELD(AttemptId, attemptId, withAttemptId);
+    /// The attempt or the caller's request on whose behalf this node makes the call; not told to other nodes.
+    FESCUEPOND_FIELD(AttemptId, parentAttempt, withParentAttempt);
     FESCUEPOND_FIELD(std::string, kind, withKind); ///< Kind at the called service.
     FESCUEPOND_FIELD(std::string, rootKind, withRootKind); ///< `service/kind` of the root request.
     FESCUEPOND_FIELD(Rank, rank, withRank); ///< Of the root request.
@@ -98,7 +100,7 @@
     FESCUEPOND_FIELD(int, targetInFlight, withTargetInFlight);
     FESCUEPOND_FIELD(double,
                      pathLimit,
-                     withPathLimit); ///< Part of this path's calls that hold a slot below, up to 1; 0: unsaid.
+                     withPathLimit); ///< Room for each call of this path at its narrowest service; 0: unsaid.
 
 public:
     static CallOutcome notRun(Reason reason, std::string detail);
