--- a/modules/membership/gossiper.cpp
+++ b/modules/membership/gossiper.cpp
@@ -79,8 +79,9 @@
 
 void Gossiper::joinBySeeds()
 {
+    // The platform may list none but nodes that are gone.
     const bool isAlone = m_members.read([](const MemberView &view) {
-        return view.entries().empty();
+        return !view.hasContacts();
     });
     if (!isAlone) {
         return;
--- a/servers/membership/memberview.h
+++ b/servers/membership/memberview.h
@@ -74,6 +74,11 @@
     MemberView withContact(const std::string &zone, TimePoint now) &&;
     /// Whether a member of `zone` was heard of directly at `since` or later.
     bool hasContact(const std::string &zone, TimePoint since) const;
+    /// Whether any other member was ever heard of directly.
+    bool hasContacts() const
+    {
+        return !m_contacts.empty();
+    }
     MemberView without(const std::string &name) &&;
     /// Names of members whose records changed since they were last cleared.
     const NameSet &changed() const
--- a/tests/system/plannedstoptest.cpp
+++ b/tests/system/plannedstoptest.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <csignal>
 #include <iostream>
+#include <thread>
 
 namespace fescuepond::test
 {
@@ -100,4 +101,32 @@
     EXPECT_EQ(counts.failedTotal(), 0) << counts.toString();
 }
 
+TEST(PlannedStop, TargetThatLeavesReceivesNoNewWork)
+{
+    Fleet fleet;
+    fleet.publish({Yard});
+    std::vector<std::string> fronts;
+    for (const std::string name : {"yard-1", "yard-2", "yard-3"}) {
+        fronts.push_back(fleet.addNode({.name = name, .service = "yard"}).front);
+    }
+    // Calls come to it only through the others, which nothing but its leaving tells to turn away.
+    FleetNode &leaving = fleet.addNode({.name = "yard-4", .service = "yard", .settings = {"leave_grace_ms: 500"}});
+    ASSERT_TRUE(fleet.waitUntilReady(4));
+    HttpCall call;
+    call.host = "yard";
+    call.path = "/stock/sleepers";
+    Callers callers(call, fronts, 12, milliseconds(5));
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+
+    leaving.process->signal(SIGTERM);
+    EXPECT_EQ(leaving.process->wait(StopLimit), 0);
+    const std::string left = leaving.process->waitForLine("event=target_left");
+    const CallCounts counts = callers.stop();
+    std::cout << left << '\n' << counts.toString() << '\n';
+    EXPECT_GT(leaving.journalLines("begin").size(), 10);
+    EXPECT_LE(std::stoi(valueIn(left, "last_call_after_ms")), LeaveLimit.count());
+    EXPECT_EQ(valueIn(left, "refused"), "0") << left;
+    EXPECT_EQ(counts.cut + counts.failedTotal(), 0) << counts.toString();
+}
+
 } // namespace fescuepond::test
