--- a/benchmarks/experiment/main.cpp
+++ b/benchmarks/experiment/main.cpp
@@ -1,6 +1,7 @@
 // The experiment tool: measures the policy under load in virtual time.
 //
 //     experiment --graph=chain --case=demand-2x,flood-most --policy=full,fifo --seeds=3 --csv=FILE
+//     experiment --from=FILE --svg=FILE
 
 #include "benchmarks/experiment/report.h"
 #include "benchmarks/experiment/simulation.h"
@@ -24,7 +25,7 @@
 DEFINE_int32(jobs, 3, "Runs at the same time.");
 DEFINE_string(csv, "", "File to which the results are written.");
 DEFINE_string(svg, "", "File to which a plot of the first graph is written.");
-DEFINE_bool(targets, false, "Also print whether the users' targets are met.");
+DEFINE_string(from, "", "Takes the results from this CSV file, rather than running anything.");
 DEFINE_bool(list, false, "Print the names of graphs, cases and policies.");
 
 namespace fescuepond::experiment
@@ -124,6 +125,13 @@
     }
 }
 
+std::string readFile(const std::string &path)
+{
+    std::ostringstream text;
+    text << std::ifstream(path).rdbuf();
+    return text.str();
+}
+
 void writeFile(const std::string &path, const std::string &text)
 {
     if (!path.empty()) {
@@ -137,9 +145,12 @@
         printNames();
         return 0;
     }
-    const std::vector<RunResult> results = runAll(makeJobs());
+    const std::vector<RunResult> results = FLAGS_from.empty() ? runAll(makeJobs()) : fromCsv(readFile(FLAGS_from));
     fmt::print("{}", toTable(results));
     writeFile(FLAGS_csv, toCsv(results));
+    if (!results.empty()) {
+        writeFile(FLAGS_svg, toSvg(results, results.front().graph));
+    }
     return 0;
 }
 
--- a/benchmarks/experiment/report.cpp
+++ b/benchmarks/experiment/report.cpp
@@ -1,12 +1,11 @@
-// Results as CSV and as a table.
+// Results as CSV, as a table and as a plot.
 
 #include "benchmarks/experiment/report.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <map>
-#include <tuple>
+#include <sstream>
 
 namespace fescuepond::experiment
 {
@@ -67,6 +66,69 @@
     return groups;
 }
 
+/// Columns of the CSV text.
+enum Column : std::size_t {
+    GraphColumn,
+    CaseColumn,
+    PolicyColumn,
+    SeedColumn,
+    KindColumn,
+    RankColumn,
+    OfferedColumn,
+    IdealColumn,
+    DoneColumn,
+    RefusedColumn,
+    WastedColumn,
+    RecoveryColumn,
+    ColumnCount
+};
+
+std::vector<std::string> cellsOf(const std::string &line)
+{
+    std::vector<std::string> cells;
+    std::istringstream words(line);
+    std::string cell;
+    while (std::getline(words, cell, ',')) {
+        cells.push_back(cell);
+    }
+    cells.resize(ColumnCount); // The last cell may be empty.
+    return cells;
+}
+
+bool isSameRun(const RunResult &a, const RunResult &b)
+{
+    return a.graph == b.graph && a.caseName == b.caseName && a.policy == b.policy && a.seed == b.seed;
+}
+
+constexpr int PlotTop = 34; ///< Pixels, as all that follow.
+constexpr int PlotLeft = 300;
+constexpr int PlotWidth = 400; ///< Of the ideal.
+constexpr double PlotRange = 1.3; ///< In part of the ideal.
+constexpr int BarHeight = 12;
+constexpr int BarStep = 17;
+constexpr double TargetPart = 0.95;
+
+std::string barOf(const GroupKey &key, const Spread &goodput, int y)
+{
+    const int middle = y + BarHeight / 2;
+    return fmt::format(
+        "<text x=\"8\" y=\"{}\">{}, {}</text>"
+        "<rect x=\"{}\" y=\"{}\" width=\"{:.1f}\" height=\"{}\" fill=\"{}\"/>"
+        "<line x1=\"{:.1f}\" x2=\"{:.1f}\" y1=\"{}\" y2=\"{}\" stroke=\"black\"/>\n",
+        y + BarHeight - 2,
+        key.caseName,
+        key.policy,
+        PlotLeft,
+        y,
+        goodput.mean * PlotWidth,
+        BarHeight,
+        key.policy == "full" ? "#36c" : "#999",
+        PlotLeft + goodput.least * PlotWidth,
+        PlotLeft + goodput.greatest * PlotWidth,
+        middle,
+        middle);
+}
+
 } // namespace
 
 std::string toCsv(const std::vector<RunResult> &results)
@@ -132,4 +194,65 @@
     return text;
 }
 
+std::vector<RunResult> fromCsv(const std::string &text)
+{
+    std::vector<RunResult> results;
+    std::istringstream lines(text);
+    std::string line;
+    std::getline(lines, line); // The head line.
+    while (std::getline(lines, line)) {
+        const std::vector<std::string> cells = cellsOf(line);
+        RunResult run;
+        run.graph = cells.at(GraphColumn);
+        run.caseName = cells.at(CaseColumn);
+        run.policy = cells.at(PolicyColumn);
+        run.seed = std::stoull(cells.at(SeedColumn));
+        run.refusals = std::stod(cells.at(RefusedColumn));
+        run.wastedPart = std::stod(cells.at(WastedColumn));
+        run.hasTrigger = !cells.at(RecoveryColumn).empty();
+        run.recoverySeconds = run.hasTrigger ? std::stod(cells.at(RecoveryColumn)) : -1;
+        if (results.empty() || !isSameRun(results.back(), run)) {
+            results.push_back(run);
+        }
+        results.back().kinds.push_back({.name = cells.at(KindColumn),
+                                        .rank = std::stoi(cells.at(RankColumn)),
+                                        .offered = std::stod(cells.at(OfferedColumn)),
+                                        .ideal = std::stod(cells.at(IdealColumn)),
+                                        .done = std::stod(cells.at(DoneColumn))});
+    }
+    return results;
+}
+
+std::string toSvg(const std::vector<RunResult> &results, const std::string &graph)
+{
+    std::string bars;
+    int y = PlotTop;
+    for (const auto &[key, runs] : groupsOf(results)) {
+        if (key.graph != graph) {
+            continue;
+        }
+        const Spread goodput = spreadOf(runs, [](const RunResult &run) {
+            return part(run.totalDone(), run.totalIdeal());
+        });
+        bars += barOf(key, goodput, y);
+        y += BarStep;
+    }
+    const double target = PlotLeft + TargetPart * PlotWidth;
+    return fmt::format(
+        "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{}\" height=\"{}\" "
+        "font-family=\"sans-serif\" font-size=\"12\">\n"
+        "<text x=\"8\" y=\"20\">{}: goodput of whole requests, in part of the ideal; "
+        "line at {}</text>\n{}"
+        "<line x1=\"{}\" x2=\"{}\" y1=\"{}\" y2=\"{}\" stroke=\"#c33\"/>\n</svg>\n",
+        PlotLeft + PlotWidth * PlotRange,
+        y + BarStep,
+        graph,
+        TargetPart,
+        bars,
+        target,
+        target,
+        PlotTop,
+        y);
+}
+
 } // namespace fescuepond::experiment
--- a/benchmarks/experiment/report.h
+++ b/benchmarks/experiment/report.h
@@ -14,9 +14,9 @@
 std::string toCsv(const std::vector<RunResult> &results);
 /// One line for each graph, case and policy: the mean over the seeds and the spread.
 std::string toTable(const std::vector<RunResult> &results);
-/// One line for each target that the users set: its figure over all runs of the whole policy, and whether it is met.
-std::string toTargets(const std::vector<RunResult> &results);
-/// Bars of goodput in part of the ideal, for each case and policy of one graph.
+/// The results that a CSV text of toCsv() holds, without the slices of time.
+std::vector<RunResult> fromCsv(const std::string &text);
+/// Bars of goodput in part of the ideal, for each case and policy of one graph: the mean, and the spread as a line.
 std::string toSvg(const std::vector<RunResult> &results, const std::string &graph);
 
 } // namespace fescuepond::experiment
--- a/servers/admission/admissionqueue.cpp
+++ b/servers/admission/admissionqueue.cpp
@@ -2,7 +2,7 @@
 
 #include "servers/admission/admissionqueue.h"
 
-#include "servers/admission/invariant.h"
+#include "core/kernel/invariant.h"
 
 #include <algorithm>
 #include <cmath>
@@ -34,7 +34,7 @@
 std::optional<AdmissionEntry>
 AdmissionQueue::push(const AdmissionEntry &entry, TimePoint leaveAt, std::size_t capacity, double slots)
 {
-    checkInvariant(!m_orders.contains(entry.id()) && !m_running.contains(entry.id()), "an entry is submitted once");
+    invariant(!m_orders.contains(entry.id()) && !m_running.contains(entry.id()), "an entry is submitted once");
     const ShedOrder order = storedOrder(entry);
     m_waiting.emplace(order, Waiting{entry, leaveAt});
     m_orders.emplace(entry.id(), order);
@@ -64,14 +64,14 @@
     ++m_kinds[keyOf(entry)].m_running; // Before the removal, which drops kinds that are not in use.
     erase(order);
     m_running.emplace(entry.id(), entry);
-    checkInvariant(static_cast<double>(m_running.size()) <= slots, "no more calls run than the limit says");
+    invariant(static_cast<double>(m_running.size()) <= slots, "no more calls run than the limit says");
     return entry;
 }
 
 AdmissionEntry AdmissionQueue::finish(EntryId id)
 {
     const auto found = m_running.find(id);
-    checkInvariant(found != m_running.end(), "only a call that runs can end");
+    invariant(found != m_running.end(), "only a call that runs can end");
     AdmissionEntry entry = found->second;
     m_running.erase(found);
     const auto kind = m_kinds.find(keyOf(entry));
