--- a/tests/system/cancellationtest.cpp
+++ b/tests/system/cancellationtest.cpp
@@ -2,8 +2,13 @@
 
 #include "tests/support/fleet.h"
 
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <array>
 #include <chrono>
 #include <future>
 #include <thread>
@@ -98,6 +103,19 @@
     EXPECT_EQ(m_dispatch->journalLines("begin").size(), 1);
 }
 
+TEST_F(Cancellation, CallerThatHalfClosesItsConnectionIsAnswered)
+{
+    auto first = occupyYard();
+    Poco::Net::StreamSocket socket{Poco::Net::SocketAddress(m_dispatch->front)};
+    const std::string request = "GET /stock/half HTTP/1.1\r\nHost: yard\r\n\r\n";
+    socket.sendBytes(request.data(), static_cast<int>(request.size()));
+    socket.shutdownSend();
+    std::array<char, 64> answer;
+    const int count = socket.receiveBytes(answer.data(), answer.size());
+    EXPECT_TRUE(std::string(answer.data(), static_cast<std::size_t>(std::max(count, 0))).starts_with("HTTP/1.1 200"));
+    EXPECT_EQ(first.get().outcome(), "answered");
+}
+
 TEST_F(Cancellation, NonIdempotentCallIsRunThoughItsCallerHasGone)
 {
     auto first = occupyYard();
