--- a/tests/system/operatorspagetest.cpp
+++ b/tests/system/operatorspagetest.cpp
@@ -17,7 +17,12 @@
 namespace
 {
 
-const std::filesystem::path Source = FESCUEPOND_SOURCE_DIR;
+constexpr const char *SourceFolder = FESCUEPOND_SOURCE_DIR;
+
+std::filesystem::path source(const char *path)
+{
+    return std::filesystem::path(SourceFolder) / path;
+}
 
 std::string readFile(const std::filesystem::path &path)
 {
@@ -32,7 +37,7 @@
 {
     std::set<std::string> names;
     for (const char *folder : {"core", "servers", "modules", "main"}) {
-        for (const auto &entry : std::filesystem::recursive_directory_iterator(Source / folder)) {
+        for (const auto &entry : std::filesystem::recursive_directory_iterator(source(folder))) {
             if (entry.path().extension() != ".cpp") {
                 continue;
             }
@@ -57,7 +62,7 @@
 
 TEST(OperatorsPage, HasEverySettingWithDefaultAndUnit)
 {
-    const std::string page = readFile(Source / "docs/OPERATORS.md");
+    const std::string page = readFile(source("docs/OPERATORS.md"));
     for (const SettingRow &row : settingRows()) {
         const std::string value = row.isRequired() ? "required" : fmt::format("`{}`", row.defaultValue);
         const std::string line = fmt::format("| `{}` | {} | {} |", row.key, value, row.unit);
@@ -67,7 +72,7 @@
 
 TEST(OperatorsPage, NamesEveryMetricAndEvent)
 {
-    const std::string page = readFile(Source / "docs/OPERATORS.md");
+    const std::string page = readFile(source("docs/OPERATORS.md"));
     expectNamed(namesInSources(std::regex("\"(fescuepond_[a-z_]+)\"")), page);
     expectNamed(namesInSources(std::regex("Event\\(\"([a-z_]+)\"")), page);
 }
