--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -6,11 +6,10 @@
 #include "core/kernel/kernel.h"
 #include "core/kernel/sharedtable.h"
 #include "modules/http/bodyreader.h"
+#include "modules/http/httpstream.h"
 
-#include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/HTTPServerRequestImpl.h>
-#include <Poco/Net/HTTPServerResponseImpl.h>
-#include <Poco/Net/HTTPServerSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/PollSet.h>
 #include <Poco/Net/ServerSocket.h>
@@ -39,6 +38,9 @@
 constexpr Duration HandshakeTime = std::chrono::milliseconds(200);
 /// In which the first request of a connection that was taken last arrives.
 constexpr Duration IdleGrace = std::chrono::milliseconds(500);
+/// A caller that ends its side so soon after its request does so to say that no other follows, and waits for the
+/// response.
+constexpr Duration HalfCloseTime = std::chrono::milliseconds(100);
 /// In which the input of a caller that was refused is still read.
 constexpr Duration DiscardTime = std::chrono::milliseconds(500);
 constexpr long DiscardPollMicroseconds = 100'000;
@@ -56,8 +58,8 @@
     return host.substr(0, host.find(':'));
 }
 
-/// Reads headers as values; more bytes than `limit` is an error.
-Headers readHeaders(const Poco::Net::HTTPServerRequest &request, std::size_t limit)
+/// Headers as values; more bytes than `limit` is an error.
+Headers toHeaders(const Poco::Net::HTTPRequest &request, std::size_t limit)
 {
     Headers headers;
     std::size_t bytes = 0;
@@ -71,14 +73,29 @@
     return headers;
 }
 
-/// The header's fields with repeated names, in their order.
-HeaderFields fieldsOf(const Poco::Net::HTTPServerRequest &request)
+void requireKnownVersion(const Poco::Net::HTTPRequest &request)
 {
-    HeaderFields fields;
-    for (const auto &[name, value] : request) {
-        fields.emplace_back(name, value);
+    const bool isKnown = request.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1
+        || request.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0;
+    if (!isKnown) {
+        throw RequestError(StatusBadRequest, "the request is not HTTP/1.0 or HTTP/1.1");
     }
-    return fields;
+}
+
+std::string toText(const HttpResponse &response, const Poco::Net::HTTPRequest &request, bool keepAlive)
+{
+    Poco::Net::HTTPResponse header;
+    header.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
+    header.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(response.status()));
+    for (const auto &[name, value] : response.headers()) {
+        header.set(name, value);
+    }
+    header.setKeepAlive(keepAlive);
+    header.setContentLength64(static_cast<Poco::Int64>(response.body().size()));
+    std::ostringstream text;
+    header.write(text);
+    const bool isHead = request.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD;
+    return isHead ? text.str() : text.str() + response.body().bytes();
 }
 
 /// Makes the system drop requests for new connections, silently: the caller's system repeats them a second later and is
@@ -116,31 +133,80 @@
     }
 }
 
-/// A session that gives its bytes one by one.
-class ByteSession final : public Poco::Net::HTTPServerSession
+/// Whether the other end has closed the connection. Called when the socket is readable.
+static bool hasEnded(const Poco::Net::Socket &socket)
+{
+    char byte = 0;
+    return ::recv(socket.impl()->sockfd(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) <= 0;
+}
+
+/// One connection of a caller. At any time it is either parked in the poll set or owned by one request.
+class HttpConnection final : public HttpStream
 {
 public:
-    using HTTPServerSession::HTTPServerSession;
+    explicit HttpConnection(const Poco::Net::StreamSocket &socket)
+        : HttpStream(socket)
+        , m_socket(socket)
+    {
+    }
 
-    int nextByte()
+    /// Reads a request. Throws a RequestError or a Poco::Exception when it isn't whole or is too long.
+    HttpRequest receive(const NodeSettings &settings)
     {
-        return get();
+        m_header.clear();
+        readHeader(m_header);
+        requireKnownVersion(m_header);
+        Headers headers = toHeaders(m_header, settings.maxHeaderBytes());
+        const BodyFraming framing = framingOf(HeaderFields(m_header.begin(), m_header.end()));
+        if (m_header.getExpectContinue()) {
+            send("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        const auto source = [this] {
+            return get();
+        };
+        Body body(fescuepond::readBody(source, framing, settings.maxBodyBytes()));
+        return HttpRequest()
+            .withRequestId(AttemptId::random())
+            .withMethod(m_header.getMethod())
+            .withTarget(m_header.getURI())
+            .withHost(hostWithoutPort(m_header.get("Host", "")))
+            .withHeaders(std::move(headers))
+            .withBody(std::move(body));
     }
-};
 
-/// One connection of a caller. At any time it is either parked in the poll set or owned by one request.
-struct HttpConnection {
-    HttpConnection(const Poco::Net::StreamSocket &socket, const Poco::Net::HTTPServerParams::Ptr &params)
-        : m_socket(socket)
-        , m_session(socket, params)
+    void respond(const HttpResponse &response, bool keepAlive)
     {
+        send(toText(response, m_header, keepAlive));
+    }
+
+    /// Whether the caller of the latest request wants to send another one.
+    bool wantsKeepAlive() const
+    {
+        return m_header.getKeepAlive();
+    }
+
+    /// Whether some of the next request has arrived.
+    bool hasMore()
+    {
+        return buffered() > 0 || socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
     }
 
     Poco::Net::StreamSocket m_socket;
-    ByteSession m_session;
-    // The request and response of the library, while a request is in flight.
-    std::unique_ptr<Poco::Net::HTTPServerResponseImpl> m_response;
-    std::unique_ptr<Poco::Net::HTTPServerRequestImpl> m_request;
+
+private:
+    void send(const std::string &bytes)
+    {
+        std::size_t sent = 0;
+        while (sent < bytes.size()) {
+            const int count = socket().sendBytes(bytes.data() + sent, static_cast<int>(bytes.size() - sent));
+            if (count <= 0) {
+                throw Poco::Net::ConnectionAbortedException("the caller takes no more of the response");
+            }
+            sent += static_cast<std::size_t>(count);
+        }
+    }
+
+    Poco::Net::HTTPRequest m_header; ///< Of the latest request.
 };
 
 using HttpConnectionPtr = std::shared_ptr<HttpConnection>;
@@ -152,12 +218,12 @@
         : m_kernel(kernel)
         , m_name(std::move(name))
         , m_handler(std::move(handler))
-        , m_params(new Poco::Net::HTTPServerParams)
     {
-        m_params->setKeepAlive(true);
-        m_params->setMaxKeepAliveRequests(0);
-        // Zero: asking for more requests never waits.
-        m_params->setKeepAliveTimeout(Poco::Timespan(0));
+    }
+
+    void setAbandonedHandler(HttpAbandoned handler)
+    {
+        m_abandoned = std::move(handler);
     }
 
     void listen(const std::string &address)
@@ -216,6 +282,12 @@
 
 private:
     using ParkedConnections = std::map<Poco::Net::Socket, HttpConnectionPtr>;
+    /// A request without a response, whose caller may go away.
+    struct Watched {
+        AttemptId m_requestId;
+        TimePoint m_since;
+    };
+    using WatchedConnections = std::map<Poco::Net::Socket, Watched>;
 
     void pollLoop()
     {
@@ -242,8 +314,64 @@
                     accept();
                     continue;
                 }
-                wake(socket);
+                if (!noteAbandoned(socket)) {
+                    wake(socket);
+                }
+            }
+        }
+    }
+
+    /// Watches for the end of a connection while its request has no response.
+    void watch(const HttpConnectionPtr &connection, const AttemptId &requestId)
+    {
+        if (!m_abandoned) {
+            return;
+        }
+        m_watched.locked([&](WatchedConnections &watched) {
+            watched.insert_or_assign(connection->m_socket, Watched{requestId, m_kernel.clock().now()});
+        });
+        m_pollSet.add(connection->m_socket, Poco::Net::PollSet::POLL_READ);
+    }
+
+    /// Ends watching and returns the request; nothing when the connection isn't watched. Whoever gets it takes the
+    /// connection out of the poll set.
+    std::optional<Watched> unwatch(const Poco::Net::Socket &socket)
+    {
+        return m_watched.locked([&](WatchedConnections &watched) -> std::optional<Watched> {
+            const auto found = watched.find(socket);
+            if (found == watched.end()) {
+                return std::nullopt;
             }
+            const Watched taken = found->second;
+            watched.erase(found);
+            return taken;
+        });
+    }
+
+    /// Handles an event of a connection that is watched: it has ended, or the next request came early.
+    bool noteAbandoned(const Poco::Net::Socket &socket)
+    {
+        const auto request = unwatch(socket);
+        if (!request) {
+            return false;
+        }
+        leavePollSet(socket);
+        const bool mayBeHalfClosed = m_kernel.clock().now() - request->m_since < HalfCloseTime;
+        if (!mayBeHalfClosed && hasEnded(socket)) {
+            m_kernel.metrics().count("fescuepond_requests_abandoned_total", {{"listener", m_name}});
+            m_kernel.pool().post(Lane::Decision, [self = shared_from_this(), requestId = request->m_requestId] {
+                self->m_abandoned(requestId);
+            });
+        }
+        return true;
+    }
+
+    void leavePollSet(const Poco::Net::Socket &socket)
+    {
+        try {
+            m_pollSet.remove(socket);
+        } catch (const Poco::Exception &) {
+            // An event that was on its way when the connection left the set.
         }
     }
 
@@ -287,10 +415,7 @@
                     .count());
             socket.setReceiveTimeout(timeout);
             socket.setSendTimeout(timeout);
-            auto connection = std::make_shared<HttpConnection>(socket, m_params);
-            // The session counts the first request apart; this makes all requests alike.
-            connection->m_session.hasMoreRequests();
-            park(connection);
+            park(std::make_shared<HttpConnection>(socket));
         } catch (const Poco::Exception &error) {
             Event("accept_failed").with("listener", m_name).with("error", error.displayText());
         }
@@ -310,7 +435,7 @@
     /// Takes a readable connection out of the poll set and gives it to a worker.
     void wake(const Poco::Net::Socket &socket)
     {
-        m_pollSet.remove(socket);
+        leavePollSet(socket);
         const HttpConnectionPtr connection = m_parked.locked([&](ParkedConnections &parked) -> HttpConnectionPtr {
             const auto found = parked.find(socket);
             if (found == parked.end()) {
@@ -337,11 +462,10 @@
     {
         const auto request = read(connection);
         if (!request) {
-            connection->m_request.reset();
-            connection->m_response.reset();
             --m_inFlight;
             return;
         }
+        watch(connection, request->requestId());
         m_handler(*request, [self = shared_from_this(), connection](const HttpResponse &response) {
             self->m_kernel.pool().post(Lane::Http, [self, connection, response] {
                 self->write(connection, response);
@@ -360,17 +484,11 @@
             });
         std::optional<HttpRequest> request;
         try {
-            connection->m_response = std::make_unique<Poco::Net::HTTPServerResponseImpl>(connection->m_session);
-            connection->m_request = std::make_unique<Poco::Net::HTTPServerRequestImpl>(
-                *connection->m_response, connection->m_session, m_params);
-            connection->m_response->setVersion(connection->m_request->getVersion());
-            request = toValue(*connection);
+            request = connection->receive(settings);
         } catch (const RequestError &error) {
             refuse(connection, error.status(), error.what());
         } catch (const Poco::Net::NoMessageException &) {
             // The caller closed an idle connection.
-        } catch (const Poco::SyntaxException &) {
-            refuse(connection, StatusBadRequest, "a number in the header is not valid");
         } catch (const Poco::Net::MessageException &) {
             refuse(connection, StatusBadRequest, "the request is not valid HTTP");
         } catch (const Poco::Exception &error) {
@@ -380,58 +498,19 @@
         return request;
     }
 
-    HttpRequest toValue(HttpConnection &connection)
-    {
-        const NodeSettings &settings = m_kernel.settings();
-        const Poco::Net::HTTPServerRequestImpl &request = *connection.m_request;
-        Headers headers = readHeaders(request, settings.maxHeaderBytes());
-        const BodyFraming framing = framingOf(fieldsOf(request));
-        if (request.getExpectContinue()) {
-            connection.m_response->sendContinue();
-        }
-        const auto source = [&connection] {
-            return connection.m_session.nextByte();
-        };
-        Body body(readBody(source, framing, settings.maxBodyBytes()));
-        return HttpRequest()
-            .withMethod(request.getMethod())
-            .withTarget(request.getURI())
-            .withHost(hostWithoutPort(request.get("Host", "")))
-            .withHeaders(std::move(headers))
-            .withBody(std::move(body));
-    }
-
     void refuse(const HttpConnectionPtr &connection, int status, const std::string &detail)
     {
         Event("request_refused").with("listener", m_name).with("status", status).with("detail", detail);
         m_kernel.metrics().count("fescuepond_bad_requests_total", {{"listener", m_name}});
         try {
-            sendAndClose(connection->m_socket, badRequest(status, detail));
+            connection->respond(badRequest(status, detail), false);
+            connection->m_socket.shutdownSend();
+            discardInput(connection->m_socket);
         } catch (const Poco::Exception &) {
             // The caller has gone; there is nobody to tell.
         }
     }
 
-    /// Sends a response outside the library's session, which may have stopped in the middle of a request.
-    static void sendAndClose(Poco::Net::StreamSocket &socket, const HttpResponse &response)
-    {
-        Poco::Net::HTTPResponse message;
-        message.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
-        message.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(response.status()));
-        for (const auto &[name, value] : response.headers()) {
-            message.set(name, value);
-        }
-        message.setContentLength64(static_cast<Poco::Int64>(response.body().size()));
-        message.setKeepAlive(false);
-        std::ostringstream text;
-        message.write(text);
-        text << response.body().bytes();
-        const std::string bytes = text.str();
-        socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
-        socket.shutdownSend();
-        discardInput(socket);
-    }
-
     /// Reads what the caller still sends, for a bounded time: closing before would reset the connection, and the caller
     /// would lose the response.
     static void discardInput(Poco::Net::StreamSocket &socket)
@@ -446,29 +525,19 @@
         }
     }
 
-    static void send(Poco::Net::HTTPServerResponse &target, const HttpResponse &response)
-    {
-        target.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(response.status()));
-        for (const auto &[name, value] : response.headers()) {
-            target.set(name, value);
-        }
-        target.sendBuffer(response.body().bytes().data(), response.body().size());
-    }
-
     void write(const HttpConnectionPtr &connection, const HttpResponse &response)
     {
+        if (unwatch(connection->m_socket)) {
+            leavePollSet(connection->m_socket);
+        }
         bool keepAlive = false;
         try {
-            keepAlive = connection->m_request->getKeepAlive() && !m_draining;
-            connection->m_response->setVersion(connection->m_request->getVersion());
-            connection->m_response->setKeepAlive(keepAlive);
-            send(*connection->m_response, response);
+            keepAlive = connection->wantsKeepAlive() && !m_draining;
+            connection->respond(response, keepAlive);
         } catch (const Poco::Exception &error) {
             keepAlive = false;
             Event("response_write_failed").with("listener", m_name).with("error", error.displayText());
         }
-        connection->m_request.reset();
-        connection->m_response.reset();
         // Parked or read again before it stops counting, so that a connection is never missed.
         if (keepAlive) {
             continueConnection(connection);
@@ -481,7 +550,7 @@
     {
         bool hasMore = false;
         try {
-            hasMore = connection->m_session.hasMoreRequests();
+            hasMore = connection->hasMore();
         } catch (const Poco::Exception &) {
             return;
         }
@@ -495,10 +564,12 @@
     Kernel &m_kernel;
     const std::string m_name;
     const HttpHandler m_handler;
-    Poco::Net::HTTPServerParams::Ptr m_params;
     Poco::Net::ServerSocket m_serverSocket;
     Poco::Net::PollSet m_pollSet;
+    HttpAbandoned m_abandoned; ///< May be empty.
     SharedTable<ParkedConnections> m_parked{LockRank::HttpConnections};
+    /// Connections in the poll set whose request is in flight. None of them is parked.
+    SharedTable<WatchedConnections> m_watched{LockRank::HttpConnections};
     std::atomic<std::size_t> m_inFlight = 0;
     std::atomic<bool> m_draining = false; ///< Each response closes its connection.
     std::atomic<bool> m_refusing = false; ///< No new connections; implies m_draining.
@@ -533,6 +604,11 @@
     return m_state->address();
 }
 
+void HttpListener::setAbandonedHandler(HttpAbandoned handler)
+{
+    m_state->setAbandonedHandler(std::move(handler));
+}
+
 void HttpListener::beginDrain()
 {
     m_state->beginDrain();
