--- a/tests/support/rawconnection.cpp
+++ b/tests/support/rawconnection.cpp
@@ -68,6 +68,12 @@
     return m_received;
 }
 
+void RawConnection::receiveMoreThan(std::size_t count, std::chrono::milliseconds limit)
+{
+    const auto end = Clock::now() + limit;
+    while (m_received.size() <= count && receiveSome(left(end))) { }
+}
+
 bool RawConnection::isClosedWithin(std::chrono::milliseconds limit)
 {
     const auto end = Clock::now() + limit;
--- a/tests/support/rawconnection.h
+++ b/tests/support/rawconnection.h
@@ -23,6 +23,8 @@
     void finishSending();
     /// Receives until `text` has come, the connection is closed or `limit` has passed; returns all received so far.
     const std::string &receiveUntil(const std::string &text, std::chrono::milliseconds limit);
+    /// Receives until more than `count` bytes have come in all, or `limit` has passed.
+    void receiveMoreThan(std::size_t count, std::chrono::milliseconds limit);
     /// Receives until the other side closes; false when it hasn't within `limit`.
     bool isClosedWithin(std::chrono::milliseconds limit);
     const std::string &received() const
--- a/tests/system/frontrobustnesstest.cpp
+++ b/tests/system/frontrobustnesstest.cpp
@@ -174,6 +174,17 @@
     EXPECT_EQ(m_node->journalLines("begin")[0].find(forged), std::string::npos);
 }
 
+TEST_F(FrontRobustness, ConnectionsThatSendNothingHoldNobodyUp)
+{
+    constexpr std::size_t IdleConnections = 20;
+    std::vector<std::unique_ptr<RawConnection>> idle;
+    idle.reserve(IdleConnections);
+    for (std::size_t i = 0; i < IdleConnections; ++i) {
+        idle.push_back(std::make_unique<RawConnection>(m_node->front));
+    }
+    EXPECT_EQ(statusLineFor("GET /stock/b HTTP/1.1\r\nHost: yard\r\n\r\n"), "HTTP/1.1 200 OK");
+}
+
 TEST_F(FrontRobustness, CallersThatSendTooSlowlyHoldNobodyUp)
 {
     // As many as there are threads for HTTP; each is cut off when its time has passed.
