--- a/benchmarks/callcost/callcost.cpp
+++ b/benchmarks/callcost/callcost.cpp
@@ -3,7 +3,7 @@
 
 #include "benchmarks/support/processusage.h"
 #include "benchmarks/support/timedconnection.h"
-#include "tests/support/fleet.h"
+#include "benchmarks/support/twoservices.h"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
@@ -19,26 +19,18 @@
 DEFINE_int32(connections, 8, "Connections, each with a thread of its own.");
 DEFINE_int32(service_ms, 2, "Service time of the backend server, in milliseconds.");
 
-using namespace fescuepond::test;
 using fescuepond::benchmark::ProcessUsage;
+using fescuepond::benchmark::ReadPath;
 using fescuepond::benchmark::TimedConnection;
+using fescuepond::benchmark::TwoServices;
 using fescuepond::benchmark::usageOf;
+using fescuepond::test::FleetNode;
 
 namespace
 {
 
 using Clock = std::chrono::steady_clock;
 
-constexpr const char *YardDeclaration = R"(
-service: yard
-kinds:
-  - {name: read, method: GET, path: /*, rank: 5, idempotent: true, deadline_ms: 5000, retries: 1}
-)";
-constexpr const char *DeskDeclaration = R"(
-service: desk
-kinds:
-  - {name: read, method: GET, path: /*, rank: 5, idempotent: true, deadline_ms: 5000, retries: 1}
-)";
 /// Calls a second. A node of the capacity page's fleet carries 138 a second on average.
 constexpr std::array Rates = {0, 50, 100, 200, 400, 800};
 
@@ -61,7 +53,7 @@
             for (int sent = 0; sent < perConnection; ++sent) {
                 due += interval;
                 std::this_thread::sleep_until(due);
-                connection.get("/stock/sleepers");
+                connection.get(ReadPath);
             }
         });
     }
@@ -137,19 +129,13 @@
 int main(int argc, char **argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    Fleet fleet;
-    fleet.publish({YardDeclaration, DeskDeclaration});
-    const FleetNode &yard =
-        fleet.addNode({.name = "yard-a",
-                       .service = "yard",
-                       .backendFlags = {"--fixed", "--service_ms=" + std::to_string(FLAGS_service_ms)}});
-    const FleetNode &desk = fleet.addNode({.name = "desk-a", .service = "desk"});
-    if (!fleet.waitUntilReady(2)) {
+    const TwoServices services(FLAGS_service_ms);
+    if (!services.waitUntilReady()) {
         fmt::print(stderr, "the nodes did not become ready\n");
         return 1;
     }
-    NodeSeries entry{"entry node", &desk};
-    NodeSeries target{"target's node", &yard};
+    NodeSeries entry{"entry node", &services.desk()};
+    NodeSeries target{"target's node", &services.yard()};
     std::vector<double> rates;
     measure(entry, target, rates);
     for (const NodeSeries *series : {&entry, &target}) {
--- a/benchmarks/latency/latency.cpp
+++ b/benchmarks/latency/latency.cpp
@@ -4,7 +4,7 @@
 // the target's node, in turn and at one rate, all in one run on one machine.
 
 #include "benchmarks/support/timedconnection.h"
-#include "tests/support/fleet.h"
+#include "benchmarks/support/twoservices.h"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
@@ -22,25 +22,15 @@
 DEFINE_int32(service_ms, 2, "Service time of the backend server, in milliseconds.");
 DEFINE_int32(warmup, 200, "Requests on each path before those that are measured.");
 
-using namespace fescuepond::test;
+using fescuepond::benchmark::ReadPath;
 using fescuepond::benchmark::TimedConnection;
+using fescuepond::benchmark::TwoServices;
 
 namespace
 {
 
 using Clock = std::chrono::steady_clock;
 
-constexpr const char *Declarations = R"(
-service: yard
-kinds:
-  - {name: read, method: GET, path: /*, rank: 5, idempotent: true, deadline_ms: 5000, retries: 1}
-)";
-constexpr const char *OtherDeclarations = R"(
-service: desk
-kinds:
-  - {name: read, method: GET, path: /*, rank: 5, idempotent: true, deadline_ms: 5000, retries: 1}
-)";
-
 struct Path {
     const char *name;
     std::string address;
@@ -66,7 +56,7 @@
         for (std::size_t path = 0; path < paths.size(); ++path) {
             due += interval;
             std::this_thread::sleep_until(due);
-            const auto took = connections[path]->get("/stock/sleepers");
+            const auto took = connections[path]->get(ReadPath);
             if (round >= warmup) {
                 samples[path].push_back(took.count());
             }
@@ -125,18 +115,13 @@
 int main(int argc, char **argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    Fleet fleet;
-    fleet.publish({Declarations, OtherDeclarations});
-    const FleetNode &yard =
-        fleet.addNode({.name = "yard-a",
-                       .service = "yard",
-                       .backendFlags = {"--fixed", "--service_ms=" + std::to_string(FLAGS_service_ms)}});
-    const FleetNode &desk = fleet.addNode({.name = "desk-a", .service = "desk"});
-    if (!fleet.waitUntilReady(2)) {
+    const TwoServices services(FLAGS_service_ms);
+    if (!services.waitUntilReady()) {
         fmt::print(stderr, "the nodes did not become ready\n");
         return 1;
     }
-    const std::vector<Path> paths = {{"direct", yard.backend}, {"one node", yard.front}, {"two nodes", desk.front}};
+    const std::vector<Path> paths = {
+        {"direct", services.yard().backend}, {"one node", services.yard().front}, {"two nodes", services.desk().front}};
     std::vector<Samples> samples = measureOnAllConnections(paths);
     print(paths, samples);
     return 0;
--- a/modules/configuration/followerplugin.cpp
+++ b/modules/configuration/followerplugin.cpp
@@ -2,13 +2,13 @@
 // some others at once, and all nodes compare versions with random peers now and then.
 
 #include "core/kernel/kernel.h"
+#include "core/kernel/random.h"
 #include "core/kernel/sharedtable.h"
 #include "core/pipeline/collections.h"
 #include "modules/configuration/configurationexchange.h"
 #include "servers/configuration/follower.h"
 
 #include <optional>
-#include <random>
 
 namespace fescuepond
 {
@@ -28,12 +28,6 @@
 /// Peers that are told of a new version at once. Each tells as many, so that it spreads exponentially.
 constexpr std::size_t PeersToNotify = 4;
 
-std::uint64_t randomWord()
-{
-    thread_local std::mt19937_64 generator(std::random_device{}());
-    return generator();
-}
-
 class ConfigurationFollowerPlugin final : public Plugin
 {
 public:
--- /dev/null
+++ b/modules/http/httpconnection.cpp
@@ -0,0 +1,124 @@
+// One connection of a caller.
+
+#include "modules/http/httpconnection.h"
+
+#include "core/settings/nodesettings.h"
+#include "modules/http/bodyreader.h"
+
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
+
+#include <sstream>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+constexpr int StatusBadRequest = 400;
+constexpr int StatusHeaderTooLarge = 431;
+
+std::string hostWithoutPort(const std::string &host)
+{
+    return host.substr(0, host.find(':'));
+}
+
+/// Headers as values; more bytes than `limit` is an error.
+Headers toHeaders(const Poco::Net::HTTPRequest &request, std::size_t limit)
+{
+    Headers headers;
+    std::size_t bytes = 0;
+    for (const auto &[name, value] : request) {
+        bytes += name.size() + value.size();
+        headers[toLower(name)] = value;
+    }
+    if (bytes > limit) {
+        throw RequestError(StatusHeaderTooLarge, "the header is too long");
+    }
+    return headers;
+}
+
+void requireKnownVersion(const Poco::Net::HTTPRequest &request)
+{
+    const bool isKnown = request.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1
+        || request.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0;
+    if (!isKnown) {
+        throw RequestError(StatusBadRequest, "the request is not HTTP/1.0 or HTTP/1.1");
+    }
+}
+
+std::string toText(const HttpResponse &response, const Poco::Net::HTTPRequest &request, bool keepAlive)
+{
+    Poco::Net::HTTPResponse header;
+    header.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
+    header.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(response.status()));
+    for (const auto &[name, value] : response.headers()) {
+        header.set(name, value);
+    }
+    header.setKeepAlive(keepAlive);
+    header.setContentLength64(static_cast<Poco::Int64>(response.body().size()));
+    std::ostringstream text;
+    header.write(text);
+    const bool isHead = request.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD;
+    return isHead ? text.str() : text.str() + response.body().bytes();
+}
+
+} // namespace
+
+HttpConnection::HttpConnection(const Poco::Net::StreamSocket &socket)
+    : HttpStream(socket)
+{
+}
+
+HttpRequest HttpConnection::receive(const NodeSettings &settings)
+{
+    m_header.clear();
+    readHeader(m_header);
+    requireKnownVersion(m_header);
+    Headers headers = toHeaders(m_header, settings.maxHeaderBytes());
+    const BodyFraming framing = framingOf(HeaderFields(m_header.begin(), m_header.end()));
+    if (m_header.getExpectContinue()) {
+        send("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    const auto source = [this] {
+        return get();
+    };
+    Body body(fescuepond::readBody(source, framing, settings.maxBodyBytes()));
+    return HttpRequest()
+        .withRequestId(AttemptId::random())
+        .withMethod(m_header.getMethod())
+        .withTarget(m_header.getURI())
+        .withHost(hostWithoutPort(m_header.get("Host", "")))
+        .withHeaders(std::move(headers))
+        .withBody(std::move(body));
+}
+
+void HttpConnection::respond(const HttpResponse &response, bool keepAlive)
+{
+    send(toText(response, m_header, keepAlive));
+}
+
+bool HttpConnection::wantsKeepAlive() const
+{
+    return m_header.getKeepAlive();
+}
+
+bool HttpConnection::hasMore()
+{
+    return buffered() > 0 || isReadable(socket());
+}
+
+void HttpConnection::send(const std::string &bytes)
+{
+    std::size_t sent = 0;
+    while (sent < bytes.size()) {
+        const int count = socket().sendBytes(bytes.data() + sent, static_cast<int>(bytes.size() - sent));
+        if (count <= 0) {
+            throw Poco::Net::ConnectionAbortedException("the caller takes no more of the response");
+        }
+        sent += static_cast<std::size_t>(count);
+    }
+}
+
+} // namespace fescuepond
--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -6,10 +6,8 @@
 #include "core/kernel/kernel.h"
 #include "core/kernel/sharedtable.h"
 #include "modules/http/bodyreader.h"
-#include "modules/http/httpstream.h"
+#include "modules/http/httpconnection.h"
 
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/PollSet.h>
 #include <Poco/Net/ServerSocket.h>
@@ -22,7 +20,6 @@
 #include <cerrno>
 #include <map>
 #include <optional>
-#include <sstream>
 #include <thread>
 
 namespace fescuepond
@@ -46,58 +43,12 @@
 constexpr long DiscardPollMicroseconds = 100'000;
 constexpr std::size_t DiscardChunkBytes = 16384;
 constexpr int StatusBadRequest = 400;
-constexpr int StatusHeaderTooLarge = 431;
 
 HttpResponse badRequest(int status, const std::string &detail)
 {
     return toResponse(CallOutcome::notRun(Reason::BadRequest, detail)).withStatus(status);
 }
 
-std::string hostWithoutPort(const std::string &host)
-{
-    return host.substr(0, host.find(':'));
-}
-
-/// Headers as values; more bytes than `limit` is an error.
-Headers toHeaders(const Poco::Net::HTTPRequest &request, std::size_t limit)
-{
-    Headers headers;
-    std::size_t bytes = 0;
-    for (const auto &[name, value] : request) {
-        bytes += name.size() + value.size();
-        headers[toLower(name)] = value;
-    }
-    if (bytes > limit) {
-        throw RequestError(StatusHeaderTooLarge, "the header is too long");
-    }
-    return headers;
-}
-
-void requireKnownVersion(const Poco::Net::HTTPRequest &request)
-{
-    const bool isKnown = request.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1
-        || request.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0;
-    if (!isKnown) {
-        throw RequestError(StatusBadRequest, "the request is not HTTP/1.0 or HTTP/1.1");
-    }
-}
-
-std::string toText(const HttpResponse &response, const Poco::Net::HTTPRequest &request, bool keepAlive)
-{
-    Poco::Net::HTTPResponse header;
-    header.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
-    header.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(response.status()));
-    for (const auto &[name, value] : response.headers()) {
-        header.set(name, value);
-    }
-    header.setKeepAlive(keepAlive);
-    header.setContentLength64(static_cast<Poco::Int64>(response.body().size()));
-    std::ostringstream text;
-    header.write(text);
-    const bool isHead = request.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD;
-    return isHead ? text.str() : text.str() + response.body().bytes();
-}
-
 /// Makes the system drop requests for new connections, silently: the caller's system repeats them a second later and is
 /// then refused. Connections whose handshake has begun are still completed.
 void refuseHandshakes(const Poco::Net::ServerSocket &socket)
@@ -140,75 +91,6 @@
     return ::recv(socket.impl()->sockfd(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) <= 0;
 }
 
-/// One connection of a caller. At any time it is either parked in the poll set or owned by one request.
-class HttpConnection final : public HttpStream
-{
-public:
-    explicit HttpConnection(const Poco::Net::StreamSocket &socket)
-        : HttpStream(socket)
-        , m_socket(socket)
-    {
-    }
-
-    /// Reads a request. Throws a RequestError or a Poco::Exception when it isn't whole or is too long.
-    HttpRequest receive(const NodeSettings &settings)
-    {
-        m_header.clear();
-        readHeader(m_header);
-        requireKnownVersion(m_header);
-        Headers headers = toHeaders(m_header, settings.maxHeaderBytes());
-        const BodyFraming framing = framingOf(HeaderFields(m_header.begin(), m_header.end()));
-        if (m_header.getExpectContinue()) {
-            send("HTTP/1.1 100 Continue\r\n\r\n");
-        }
-        const auto source = [this] {
-            return get();
-        };
-        Body body(fescuepond::readBody(source, framing, settings.maxBodyBytes()));
-        return HttpRequest()
-            .withRequestId(AttemptId::random())
-            .withMethod(m_header.getMethod())
-            .withTarget(m_header.getURI())
-            .withHost(hostWithoutPort(m_header.get("Host", "")))
-            .withHeaders(std::move(headers))
-            .withBody(std::move(body));
-    }
-
-    void respond(const HttpResponse &response, bool keepAlive)
-    {
-        send(toText(response, m_header, keepAlive));
-    }
-
-    /// Whether the caller of the latest request wants to send another one.
-    bool wantsKeepAlive() const
-    {
-        return m_header.getKeepAlive();
-    }
-
-    /// Whether some of the next request has arrived.
-    bool hasMore()
-    {
-        return buffered() > 0 || isReadable(socket());
-    }
-
-    Poco::Net::StreamSocket m_socket;
-
-private:
-    void send(const std::string &bytes)
-    {
-        std::size_t sent = 0;
-        while (sent < bytes.size()) {
-            const int count = socket().sendBytes(bytes.data() + sent, static_cast<int>(bytes.size() - sent));
-            if (count <= 0) {
-                throw Poco::Net::ConnectionAbortedException("the caller takes no more of the response");
-            }
-            sent += static_cast<std::size_t>(count);
-        }
-    }
-
-    Poco::Net::HTTPRequest m_header; ///< Of the latest request.
-};
-
 using HttpConnectionPtr = std::shared_ptr<HttpConnection>;
 
 class HttpListenerState : public std::enable_shared_from_this<HttpListenerState>
@@ -328,9 +210,9 @@
             return;
         }
         m_watched.locked([&](WatchedConnections &watched) {
-            watched.insert_or_assign(connection->m_socket, Watched{requestId, m_kernel.clock().now()});
+            watched.insert_or_assign(connection->stream(), Watched{requestId, m_kernel.clock().now()});
         });
-        m_pollSet.add(connection->m_socket, Poco::Net::PollSet::POLL_READ);
+        m_pollSet.add(connection->stream(), Poco::Net::PollSet::POLL_READ);
     }
 
     /// Ends watching and returns the request; nothing when the connection isn't watched. Whoever gets it takes the
@@ -427,9 +309,9 @@
             return;
         }
         m_parked.locked([&](ParkedConnections &parked) {
-            parked.insert_or_assign(connection->m_socket, connection);
+            parked.insert_or_assign(connection->stream(), connection);
         });
-        m_pollSet.add(connection->m_socket, Poco::Net::PollSet::POLL_READ);
+        m_pollSet.add(connection->stream(), Poco::Net::PollSet::POLL_READ);
     }
 
     /// Takes a readable connection out of the poll set and gives it to a worker.
@@ -480,7 +362,7 @@
         // A caller that sends its request byte by byte is cut off when its whole time has passed.
         const auto watchdog =
             m_kernel.timers().once(m_kernel.clock().now() + settings.requestReadTimeout(), [connection] {
-                shutDown(connection->m_socket);
+                shutDown(connection->stream());
             });
         std::optional<HttpRequest> request;
         try {
@@ -504,8 +386,8 @@
         m_kernel.metrics().count("fescuepond_bad_requests_total", {{"listener", m_name}});
         try {
             connection->respond(badRequest(status, detail), false);
-            connection->m_socket.shutdownSend();
-            discardInput(connection->m_socket);
+            connection->stream().shutdownSend();
+            discardInput(connection->stream());
         } catch (const Poco::Exception &) {
             // The caller has gone; there is nobody to tell.
         }
@@ -527,8 +409,8 @@
 
     void write(const HttpConnectionPtr &connection, const HttpResponse &response)
     {
-        if (unwatch(connection->m_socket)) {
-            leavePollSet(connection->m_socket);
+        if (unwatch(connection->stream())) {
+            leavePollSet(connection->stream());
         }
         bool keepAlive = false;
         try {
--- a/modules/ledger/ledgerencoding.cpp
+++ b/modules/ledger/ledgerencoding.cpp
@@ -8,7 +8,6 @@
 #include <Poco/JSON/Parser.h>
 #include <kj/exception.h>
 
-#include <cstring>
 #include <sstream>
 
 namespace fescuepond
@@ -17,13 +16,6 @@
 namespace
 {
 
-kj::Array<capnp::word> toWords(const std::string &bytes)
-{
-    auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
-    std::memcpy(words.begin(), bytes.data(), words.size() * sizeof(capnp::word));
-    return words;
-}
-
 /// Runs `read` and returns nothing when the message is malformed.
 template<typename Function>
 auto readOrNothing(Function &&read) -> decltype(read())
@@ -53,19 +45,6 @@
 
 } // namespace
 
-std::string toBytes(capnp::MessageBuilder &message)
-{
-    const auto words = capnp::messageToFlatArray(message);
-    const auto bytes = words.asChars();
-    return std::string(bytes.begin(), bytes.size());
-}
-
-MessageBytes::MessageBytes(const std::string &bytes)
-    : m_words(toWords(bytes))
-    , m_reader(m_words)
-{
-}
-
 std::string encodeKeyedCall(const KeyPlace &place, const CallRequest &call, TimePoint now)
 {
     capnp::MallocMessageBuilder message;
--- a/modules/ledger/ledgerencoding.h
+++ b/modules/ledger/ledgerencoding.h
@@ -3,38 +3,16 @@
 #pragma once
 
 #include "modules/ledger/ledger.capnp.h"
+#include "modules/peer/flatmessage.h"
 #include "servers/ledger/binding.h"
 #include "servers/ledger/keyrecord.h"
 
-#include <capnp/message.h>
-#include <capnp/serialize.h>
-#include <kj/array.h>
-
 #include <optional>
 #include <string>
 
 namespace fescuepond
 {
 
-/// The bytes of a message, as the body of a peer request.
-std::string toBytes(capnp::MessageBuilder &message);
-
-/// Reads a message from the body of a peer request.
-class MessageBytes
-{
-public:
-    explicit MessageBytes(const std::string &bytes);
-    template<typename Root>
-    typename Root::Reader root()
-    {
-        return m_reader.getRoot<Root>();
-    }
-
-private:
-    kj::Array<capnp::word> m_words; ///< A copy: the reader needs aligned memory.
-    capnp::FlatArrayMessageReader m_reader;
-};
-
 /// A call for the home of `place`; no home: for the callee to take as its entry node would.
 std::string encodeKeyedCall(const KeyPlace &place, const CallRequest &call, TimePoint now);
 
--- /dev/null
+++ b/modules/peer/flatmessage.cpp
@@ -0,0 +1,35 @@
+// Cap'n Proto messages as bytes.
+
+#include "modules/peer/flatmessage.h"
+
+#include <cstring>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+kj::Array<capnp::word> toWords(const std::string &bytes)
+{
+    auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
+    std::memcpy(words.begin(), bytes.data(), words.size() * sizeof(capnp::word));
+    return words;
+}
+
+} // namespace
+
+std::string toBytes(capnp::MessageBuilder &message)
+{
+    const auto words = capnp::messageToFlatArray(message);
+    const auto bytes = words.asChars();
+    return std::string(bytes.begin(), bytes.size());
+}
+
+MessageBytes::MessageBytes(const std::string &bytes)
+    : m_words(toWords(bytes))
+    , m_reader(m_words)
+{
+}
+
+} // namespace fescuepond
--- a/modules/peer/flatmessage.h
+++ b/modules/peer/flatmessage.h
@@ -4,36 +4,29 @@
 
 #include <capnp/message.h>
 #include <capnp/serialize.h>
-#include <kj/exception.h>
+#include <kj/array.h>
 
-#include <cstring>
-#include <optional>
 #include <string>
-#include <vector>
 
 namespace fescuepond
 {
 
-inline std::string toBytes(capnp::MessageBuilder &message)
-{
-    const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
-    const auto bytes = words.asBytes();
-    return std::string(reinterpret_cast<const char *>(bytes.begin()), bytes.size());
-}
-
-/// Gives `decode` the root of a message; nothing when the bytes are not a valid message.
-template<typename Root, typename Decode>
-auto readMessage(const std::string &bytes, Decode &&decode) -> std::optional<decltype(decode(typename Root::Reader()))>
+std::string toBytes(capnp::MessageBuilder &message);
+
+/// Reads a message from bytes. Its functions throw kj::Exception when the message is malformed.
+class MessageBytes
 {
-    // The library wants words at aligned addresses.
-    std::vector<capnp::word> words(bytes.size() / sizeof(capnp::word));
-    std::memcpy(words.data(), bytes.data(), words.size() * sizeof(capnp::word));
-    try {
-        capnp::FlatArrayMessageReader reader(kj::arrayPtr(words.data(), words.size()));
-        return decode(reader.getRoot<Root>());
-    } catch (const kj::Exception &) {
-        return std::nullopt;
+public:
+    explicit MessageBytes(const std::string &bytes);
+    template<typename Root>
+    typename Root::Reader root()
+    {
+        return m_reader.getRoot<Root>();
     }
-}
+
+private:
+    kj::Array<capnp::word> m_words; ///< A copy: the reader needs aligned memory.
+    capnp::FlatArrayMessageReader m_reader;
+};
 
 } // namespace fescuepond
--- a/modules/quarantine/suspicionencoding.cpp
+++ b/modules/quarantine/suspicionencoding.cpp
@@ -6,6 +6,8 @@
 #include "modules/peer/wireencoding.h"
 #include "modules/quarantine/quarantine.capnp.h"
 
+#include <kj/exception.h>
+
 namespace fescuepond
 {
 
@@ -49,16 +51,19 @@
 
 std::optional<Suspicions> decodeSuspicions(const std::string &bytes)
 {
-    return readMessage<wire::SuspicionNews>(bytes, [](wire::SuspicionNews::Reader news) {
+    try {
+        MessageBytes message(bytes);
         Suspicions suspicions;
-        for (const auto record : news.getRecords()) {
+        for (const auto record : message.root<wire::SuspicionNews>().getRecords()) {
             suspicions.push_back(Suspicion()
                                      .withFingerprint(decodeId<Fingerprint>(record.getFingerprint()))
                                      .withLosses(decodeIds(record.getLosses()))
                                      .withCleared(decodeIds(record.getCleared())));
         }
         return suspicions;
-    });
+    } catch (const kj::Exception &) {
+        return std::nullopt;
+    }
 }
 
 } // namespace fescuepond
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -58,7 +58,7 @@
 declare -A front operator
 start_node() {
   local name="$1" service="$2" zone="$3" downstream="$4"
-  start "$name-backend" build/tests/backendstandin --name="$name" --downstream="$downstream" --service_ms=3
+  start "$name-backend" build/tests/backendstandin --name="$name" --downstream="$downstream" --service_ms=3 --journal="$work/$name.journal"
   wait_for "$work/$name-backend.out" address=
   cat >"$work/$name.yaml" <<YAML
 name: $name
@@ -105,10 +105,15 @@
 request GET /reports/week dispatch
 request GET /stock/ballast yard
 request POST /bookings dispatch -H 'Idempotency-Key: demo-1' -d 'truck=7'
+request POST /bookings dispatch -H 'Idempotency-Key: demo-1' -d 'truck=7'
+request POST /bookings dispatch -H 'Idempotency-Key: demo-1' -d 'truck=8'
 request GET /slots/monday nosuch
 request DELETE /slots/monday dispatch
 request GET /slots/forged dispatch -H 'X-Fescuepond-Call: 00000000000000010000000000000001'
 
+bookings=$(cat "$work"/dispatch-?.journal | grep -c '^begin .* POST /bookings' || true)
+echo "the booking that was sent twice with one key ran $bookings time(s)"
+
 step "metrics of dispatch-a"
 curl -s "http://${operator[dispatch-a]}/metrics" | grep -E 'call_seconds_count|platform_calls'
 
--- a/tests/standins/backendstandin.cpp
+++ b/tests/standins/backendstandin.cpp
@@ -11,17 +11,15 @@
 //     silent=1          never answer again
 //     fail=1            run each request, then answer 500
 
+#include "tests/standins/standin.h"
+
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
-#include <Poco/Net/ServerSocket.h>
 #include <Poco/StreamCopier.h>
-#include <Poco/ThreadPool.h>
 #include <Poco/URI.h>
 
 #include <fmt/format.h>
@@ -30,7 +28,6 @@
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
-#include <csignal>
 #include <cstdio>
 #include <fstream>
 #include <mutex>
@@ -61,7 +58,6 @@
 using Poco::Net::HTTPServerRequest;
 using Poco::Net::HTTPServerResponse;
 
-constexpr int MostThreads = 800;
 constexpr auto LocalAddressTimeout = std::chrono::seconds(5);
 constexpr int ColdStartFactor = 10;
 constexpr int ReportUnset = -1;
@@ -297,55 +293,11 @@
     Backend &m_backend;
 };
 
-template<typename Handler>
-class Factory final : public Poco::Net::HTTPRequestHandlerFactory
-{
-public:
-    explicit Factory(Backend &backend)
-        : m_backend(backend)
-    {
-    }
-    HTTPRequestHandler *createRequestHandler(const HTTPServerRequest &) override
-    {
-        return new Handler(m_backend);
-    }
-
-private:
-    Backend &m_backend;
-};
-
-Poco::Net::HTTPServerParams::Ptr serverParams()
-{
-    Poco::Net::HTTPServerParams::Ptr params(new Poco::Net::HTTPServerParams);
-    params->setMaxThreads(MostThreads);
-    params->setMaxQueued(MostThreads);
-    params->setKeepAlive(true);
-    params->setMaxKeepAliveRequests(0);
-    return params;
-}
-
 } // namespace
 
 int main(int argc, char **argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-
     Backend backend;
-    Poco::ThreadPool pool(2, MostThreads);
-    Poco::Net::ServerSocket requestSocket(Poco::Net::SocketAddress(FLAGS_address), 512);
-    Poco::Net::ServerSocket controlSocket{Poco::Net::SocketAddress(FLAGS_control)};
-    Poco::Net::HTTPServer requests(new Factory<RequestHandler>(backend), pool, requestSocket, serverParams());
-    Poco::Net::HTTPServer control(new Factory<ControlHandler>(backend), pool, controlSocket, serverParams());
-    requests.start();
-    control.start();
-    fmt::print("address={} control={}\n", requestSocket.address().toString(), controlSocket.address().toString());
-    std::fflush(stdout);
-    int received = 0;
-    sigwait(&signals, &received);
-    std::_Exit(0);
+    fescuepond::standin::serve<RequestHandler, ControlHandler>(FLAGS_address, FLAGS_control, backend);
 }
--- a/tests/standins/platformstandin.cpp
+++ b/tests/standins/platformstandin.cpp
@@ -4,16 +4,14 @@
 //     POST /mode?up | /mode?down | /mode?slow=MS | /mode?lose=N    (lose the answers to the next N writes)
 //     GET  /counts                                                 calls by method since the start, as text
 
+#include "tests/standins/standin.h"
+
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
-#include <Poco/Net/ServerSocket.h>
 #include <Poco/StreamCopier.h>
-#include <Poco/ThreadPool.h>
 #include <Poco/URI.h>
 
 #include <fmt/format.h>
@@ -21,7 +19,6 @@
 
 #include <chrono>
 #include <condition_variable>
-#include <csignal>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -41,8 +38,6 @@
 using Poco::Net::HTTPServerRequest;
 using Poco::Net::HTTPServerResponse;
 
-constexpr int MostThreads = 1500;
-
 struct Object {
     std::uint64_t version;
     std::string value;
@@ -304,53 +299,11 @@
     Store &m_store;
 };
 
-template<typename Handler>
-class Factory final : public Poco::Net::HTTPRequestHandlerFactory
-{
-public:
-    explicit Factory(Store &store)
-        : m_store(store)
-    {
-    }
-    HTTPRequestHandler *createRequestHandler(const HTTPServerRequest &) override
-    {
-        return new Handler(m_store);
-    }
-
-private:
-    Store &m_store;
-};
-
-Poco::Net::HTTPServerParams::Ptr serverParams()
-{
-    Poco::Net::HTTPServerParams::Ptr params(new Poco::Net::HTTPServerParams);
-    params->setMaxThreads(MostThreads);
-    params->setMaxQueued(MostThreads);
-    return params;
-}
-
 } // namespace
 
 int main(int argc, char **argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-
     Store store;
-    Poco::ThreadPool pool(2, MostThreads);
-    Poco::Net::ServerSocket objectSocket(Poco::Net::SocketAddress(FLAGS_address), 512);
-    Poco::Net::ServerSocket controlSocket{Poco::Net::SocketAddress(FLAGS_control)};
-    Poco::Net::HTTPServer objects(new Factory<ObjectHandler>(store), pool, objectSocket, serverParams());
-    Poco::Net::HTTPServer control(new Factory<ControlHandler>(store), pool, controlSocket, serverParams());
-    objects.start();
-    control.start();
-    fmt::print("address={} control={}\n", objectSocket.address().toString(), controlSocket.address().toString());
-    std::fflush(stdout);
-    int received = 0;
-    sigwait(&signals, &received);
-    std::_Exit(0);
+    fescuepond::standin::serve<ObjectHandler, ControlHandler>(FLAGS_address, FLAGS_control, store);
 }
