Refuse calls for another service at a target

Shown by the new test with the check off: a call to 'yard' was answered by 'quarry-a' and ran there. Change: the first target stage refuses it, not run, and the caller moves on. After: the test passes. Places that no stage uses are gone or named for their stage.

--- a/core/pipeline/callpipeline.h
+++ b/core/pipeline/callpipeline.h
@@ -27,7 +27,6 @@
 
 /// Places in the entry pipeline, in the order in which a call passes them.
 enum class EntryPlace {
-    Observe, ///< Metrics for each kind.
     Classify,
     Key, ///< Calls that may run at most once go to the home of their key.
     PathLimit,
@@ -37,7 +36,7 @@
 
 /// Places in the target pipeline, in the order in which a call passes them.
 enum class TargetPlace {
-    Observe,
+    Leaving, ///< Refuses new calls once the node has left.
     Fence, ///< Refuses attempts that were declared as never to run.
     Quarantine,
     Admission,
--- a/modules/membership/leavingplugin.cpp
+++ b/modules/membership/leavingplugin.cpp
@@ -26,7 +26,7 @@
     Result<void> start(Kernel &kernel) override
     {
         m_kernel = &kernel;
-        kernel.require<TargetPipeline>().add(TargetPlace::Observe, *this);
+        kernel.require<TargetPipeline>().add(TargetPlace::Leaving, *this);
         return {};
     }
 
@@ -58,6 +58,11 @@
 
     void handle(const CallRequest &call, const Next &next, Done done) override
     {
+        // An address may pass to another service's VM while a caller still has the old record.
+        if (call.service() != m_kernel->settings().service()) {
+            done(CallOutcome::notRun(Reason::ConnectionLost, "this address belongs to another service now"));
+            return;
+        }
         noteArrival();
         if (m_refusing) {
             ++m_refused;
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -215,9 +215,10 @@
              << "\nzone: " << node.options.zone << "\nbackend_address: "
              << (node.options.backendAddress.empty() ? node.backend : node.options.backendAddress)
              << "\nplatform_address: " << (node.options.platform.empty() ? m_platform : node.options.platform) << '\n';
-    for (const char *listener : {"front", "local", "peer", "operator"}) {
+    for (const char *listener : {"front", "local", "operator"}) {
         settings << listener << "_address: 127.0.0.1:0\n";
     }
+    settings << "peer_address: " << node.options.peerAddress << '\n';
     for (const std::string &line : node.options.settings) {
         settings << line << '\n';
     }
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -41,6 +41,7 @@
     std::vector<std::string> settings; ///< Further lines of the settings file.
     std::string backendAddress; ///< Where the node finds its backend server; empty: at its own address.
     std::string platform; ///< Address of the platform; empty: the fleet's.
+    std::string peerAddress = "127.0.0.1:0"; ///< Of the node's peer listener.
 };
 
 /// One node and its backend server.
