--- a/modules/membership/leavingplugin.cpp
+++ b/modules/membership/leavingplugin.cpp
@@ -1,4 +1,5 @@
-// First target stage: counts the calls that arrive here, and refuses them once this node has left.
+// First target stage: counts the calls that arrive here, and refuses those that came to the wrong place: calls for
+// another service, and all calls once this node has left.
 //
 // A node that leaves tells the others and goes on taking calls for a grace. A call that arrives after it is refused,
 // truthfully as not run, so that the caller's node can give it to another target.
