Speak the platform's real object protocol with one client and one stand-in

The client moves to platform/store, behind StoreConnection of core/pipeline/objectstore.h, so that publish reaches it without naming platform/. The stand-in speaks the same protocol with its failures: down, refusing, silent, slow, lost answers, late writes, dropped history.

--- a/core/pipeline/interfaces.h
+++ b/core/pipeline/interfaces.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "core/pipeline/callpipeline.h"
+#include "core/pipeline/objectstore.h"
 #include "core/values/member.h"
 
 #include <functional>
@@ -133,52 +134,4 @@
     ask(const std::string &address, PeerTopic topic, std::string request, Duration timeout, PeerReply reply) = 0;
 };
 
-/// An object of the platform's service.
-class PlatformObject
-{
-    FESCUEPOND_FIELD(std::string, name, withName);
-    FESCUEPOND_FIELD(ObjectVersion, version, withVersion);
-    FESCUEPOND_FIELD(std::string, value, withValue);
-
-public:
-    friend auto operator<=>(const PlatformObject &, const PlatformObject &) = default;
-};
-
-enum class PlatformStatus {
-    Ok,
-    NotFound,
-    Conflict, ///< The condition of a conditional update did not hold; nothing was written.
-    Unavailable, ///< No answer: a write may have taken effect.
-};
-
-class PlatformReply
-{
-    FESCUEPOND_FIELD(PlatformStatus, status, withStatus);
-    FESCUEPOND_FIELD(std::vector<PlatformObject>, objects, withObjects);
-
-public:
-    friend auto operator<=>(const PlatformReply &, const PlatformReply &) = default;
-};
-
-using PlatformDone = std::function<void(const PlatformReply &)>;
-
-/// The platform's object API. Collections hold objects by name.
-class Platform
-{
-public:
-    virtual ~Platform() = default;
-    virtual void get(std::string collection, std::string name, PlatformDone done) = 0;
-    virtual void list(std::string collection, PlatformDone done) = 0;
-    /// Writes if the object is at `expected`; 0: if there is none.
-    virtual void
-    put(std::string collection, std::string name, std::string value, ObjectVersion expected, PlatformDone done) = 0;
-    /// Deletes if the object is at `expected`.
-    virtual void remove(std::string collection, std::string name, ObjectVersion expected, PlatformDone done) = 0;
-    /// Waits until the object's version is above `known`, for at most `wait`; NotFound when that passes.
-    virtual void
-    watch(std::string collection, std::string name, ObjectVersion known, Duration wait, PlatformDone done) = 0;
-    /// Calls made since the start; a watch counts as one.
-    virtual std::uint64_t callCount() const = 0;
-};
-
 } // namespace fescuepond
--- /dev/null
+++ b/core/pipeline/objectstore.cpp
@@ -0,0 +1,33 @@
+// The registered way to speak to the object store.
+
+#include "core/pipeline/objectstore.h"
+
+#include "core/kernel/invariant.h"
+
+namespace fescuepond
+{
+
+namespace
+{
+
+StoreConnector &registeredConnector()
+{
+    static StoreConnector connector;
+    return connector;
+}
+
+} // namespace
+
+StoreConnectorRegistration::StoreConnectorRegistration(StoreConnector connector)
+{
+    invariant(!registeredConnector(), "one connector speaks to the object store");
+    registeredConnector() = std::move(connector);
+}
+
+std::unique_ptr<StoreConnection> connectStore(const std::string &address, Duration timeout)
+{
+    invariant(static_cast<bool>(registeredConnector()), "a connector to the object store is linked in");
+    return registeredConnector()(address, timeout);
+}
+
+} // namespace fescuepond
--- a/modules/configuration/configurationexchange.h
+++ b/modules/configuration/configurationexchange.h
@@ -18,7 +18,7 @@
     /// The version in force here; 0: none.
     virtual ObjectVersion version() const = 0;
     /// Takes an object of the platform, if it is newer and valid.
-    virtual void offer(const PlatformObject &object) = 0;
+    virtual void offer(const StoredObject &object) = 0;
     /// Tells the node at `address` which version is in force here, and takes its own if that one is newer. The node
     /// asked does the same the other way round.
     virtual void exchangeWith(const std::string &address) = 0;
--- a/modules/configuration/configurationplugin.cpp
+++ b/modules/configuration/configurationplugin.cpp
@@ -63,7 +63,7 @@
         });
     }
 
-    void offer(const PlatformObject &object) override
+    void offer(const StoredObject &object) override
     {
         const ObjectVersion held = version();
         if (object.version() < held) {
--- a/modules/configuration/followerplugin.cpp
+++ b/modules/configuration/followerplugin.cpp
@@ -34,7 +34,7 @@
     Result<void> start(Kernel &kernel) override
     {
         m_kernel = &kernel;
-        m_platform = &kernel.require<Platform>();
+        m_platform = &kernel.require<ObjectStore>();
         m_membership = &kernel.require<Membership>();
         m_exchange = &kernel.require<ConfigurationExchange>();
         m_exchange->setInstalledHandler([this] {
@@ -77,8 +77,8 @@
             return;
         }
         m_platform->get(
-            collection::Configuration, collection::CurrentConfiguration, [this](const PlatformReply &reply) {
-                if (reply.status() == PlatformStatus::Ok) {
+            collection::Configuration, collection::CurrentConfiguration, [this](const StoreReply &reply) {
+                if (reply.status() == StoreStatus::Ok) {
                     m_exchange->offer(reply.objects().front());
                     return;
                 }
@@ -105,7 +105,7 @@
             });
             return;
         }
-        const auto done = [this](const PlatformReply &reply) {
+        const auto done = [this](const StoreReply &reply) {
             watched(reply);
         };
         if (watches % WatchesPerRead == 0) {
@@ -116,9 +116,9 @@
             collection::Configuration, collection::CurrentConfiguration, m_exchange->version(), WatchTime, done);
     }
 
-    void watched(const PlatformReply &reply)
+    void watched(const StoreReply &reply)
     {
-        const bool hasFailed = reply.status() == PlatformStatus::Unavailable;
+        const bool hasFailed = reply.status() == StoreStatus::Unavailable;
         const unsigned failures = m_table.locked([&](Table &table) {
             table.m_watchFailures = hasFailed ? table.m_watchFailures + 1 : 0;
             return table.m_watchFailures;
@@ -129,7 +129,7 @@
             });
             return;
         }
-        if (reply.status() == PlatformStatus::Ok) {
+        if (reply.status() == StoreStatus::Ok) {
             m_exchange->offer(reply.objects().front());
         }
         watchAgain(reply);
@@ -137,10 +137,10 @@
 
     /// The platform answers a watch at once when it has an object that this node doesn't take; that must not become
     /// a tight loop.
-    void watchAgain(const PlatformReply &reply)
+    void watchAgain(const StoreReply &reply)
     {
         const bool isRefused =
-            reply.status() == PlatformStatus::Ok && m_exchange->version() < reply.objects().front().version();
+            reply.status() == StoreStatus::Ok && m_exchange->version() < reply.objects().front().version();
         if (!isRefused) {
             watchOrWait();
             return;
@@ -169,14 +169,14 @@
     }
 
     Kernel *m_kernel = nullptr;
-    Platform *m_platform = nullptr;
+    ObjectStore *m_platform = nullptr;
     Membership *m_membership = nullptr;
     ConfigurationExchange *m_exchange = nullptr;
     SharedTable<Table> m_table{LockRank::Configuration};
 };
 
 const auto registration =
-    registerPlugin<ConfigurationFollowerPlugin>("configurationfollower", {"configuration", "membership", "platform"});
+    registerPlugin<ConfigurationFollowerPlugin>("configurationfollower", {"configuration", "membership", "store"});
 
 } // namespace
 
--- a/modules/ledger/keybinder.cpp
+++ b/modules/ledger/keybinder.cpp
@@ -22,7 +22,7 @@
 
 } // namespace
 
-KeyBinder::KeyBinder(Kernel &kernel, Platform &platform)
+KeyBinder::KeyBinder(Kernel &kernel, ObjectStore &platform)
     : m_kernel(kernel)
     , m_platform(platform)
 {
@@ -72,8 +72,8 @@
                    bindingObjectName(proposed.scopedKey()),
                    toJson(proposed),
                    NoObject,
-                   [this, proposed, writesLeft, bound](const PlatformReply &reply) {
-                       if (reply.status() == PlatformStatus::Ok) {
+                   [this, proposed, writesLeft, bound](const StoreReply &reply) {
+                       if (reply.status() == StoreStatus::Ok) {
                            rememberOwnObject(reply.objects().front());
                        }
                        follow(afterBindingWrite(reply.status(), proposed), proposed, writesLeft - 1, bound);
@@ -85,8 +85,8 @@
     m_kernel.metrics().count("fescuepond_key_platform_calls_total", {{"operation", "read"}});
     m_platform.get(collection::Keys,
                    bindingObjectName(proposed.scopedKey()),
-                   [this, proposed, writesLeft, bound](const PlatformReply &reply) {
-                       const bool isThere = reply.status() == PlatformStatus::Ok;
+                   [this, proposed, writesLeft, bound](const StoreReply &reply) {
+                       const bool isThere = reply.status() == StoreStatus::Ok;
                        const auto found = isThere ? bindingFromJson(reply.objects().front().value()) : std::nullopt;
                        if (found && *found == proposed) {
                            rememberOwnObject(reply.objects().front());
@@ -115,7 +115,7 @@
     bound(decision);
 }
 
-void KeyBinder::rememberOwnObject(const PlatformObject &object)
+void KeyBinder::rememberOwnObject(const StoredObject &object)
 {
     m_table.locked([&](Table &table) {
         if (table.m_ownObjects.size() < MaxOwnObjects) {
@@ -141,7 +141,7 @@
         }
         m_kernel.metrics().count("fescuepond_key_platform_calls_total", {{"operation", "remove"}});
         // One that is not removed stays, which only makes its key count as used for longer.
-        m_platform.remove(collection::Keys, old->m_name, old->m_version, [](const PlatformReply &) {});
+        m_platform.remove(collection::Keys, old->m_name, old->m_version, [](const StoreReply &) {});
     }
 }
 
--- a/modules/ledger/keybinder.h
+++ b/modules/ledger/keybinder.h
@@ -25,7 +25,7 @@
     /// Called with action Use or Refuse.
     using Bound = std::function<void(const BindingDecision &)>;
 
-    KeyBinder(Kernel &kernel, Platform &platform);
+    KeyBinder(Kernel &kernel, ObjectStore &platform);
 
     void bind(const KeyBinding &proposed, const Bound &bound);
 
@@ -45,11 +45,11 @@
     void write(const KeyBinding &proposed, int writesLeft, const Bound &bound);
     void read(const KeyBinding &proposed, int writesLeft, const Bound &bound);
     void finish(const BindingDecision &decision, const Bound &bound);
-    void rememberOwnObject(const PlatformObject &object);
+    void rememberOwnObject(const StoredObject &object);
     void removeOldObjects();
 
     Kernel &m_kernel;
-    Platform &m_platform;
+    ObjectStore &m_platform;
     SharedTable<Table> m_table{LockRank::KeyRecords};
     std::atomic<std::size_t> m_inFlight = 0; ///< Bindings between bind() and finish().
 };
--- a/modules/ledger/ledgerplugin.cpp
+++ b/modules/ledger/ledgerplugin.cpp
@@ -38,7 +38,7 @@
         const auto &calls = kernel.require<CallsInFlight>();
         const Incarnation own = m_membership->self().incarnation();
         m_homes = std::make_unique<KeyHomes>(kernel, pipeline, calls, own);
-        m_binder = std::make_unique<KeyBinder>(kernel, kernel.require<Platform>());
+        m_binder = std::make_unique<KeyBinder>(kernel, kernel.require<ObjectStore>());
         m_forwarder = std::make_unique<KeyForwarder>(kernel, *m_messages, *m_membership);
         m_handover = std::make_unique<KeyHandover>(kernel, *m_messages, *m_membership, calls, *m_homes, *m_forwarder);
         registerGauges();
@@ -285,7 +285,7 @@
     std::atomic<bool> m_isDraining = false;
 };
 
-const auto registration = registerPlugin<LedgerPlugin>("ledger", {"pipelines", "platform", "peer", "membership"});
+const auto registration = registerPlugin<LedgerPlugin>("ledger", {"pipelines", "store", "peer", "membership"});
 
 } // namespace
 
--- a/modules/membership/announcer.cpp
+++ b/modules/membership/announcer.cpp
@@ -19,12 +19,12 @@
 /// At most one stale object is removed in this time.
 constexpr Duration CollectInterval = std::chrono::seconds(10);
 
-std::optional<Member> recordIn(const PlatformReply &reply)
+std::optional<Member> recordIn(const StoreReply &reply)
 {
     return reply.objects().empty() ? std::nullopt : memberFromJson(reply.objects().front().value());
 }
 
-ObjectVersion versionIn(const PlatformReply &reply)
+ObjectVersion versionIn(const StoreReply &reply)
 {
     return reply.objects().empty() ? 0 : reply.objects().front().version();
 }
@@ -34,7 +34,7 @@
 Announcer::Announcer(Kernel &kernel, SharedMembers &members, std::function<void()> listed)
     : m_kernel(kernel)
     , m_members(members)
-    , m_platform(kernel.require<Platform>())
+    , m_platform(kernel.require<ObjectStore>())
     , m_listed(std::move(listed))
 {
 }
@@ -55,7 +55,7 @@
 {
     m_withdrawn = true;
     if (m_ownVersion != 0) {
-        m_platform.remove(collection::Nodes, m_kernel.settings().name(), m_ownVersion, [](const PlatformReply &) {
+        m_platform.remove(collection::Nodes, m_kernel.settings().name(), m_ownVersion, [](const StoreReply &) {
             // Where this fails another node collects the object.
         });
     }
@@ -67,14 +67,14 @@
         return;
     }
     const Member self = m_members.self();
-    m_platform.put(collection::Nodes, self.name(), toJson(self), expected, [this](const PlatformReply &reply) {
+    m_platform.put(collection::Nodes, self.name(), toJson(self), expected, [this](const StoreReply &reply) {
         written(reply);
     });
 }
 
-void Announcer::written(const PlatformReply &reply)
+void Announcer::written(const StoreReply &reply)
 {
-    if (reply.status() == PlatformStatus::Ok) {
+    if (reply.status() == StoreStatus::Ok) {
         m_ownVersion = versionIn(reply);
         m_failures = 0;
         Event("announced").with("version", m_ownVersion.load());
@@ -83,7 +83,7 @@
         }
         return;
     }
-    if (reply.status() == PlatformStatus::Unavailable) {
+    if (reply.status() == StoreStatus::Unavailable) {
         // The write may have taken effect: the next check tells.
         later([this] {
             check();
@@ -98,12 +98,12 @@
     if (m_withdrawn) {
         return;
     }
-    m_platform.get(collection::Nodes, m_kernel.settings().name(), [this](const PlatformReply &reply) {
+    m_platform.get(collection::Nodes, m_kernel.settings().name(), [this](const StoreReply &reply) {
         checked(reply);
     });
 }
 
-void Announcer::checked(const PlatformReply &reply)
+void Announcer::checked(const StoreReply &reply)
 {
     const auto found = recordIn(reply);
     if (found) {
@@ -139,15 +139,15 @@
 
 void Announcer::list()
 {
-    m_platform.list(collection::Nodes, [this](const PlatformReply &reply) {
-        if (reply.status() != PlatformStatus::Ok) {
+    m_platform.list(collection::Nodes, [this](const StoreReply &reply) {
+        if (reply.status() != StoreStatus::Ok) {
             later([this] {
                 list();
             });
             return;
         }
         Members records;
-        for (const PlatformObject &object : reply.objects()) {
+        for (const StoredObject &object : reply.objects()) {
             const auto member = memberFromJson(object.value());
             if (member) {
                 records.push_back(*member);
@@ -178,22 +178,22 @@
 
 void Announcer::collectOne(const Member &dead)
 {
-    m_platform.get(collection::Nodes, dead.name(), [this, dead](const PlatformReply &reply) {
-        if (reply.status() == PlatformStatus::Unavailable) {
+    m_platform.get(collection::Nodes, dead.name(), [this, dead](const StoreReply &reply) {
+        if (reply.status() == StoreStatus::Unavailable) {
             // Tried again at a later turn.
             m_collected.locked([&](auto &collected) {
                 collected.erase(dead.incarnation());
             });
             return;
         }
-        if (reply.status() != PlatformStatus::Ok || !isStale(dead, recordIn(reply))) {
+        if (reply.status() != StoreStatus::Ok || !isStale(dead, recordIn(reply))) {
             return;
         }
         // The version that was read keeps the object of a new life safe.
-        m_platform.remove(collection::Nodes, dead.name(), versionIn(reply), [dead](const PlatformReply &removed) {
+        m_platform.remove(collection::Nodes, dead.name(), versionIn(reply), [dead](const StoreReply &removed) {
             Event("stale_object_removed")
                 .with("member", dead.name())
-                .with("done", removed.status() == PlatformStatus::Ok);
+                .with("done", removed.status() == StoreStatus::Ok);
         });
     });
 }
--- a/modules/membership/announcer.h
+++ b/modules/membership/announcer.h
@@ -27,10 +27,10 @@
 
 private:
     void write(ObjectVersion expected);
-    void written(const PlatformReply &reply);
+    void written(const StoreReply &reply);
     /// Reads the own object and writes it where it is missing or another's.
     void check();
-    void checked(const PlatformReply &reply);
+    void checked(const StoreReply &reply);
     void later(const std::function<void()> &action);
     void list();
     void collect();
@@ -38,7 +38,7 @@
 
     Kernel &m_kernel;
     SharedMembers &m_members;
-    Platform &m_platform;
+    ObjectStore &m_platform;
     const std::function<void()> m_listed;
     std::atomic<ObjectVersion> m_ownVersion = 0; ///< Of the own object, as last seen; 0: not known.
     std::atomic<int> m_failures = 0; ///< Calls that the platform did not answer, in a row.
--- a/modules/membership/membershipplugin.cpp
+++ b/modules/membership/membershipplugin.cpp
@@ -122,7 +122,7 @@
     std::unique_ptr<Announcer> m_announcer;
 };
 
-const auto registration = registerPlugin<MembershipPlugin>("membership", {"platform", "peer", "configuration"});
+const auto registration = registerPlugin<MembershipPlugin>("membership", {"store", "peer", "configuration"});
 
 } // namespace
 
--- a/modules/operator/operatorplugin.cpp
+++ b/modules/operator/operatorplugin.cpp
@@ -28,7 +28,7 @@
         m_membership = &kernel.require<Membership>();
         m_source = &kernel.require<ConfigurationSource>();
         m_calls = &kernel.require<CallsInFlight>();
-        m_platform = &kernel.require<Platform>();
+        m_platform = &kernel.require<ObjectStore>();
         registerCostGauges();
         m_listener = std::make_unique<HttpListener>(
             kernel, "operator", [this](const HttpRequest &request, const HttpRespond &respond) {
@@ -120,13 +120,13 @@
     Kernel *m_kernel = nullptr;
     Membership *m_membership = nullptr;
     ConfigurationSource *m_source = nullptr;
-    Platform *m_platform = nullptr;
+    ObjectStore *m_platform = nullptr;
     CallsInFlight *m_calls = nullptr;
     std::unique_ptr<HttpListener> m_listener;
 };
 
 const auto registration =
-    registerPlugin<OperatorPlugin>("operator", {"membership", "configuration", "pipelines", "platform"});
+    registerPlugin<OperatorPlugin>("operator", {"membership", "configuration", "pipelines", "store"});
 
 } // namespace
 
--- a/modules/verbs/publishverb.cpp
+++ b/modules/verbs/publishverb.cpp
@@ -1,10 +1,10 @@
 // `fescuepond publish`: collects declarations and puts them in force by one conditional write.
 
 #include "core/pipeline/collections.h"
+#include "core/pipeline/objectstore.h"
 #include "core/verbs/verb.h"
 #include "modules/declarations/configurationencoding.h"
 #include "modules/declarations/declarationreader.h"
-#include "modules/platform/platformclient.h"
 #include "servers/configuration/publishplan.h"
 
 #include <fmt/chrono.h>
@@ -69,15 +69,15 @@
 {
 public:
     explicit Publisher(PublishRequest request)
-        : m_platform(FLAGS_platform, std::chrono::milliseconds(FLAGS_platform_timeout_ms))
+        : m_store(connectStore(FLAGS_platform, std::chrono::milliseconds(FLAGS_platform_timeout_ms)))
         , m_request(std::move(request))
     {
     }
 
     Result<ExitCode> run()
     {
-        const PlatformReply read = m_platform.get(collection::Configuration, collection::CurrentConfiguration);
-        if (read.status() == PlatformStatus::Unavailable) {
+        const StoreReply read = m_store->get(collection::Configuration, collection::CurrentConfiguration);
+        if (read.status() == StoreStatus::Unavailable) {
             fmt::print(stderr, "the platform at {} does not answer; nothing was published\n", FLAGS_platform);
             return ExitCode::Unreachable;
         }
@@ -97,12 +97,12 @@
     }
 
 private:
-    static Result<PublishedConfiguration> decode(const PlatformReply &reply)
+    static Result<PublishedConfiguration> decode(const StoreReply &reply)
     {
-        if (reply.status() != PlatformStatus::Ok) {
+        if (reply.status() != StoreStatus::Ok) {
             return PublishedConfiguration();
         }
-        const PlatformObject &object = reply.objects().front();
+        const StoredObject &object = reply.objects().front();
         return readPublishedConfiguration(object.value(), object.version());
     }
 
@@ -124,13 +124,13 @@
             if (attempt > 0) {
                 std::this_thread::sleep_for(PauseBetweenAttempts);
             }
-            const PlatformReply written =
-                m_platform.put(collection::Configuration, collection::CurrentConfiguration, text, m_base);
-            if (written.status() == PlatformStatus::Ok) {
+            const StoreReply written =
+                m_store->put(collection::Configuration, collection::CurrentConfiguration, text, m_base);
+            if (written.status() == StoreStatus::Ok) {
                 return published(written.objects().front().version());
             }
-            const PlatformReply read = m_platform.get(collection::Configuration, collection::CurrentConfiguration);
-            if (read.status() == PlatformStatus::Unavailable) {
+            const StoreReply read = m_store->get(collection::Configuration, collection::CurrentConfiguration);
+            if (read.status() == StoreStatus::Unavailable) {
                 continue;
             }
             BOOST_LEAF_AUTO(current, decode(read));
@@ -178,7 +178,7 @@
         return ExitCode::Unreachable;
     }
 
-    PlatformClient m_platform;
+    const std::unique_ptr<StoreConnection> m_store;
     const PublishRequest m_request;
     ObjectVersion m_base = 0;
     ServiceDifference m_difference;
--- a/servers/ledger/binding.cpp
+++ b/servers/ledger/binding.cpp
@@ -32,26 +32,26 @@
     return refuse(Reason::PlatformUnavailable, std::move(detail));
 }
 
-BindingDecision afterBindingWrite(PlatformStatus status, const KeyBinding &proposed)
+BindingDecision afterBindingWrite(StoreStatus status, const KeyBinding &proposed)
 {
     // A lost answer and a conflict look the same from here: only a read tells what stands there.
-    return status == PlatformStatus::Ok ? use(proposed) : next(BindingAction::Read);
+    return status == StoreStatus::Ok ? use(proposed) : next(BindingAction::Read);
 }
 
-BindingDecision afterBindingRead(PlatformStatus status,
+BindingDecision afterBindingRead(StoreStatus status,
                                  const std::optional<KeyBinding> &found,
                                  const KeyBinding &proposed,
                                  int writesLeft)
 {
-    if (status == PlatformStatus::Ok && found) {
+    if (status == StoreStatus::Ok && found) {
         return found->scopedKey() == proposed.scopedKey()
             ? use(*found)
             : refuse(Reason::BadRequest, "another key has the same digest");
     }
-    if (status == PlatformStatus::Ok) {
+    if (status == StoreStatus::Ok) {
         return refuse(Reason::Internal, "the platform's object for this key can't be read");
     }
-    const bool mayWrite = status == PlatformStatus::NotFound && writesLeft > 0;
+    const bool mayWrite = status == StoreStatus::NotFound && writesLeft > 0;
     return mayWrite ? next(BindingAction::Write)
                     : refuseBinding("the platform can't say who may run this key; send it again later");
 }
--- a/servers/ledger/binding.h
+++ b/servers/ledger/binding.h
@@ -49,10 +49,10 @@
 BindingDecision refuseBinding(std::string detail);
 
 /// What follows a conditional create of `proposed`.
-BindingDecision afterBindingWrite(PlatformStatus status, const KeyBinding &proposed);
+BindingDecision afterBindingWrite(StoreStatus status, const KeyBinding &proposed);
 
 /// What follows a read; `found` is nothing when there is no object or its text can't be read.
-BindingDecision afterBindingRead(PlatformStatus status,
+BindingDecision afterBindingRead(StoreStatus status,
                                  const std::optional<KeyBinding> &found,
                                  const KeyBinding &proposed,
                                  int writesLeft);
--- a/servers/membership/announcement.cpp
+++ b/servers/membership/announcement.cpp
@@ -31,15 +31,15 @@
 } // namespace
 
 AnnounceDecision
-decideAnnouncement(const Member &self, PlatformStatus status, ObjectVersion version, const std::optional<Member> &found)
+decideAnnouncement(const Member &self, StoreStatus status, ObjectVersion version, const std::optional<Member> &found)
 {
     switch (status) {
-    case PlatformStatus::NotFound:
+    case StoreStatus::NotFound:
         return AnnounceDecision().withAction(AnnounceAction::Write);
-    case PlatformStatus::Ok:
+    case StoreStatus::Ok:
         break;
-    case PlatformStatus::Conflict:
-    case PlatformStatus::Unavailable:
+    case StoreStatus::Conflict:
+    case StoreStatus::Unavailable:
         return AnnounceDecision().withAction(AnnounceAction::RetryLater);
     }
     if (found && isSameLife(self, *found)) {
--- a/servers/membership/announcement.h
+++ b/servers/membership/announcement.h
@@ -30,7 +30,7 @@
 
 /// Decides after a read of the own object. `found` is what stands there; nothing when it is not a record.
 AnnounceDecision decideAnnouncement(const Member &self,
-                                    PlatformStatus status,
+                                    StoreStatus status,
                                     ObjectVersion version,
                                     const std::optional<Member> &found);
 
--- /dev/null
+++ b/tests/platform/storestandin.cpp
@@ -0,0 +1,459 @@
+// Stand-in for the platform's object store, for tests and the demo.
+//
+// Speaks the protocol that platform/store/storeclient.h describes, with a short history. A control port makes it fail:
+//     POST /mode?up                 works again
+//     POST /mode?down=1             answers 503 and ends the watches that wait
+//     POST /mode?refuse=STATUS      answers with that status
+//     POST /mode?silent=1           takes calls and never answers
+//     POST /mode?slow=MS            answers later
+//     POST /mode?lose=N             does the next N writes and closes their connections without an answer
+//     POST /mode?late=MS            closes the connections of writes without an answer and does them so much later
+//     POST /compact                 drops the history and ends the watches that wait
+//     GET  /counts                  calls by operation since the start, as text
+
+#include "tests/standins/standin.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/URI.h>
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <thread>
+
+DEFINE_string(address, "127.0.0.1:0", "IP and port of the object store.");
+DEFINE_string(control, "127.0.0.1:0", "IP and port of the control.");
+DEFINE_int32(page, 50, "Most objects in one answer.");
+DEFINE_int32(history, 1000, "Changes that are kept for watches.");
+
+namespace
+{
+
+using Poco::JSON::Array;
+using Poco::Net::HTTPRequestHandler;
+using Poco::Net::HTTPResponse;
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+using JsonObject = Poco::JSON::Object;
+
+constexpr std::chrono::seconds SilentTime{30};
+
+struct StoredValue {
+    std::uint64_t revision = 0;
+    std::uint64_t created = 0;
+    Poco::Dynamic::Var content;
+};
+
+struct Change {
+    std::uint64_t revision;
+    std::string kind;
+    std::string name;
+    StoredValue value;
+    bool isRemoved;
+};
+
+/// What the control port has asked for.
+struct Failure {
+    bool isDown = false;
+    bool isSilent = false;
+    int status = 0; ///< 0: none.
+    std::chrono::milliseconds delay{0};
+    std::chrono::milliseconds lateBy{0};
+    int answersToLose = 0;
+};
+
+struct Answer {
+    int status;
+    std::string body;
+};
+
+std::string textOf(const JsonObject &object)
+{
+    std::ostringstream text;
+    object.stringify(text);
+    return text.str();
+}
+
+JsonObject encodeObject(const std::string &name, const StoredValue &value)
+{
+    JsonObject header;
+    header.set("name", name);
+    header.set("revision", value.revision);
+    header.set("created", value.created);
+    header.set("finalizers", Array());
+    header.set("deleting", false);
+    JsonObject object;
+    object.set("metadata", header);
+    object.set("spec", value.content);
+    object.set("status", Poco::Dynamic::Var());
+    return object;
+}
+
+class Store
+{
+public:
+    Answer get(const std::string &kind, const std::string &name)
+    {
+        const std::lock_guard guard(m_mutex);
+        return read(kind, name);
+    }
+
+    Answer list(const std::string &kind, const std::string &after)
+    {
+        const std::lock_guard guard(m_mutex);
+        Array items;
+        const auto &objects = m_kinds[kind];
+        auto entry = after.empty() ? objects.begin() : objects.upper_bound(after);
+        while (entry != objects.end() && items.size() < static_cast<std::size_t>(FLAGS_page)) {
+            items.add(encodeObject(entry->first, entry->second));
+            ++entry;
+        }
+        JsonObject root;
+        root.set("items", items);
+        root.set("has_more", entry != objects.end());
+        root.set("at", m_revision);
+        return {200, textOf(root)};
+    }
+
+    Answer watch(const std::string &kind, std::uint64_t from, std::chrono::milliseconds wait)
+    {
+        std::unique_lock lock(m_mutex);
+        const std::uint64_t cuts = m_cuts;
+        m_changed.wait_for(lock, wait, [&] {
+            return m_cuts != cuts || from < m_historyFrom || m_failure.isDown || hasChange(kind, from);
+        });
+        if (m_cuts != cuts || m_failure.isDown) {
+            return {503, {}};
+        }
+        if (from < m_historyFrom) {
+            return {410, {}};
+        }
+        Array events;
+        for (const Change &change : m_history) {
+            if (change.kind == kind && change.revision > from) {
+                JsonObject event;
+                event.set("deleted", change.isRemoved);
+                event.set("object", encodeObject(change.name, change.value));
+                events.add(event);
+            }
+        }
+        JsonObject root;
+        root.set("events", events);
+        root.set("at", m_revision);
+        return {200, textOf(root)};
+    }
+
+    Answer create(const std::string &kind, const std::string &name, const Poco::Dynamic::Var &content)
+    {
+        const std::lock_guard guard(m_mutex);
+        if (m_kinds[kind].contains(name)) {
+            return conflict(kind, name);
+        }
+        m_kinds[kind][name].created = m_revision + 1;
+        return write(kind, name, content);
+    }
+
+    /// `expected`: the revision to replace; 0: any.
+    Answer
+    replace(const std::string &kind, const std::string &name, std::uint64_t expected, const Poco::Dynamic::Var &content)
+    {
+        const std::lock_guard guard(m_mutex);
+        const auto found = m_kinds[kind].find(name);
+        if (found == m_kinds[kind].end()) {
+            return {404, {}};
+        }
+        if (expected != 0 && found->second.revision != expected) {
+            return conflict(kind, name);
+        }
+        if (found->second.content == content) {
+            return read(kind, name);
+        }
+        return write(kind, name, content);
+    }
+
+    Answer remove(const std::string &kind, const std::string &name, std::uint64_t expected)
+    {
+        const std::lock_guard guard(m_mutex);
+        const auto found = m_kinds[kind].find(name);
+        if (found == m_kinds[kind].end()) {
+            return {404, {}};
+        }
+        if (expected != 0 && found->second.revision != expected) {
+            return conflict(kind, name);
+        }
+        found->second.revision = ++m_revision;
+        remember(kind, name, found->second, true);
+        const std::string body = textOf(encodeObject(name, found->second));
+        m_kinds[kind].erase(found);
+        return {200, body};
+    }
+
+    void dropHistory()
+    {
+        const std::lock_guard guard(m_mutex);
+        m_history.clear();
+        m_historyFrom = m_revision;
+        ++m_cuts;
+        m_changed.notify_all();
+    }
+
+    Failure failure()
+    {
+        const std::lock_guard guard(m_mutex);
+        return m_failure;
+    }
+    void setFailure(const Failure &failure)
+    {
+        const std::lock_guard guard(m_mutex);
+        m_failure = failure;
+        m_changed.notify_all();
+    }
+    bool takeLostAnswer()
+    {
+        const std::lock_guard guard(m_mutex);
+        if (m_failure.answersToLose == 0) {
+            return false;
+        }
+        --m_failure.answersToLose;
+        return true;
+    }
+    void count(const std::string &operation)
+    {
+        const std::lock_guard guard(m_mutex);
+        ++m_counts[operation];
+    }
+    std::string counts()
+    {
+        const std::lock_guard guard(m_mutex);
+        std::string text;
+        for (const auto &[operation, count] : m_counts) {
+            text += fmt::format("{} {}\n", operation, count);
+        }
+        return text;
+    }
+
+private:
+    bool hasChange(const std::string &kind, std::uint64_t from) const
+    {
+        for (const Change &change : m_history) {
+            if (change.kind == kind && change.revision > from) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    Answer read(const std::string &kind, const std::string &name)
+    {
+        const auto found = m_kinds[kind].find(name);
+        return found == m_kinds[kind].end() ? Answer{404, {}} : Answer{200, textOf(encodeObject(name, found->second))};
+    }
+
+    Answer conflict(const std::string &kind, const std::string &name)
+    {
+        return {409, read(kind, name).body};
+    }
+
+    Answer write(const std::string &kind, const std::string &name, const Poco::Dynamic::Var &content)
+    {
+        StoredValue &value = m_kinds[kind][name];
+        value.revision = ++m_revision;
+        value.content = content;
+        remember(kind, name, value, false);
+        return read(kind, name);
+    }
+
+    void remember(const std::string &kind, const std::string &name, const StoredValue &value, bool isRemoved)
+    {
+        m_history.push_back({m_revision, kind, name, value, isRemoved});
+        if (m_history.size() > static_cast<std::size_t>(FLAGS_history)) {
+            m_historyFrom = m_history.front().revision;
+            m_history.pop_front();
+        }
+        m_changed.notify_all();
+    }
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<std::string, std::map<std::string, StoredValue>> m_kinds;
+    std::uint64_t m_revision = 0;
+    std::deque<Change> m_history; ///< All changes after m_historyFrom.
+    std::uint64_t m_historyFrom = 0;
+    std::uint64_t m_cuts = 0; ///< How often the watches were ended.
+    Failure m_failure;
+    std::map<std::string, int> m_counts;
+};
+
+std::optional<std::string> queryValue(const Poco::URI &uri, const std::string &name)
+{
+    for (const auto &[key, value] : uri.getQueryParameters()) {
+        if (key == name) {
+            return value;
+        }
+    }
+    return std::nullopt;
+}
+
+std::uint64_t numberIn(const std::optional<std::string> &text)
+{
+    return text ? std::stoull(*text) : 0;
+}
+
+class ObjectHandler final : public HTTPRequestHandler
+{
+public:
+    explicit ObjectHandler(Store &store)
+        : m_store(store)
+    {
+    }
+
+    void handleRequest(HTTPServerRequest &request, HTTPServerResponse &response) override
+    {
+        std::string body;
+        Poco::StreamCopier::copyToString(request.stream(), body);
+        const Failure failure = m_store.failure();
+        if (failure.isSilent) {
+            std::this_thread::sleep_for(SilentTime);
+            response.setKeepAlive(false);
+            return;
+        }
+        if (failure.isDown || failure.status != 0) {
+            send(response, {failure.isDown ? 503 : failure.status, {}});
+            return;
+        }
+        std::this_thread::sleep_for(failure.delay);
+        const bool isWrite = request.getMethod() != "GET";
+        if (isWrite && failure.lateBy.count() > 0) {
+            response.setKeepAlive(false);
+            std::thread([this, method = request.getMethod(), uri = request.getURI(), body, late = failure.lateBy] {
+                std::this_thread::sleep_for(late);
+                run(method, Poco::URI(uri), body);
+            }).detach();
+            return;
+        }
+        const Answer answer = run(request.getMethod(), Poco::URI(request.getURI()), body);
+        if (isWrite && m_store.takeLostAnswer()) {
+            // The write has taken effect; its answer never arrives.
+            response.setKeepAlive(false);
+            return;
+        }
+        send(response, answer);
+    }
+
+private:
+    static void send(HTTPServerResponse &response, const Answer &answer)
+    {
+        response.setStatusAndReason(static_cast<HTTPResponse::HTTPStatus>(answer.status));
+        response.setContentType("application/json");
+        response.sendBuffer(answer.body.data(), answer.body.size());
+    }
+
+    Answer run(const std::string &method, const Poco::URI &uri, const std::string &body)
+    {
+        std::vector<std::string> segments;
+        uri.getPathSegments(segments);
+        if (segments.size() < 2 || segments.size() > 3 || segments[0] != "objects") {
+            return {400, {}};
+        }
+        const std::string &kind = segments[1];
+        const std::string name = segments.size() == 3 ? segments[2] : std::string();
+        if (method == "GET") {
+            return runRead(uri, kind, name);
+        }
+        if (method == "DELETE") {
+            m_store.count("delete");
+            return m_store.remove(kind, name, numberIn(queryValue(uri, "revision")));
+        }
+        m_store.count("put");
+        try {
+            const auto root = Poco::JSON::Parser().parse(body).extract<JsonObject::Ptr>();
+            const auto header = root->getObject("metadata");
+            if (method == "POST") {
+                return m_store.create(kind, header->getValue<std::string>("name"), root->get("spec"));
+            }
+            const std::uint64_t expected = header.isNull() ? 0 : header->optValue<Poco::UInt64>("revision", 0);
+            return m_store.replace(kind, name, expected, root->get("spec"));
+        } catch (const Poco::Exception &) {
+            return {400, {}};
+        }
+    }
+
+    Answer runRead(const Poco::URI &uri, const std::string &kind, const std::string &name)
+    {
+        if (!name.empty()) {
+            m_store.count("get");
+            return m_store.get(kind, name);
+        }
+        if (const auto from = queryValue(uri, "watch")) {
+            m_store.count("watch");
+            const auto wait = std::chrono::milliseconds(numberIn(queryValue(uri, "wait_ms")));
+            return m_store.watch(kind, std::stoull(*from), wait);
+        }
+        m_store.count("list");
+        return m_store.list(kind, queryValue(uri, "after").value_or(""));
+    }
+
+    Store &m_store;
+};
+
+class ControlHandler final : public HTTPRequestHandler
+{
+public:
+    explicit ControlHandler(Store &store)
+        : m_store(store)
+    {
+    }
+
+    void handleRequest(HTTPServerRequest &request, HTTPServerResponse &response) override
+    {
+        const Poco::URI uri(request.getURI());
+        std::string text = "ok\n";
+        if (uri.getPath() == "/counts") {
+            text = m_store.counts();
+        } else if (uri.getPath() == "/compact") {
+            m_store.dropHistory();
+        } else {
+            setMode(uri);
+        }
+        response.sendBuffer(text.data(), text.size());
+    }
+
+private:
+    void setMode(const Poco::URI &uri)
+    {
+        Failure failure;
+        failure.isDown = queryValue(uri, "down").has_value();
+        failure.isSilent = queryValue(uri, "silent").has_value();
+        failure.status = static_cast<int>(numberIn(queryValue(uri, "refuse")));
+        failure.delay = std::chrono::milliseconds(numberIn(queryValue(uri, "slow")));
+        failure.lateBy = std::chrono::milliseconds(numberIn(queryValue(uri, "late")));
+        failure.answersToLose = static_cast<int>(numberIn(queryValue(uri, "lose")));
+        m_store.setFailure(failure);
+    }
+
+    Store &m_store;
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    Store store;
+    fescuepond::standin::serve<ObjectHandler, ControlHandler>(FLAGS_address, FLAGS_control, store);
+}
--- a/tests/servers/ledger/homeledgertest.cpp
+++ b/tests/servers/ledger/homeledgertest.cpp
@@ -328,12 +328,12 @@
     {
         const bool isAnswered = !m_isPlatformDown && chance(0.8);
         const bool hasEffect = isAnswered || chance(0.5);
-        const auto status = std::make_shared<PlatformStatus>(PlatformStatus::Unavailable);
+        const auto status = std::make_shared<StoreStatus>(StoreStatus::Unavailable);
         // The write takes effect at some time; when its answer is lost, that may be after the reader has given up.
         if (hasEffect) {
             later([this, proposed, status, isAnswered, writes, submission] {
                 const bool isNew = m_objects.emplace(proposed.scopedKey(), proposed).second;
-                *status = isNew ? PlatformStatus::Ok : PlatformStatus::Conflict;
+                *status = isNew ? StoreStatus::Ok : StoreStatus::Conflict;
                 if (isAnswered) {
                     follow(afterBindingWrite(*status, proposed), proposed, writes - 1, submission);
                 }
@@ -341,7 +341,7 @@
         }
         if (!isAnswered) {
             later([this, proposed, writes, submission] {
-                follow(afterBindingWrite(PlatformStatus::Unavailable, proposed), proposed, writes - 1, submission);
+                follow(afterBindingWrite(StoreStatus::Unavailable, proposed), proposed, writes - 1, submission);
             });
         }
     }
@@ -353,8 +353,8 @@
             const auto object = m_objects.find(proposed.scopedKey());
             const bool isThere = object != m_objects.end();
             const auto found = isThere ? std::optional(object->second) : std::nullopt;
-            const auto seen = isThere ? PlatformStatus::Ok : PlatformStatus::NotFound;
-            const auto status = isAnswered ? seen : PlatformStatus::Unavailable;
+            const auto seen = isThere ? StoreStatus::Ok : StoreStatus::NotFound;
+            const auto status = isAnswered ? seen : StoreStatus::Unavailable;
             follow(afterBindingRead(status, found, proposed, writes), proposed, writes, submission);
         });
     }
--- a/tests/servers/membership/gossiptest.cpp
+++ b/tests/servers/membership/gossiptest.cpp
@@ -382,14 +382,14 @@
     const Member self = record("a", 2, 0, MemberState::Alive);
     const Member earlier = record("a", 1, 9, MemberState::Alive);
     const Member later = record("a", 3, 0, MemberState::Alive);
-    const auto decide = [&](PlatformStatus status, const std::optional<Member> &found) {
+    const auto decide = [&](StoreStatus status, const std::optional<Member> &found) {
         return decideAnnouncement(self, status, 7, found).action();
     };
-    EXPECT_EQ(decide(PlatformStatus::NotFound, {}), AnnounceAction::Write);
-    EXPECT_EQ(decide(PlatformStatus::Unavailable, {}), AnnounceAction::RetryLater);
-    EXPECT_EQ(decide(PlatformStatus::Ok, self), AnnounceAction::None);
-    EXPECT_EQ(decide(PlatformStatus::Ok, earlier), AnnounceAction::Write);
-    EXPECT_EQ(decide(PlatformStatus::Ok, later), AnnounceAction::GiveWay);
+    EXPECT_EQ(decide(StoreStatus::NotFound, {}), AnnounceAction::Write);
+    EXPECT_EQ(decide(StoreStatus::Unavailable, {}), AnnounceAction::RetryLater);
+    EXPECT_EQ(decide(StoreStatus::Ok, self), AnnounceAction::None);
+    EXPECT_EQ(decide(StoreStatus::Ok, earlier), AnnounceAction::Write);
+    EXPECT_EQ(decide(StoreStatus::Ok, later), AnnounceAction::GiveWay);
     EXPECT_FALSE(isStale(earlier, self));
     EXPECT_TRUE(isStale(earlier, earlier));
 }
