Read bodies with bytes of 0x80 and above

Cause: POCO's HTTPSession::get() returns a signed char; bytes of 0x80 and above became negative and were taken for the end of the connection, in request bodies, chunked answers and answers that end with their connection. The byte source is now an interface whose next() gives 0 to 255, and pieces are read at once. Ruled out: bodies of a declared length of answers, which were read in pieces already. Before: BackendClientTest.AnswersMayHoldEveryByteValue and FrontRobustness.BodiesMayHoldEveryByteValue fail; after: pass.

--- a/modules/http/bodyreader.cpp
+++ b/modules/http/bodyreader.cpp
@@ -2,6 +2,8 @@
 
 #include "modules/http/bodyreader.h"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 #include <optional>
 
@@ -17,6 +19,7 @@
 /// Of the line with a chunk's length and its extensions, and of a line of the trailer.
 constexpr std::size_t LongestLine = 1024;
 constexpr std::size_t MostTrailerLines = 64;
+constexpr std::size_t PieceBytes = 16'384;
 
 std::size_t parseNumber(const std::string &text, int base, const char *fault)
 {
@@ -29,9 +32,9 @@
     return number;
 }
 
-char nextByte(const ByteSource &source)
+char nextByte(ByteSource &source)
 {
-    const int byte = source();
+    const int byte = source.next();
     if (byte < 0) {
         throw RequestError(StatusBadRequest, "the body ends before its declared length");
     }
@@ -39,7 +42,7 @@
 }
 
 /// Reads a line up to its CR LF, which is not part of the result.
-std::string readLine(const ByteSource &source)
+std::string readLine(ByteSource &source)
 {
     std::string line;
     while (line.size() <= LongestLine) {
@@ -55,15 +58,20 @@
     throw RequestError(StatusBadRequest, "a line of the chunked body is malformed");
 }
 
-void appendBytes(const ByteSource &source, std::size_t count, std::string &body)
+void appendBytes(ByteSource &source, std::size_t count, std::string &body)
 {
-    body.reserve(body.size() + count);
-    for (std::size_t i = 0; i < count; ++i) {
-        body += nextByte(source);
+    std::array<char, PieceBytes> piece;
+    while (count > 0) {
+        const std::size_t received = source.readSome(piece.data(), std::min(count, piece.size()));
+        if (received == 0) {
+            throw RequestError(StatusBadRequest, "the body ends before its declared length");
+        }
+        body.append(piece.data(), received);
+        count -= received;
     }
 }
 
-void skipTrailer(const ByteSource &source)
+void skipTrailer(ByteSource &source)
 {
     for (std::size_t i = 0; i < MostTrailerLines; ++i) {
         if (readLine(source).empty()) {
@@ -73,7 +81,7 @@
     throw RequestError(StatusBadRequest, "the trailer is too long");
 }
 
-std::string readChunked(const ByteSource &source, std::size_t limit)
+std::string readChunked(ByteSource &source, std::size_t limit)
 {
     std::string body;
     while (true) {
@@ -122,7 +130,7 @@
     return BodyFraming().withIsChunked(isChunked).withLength(length.value_or(0));
 }
 
-std::string readBody(const ByteSource &source, const BodyFraming &framing, std::size_t limit)
+std::string readBody(ByteSource &source, const BodyFraming &framing, std::size_t limit)
 {
     if (framing.isChunked()) {
         return readChunked(source, limit);
--- a/modules/http/bodyreader.h
+++ b/modules/http/bodyreader.h
@@ -8,7 +8,6 @@
 
 #include <cstddef>
 #include <exception>
-#include <functional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -40,8 +39,16 @@
     const char *const m_message;
 };
 
-/// Gives the next byte of a connection, or a negative number at its end.
-using ByteSource = std::function<int()>;
+/// Where a body is read from.
+class ByteSource
+{
+public:
+    virtual ~ByteSource() = default;
+    /// The next byte, 0 to 255, or a negative number at the end of the connection.
+    virtual int next() = 0;
+    /// Reads up to `count` bytes; 0 at the end of the connection.
+    virtual std::size_t readSome(char *bytes, std::size_t count) = 0;
+};
 
 /// Header fields in the order in which they came, names repeated.
 using HeaderFields = std::vector<std::pair<std::string, std::string>>;
@@ -61,6 +68,6 @@
 BodyFraming framingOf(const HeaderFields &fields);
 
 /// Reads the whole body; one that is longer than `limit`, malformed or cut is a RequestError.
-std::string readBody(const ByteSource &source, const BodyFraming &framing, std::size_t limit);
+std::string readBody(ByteSource &source, const BodyFraming &framing, std::size_t limit);
 
 } // namespace fescuepond
--- a/modules/http/httpconnection.cpp
+++ b/modules/http/httpconnection.cpp
@@ -3,7 +3,6 @@
 #include "modules/http/httpconnection.h"
 
 #include "core/settings/nodesettings.h"
-#include "modules/http/bodyreader.h"
 
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
@@ -81,10 +80,7 @@
     if (m_header.getExpectContinue()) {
         send("HTTP/1.1 100 Continue\r\n\r\n");
     }
-    const auto source = [this] {
-        return get();
-    };
-    Body body(fescuepond::readBody(source, framing, settings.maxBodyBytes()));
+    Body body(fescuepond::readBody(*this, framing, settings.maxBodyBytes()));
     return HttpRequest()
         .withRequestId(AttemptId::random())
         .withMethod(m_header.getMethod())
--- a/modules/http/httpstream.cpp
+++ b/modules/http/httpstream.cpp
@@ -2,8 +2,6 @@
 
 #include "modules/http/httpstream.h"
 
-#include "modules/http/bodyreader.h"
-
 #include <Poco/Net/HTTPHeaderStream.h>
 
 #include <sys/socket.h>
@@ -29,7 +27,7 @@
 using Poco::Net::MessageException;
 
 constexpr std::size_t PieceBytes = 16'384;
-constexpr int EndOfStream = std::char_traits<char>::eof();
+constexpr int EndOfStream = -1;
 
 [[noreturn]] void failTruncated()
 {
@@ -81,11 +79,8 @@
 
 std::string HttpStream::readChunkedBody(std::size_t mostBytes)
 {
-    const auto source = [this] {
-        return get();
-    };
     try {
-        return fescuepond::readBody(source, BodyFraming().withIsChunked(true), mostBytes);
+        return fescuepond::readBody(*this, BodyFraming().withIsChunked(true), mostBytes);
     } catch (const RequestError &error) {
         throw MessageException(error.what());
     }
@@ -94,23 +89,36 @@
 std::string HttpStream::readBodyUntilEnd(std::size_t mostBytes)
 {
     std::string body;
-    for (int c = get(); c != EndOfStream; c = get()) {
-        body.push_back(static_cast<char>(c));
+    std::array<char, PieceBytes> piece;
+    while (const std::size_t received = readSome(piece.data(), piece.size())) {
+        body.append(piece.data(), received);
         requireRoom(body.size(), mostBytes);
     }
     return body;
 }
 
+int HttpStream::next()
+{
+    char byte = 0;
+    return readSome(&byte, sizeof(byte)) == 0 ? EndOfStream : static_cast<unsigned char>(byte);
+}
+
+std::size_t HttpStream::readSome(char *bytes, std::size_t count)
+{
+    const int received = read(bytes, static_cast<std::streamsize>(count));
+    return received <= 0 ? 0 : static_cast<std::size_t>(received);
+}
+
 void HttpStream::readBytes(std::string &bytes, std::size_t count)
 {
     std::array<char, PieceBytes> piece;
     while (count > 0) {
-        const int received = read(piece.data(), static_cast<std::streamsize>(std::min(count, piece.size())));
-        if (received <= 0) {
+        const std::size_t received = readSome(piece.data(), std::min(count, piece.size()));
+        if (received == 0) {
             failTruncated();
         }
-        bytes.append(piece.data(), static_cast<std::size_t>(received));
-        count -= static_cast<std::size_t>(received);
+        bytes.append(piece.data(), received);
+        count -= received;
     }
 }
 
--- a/modules/http/httpstream.h
+++ b/modules/http/httpstream.h
@@ -5,6 +5,8 @@
 
 #pragma once
 
+#include "modules/http/bodyreader.h"
+
 #include <Poco/Net/HTTPMessage.h>
 #include <Poco/Net/HTTPSession.h>
 #include <Poco/Net/NetException.h>
@@ -27,7 +29,7 @@
 /// for each question, which costs four system calls.
 bool isReadable(const Poco::Net::Socket &socket);
 
-class HttpStream : protected Poco::Net::HTTPSession
+class HttpStream : protected Poco::Net::HTTPSession, protected ByteSource
 {
 public:
     /// The socket itself, to set its limits or to end it.
@@ -51,6 +53,10 @@
     std::string readChunkedBody(std::size_t mostBytes);
     std::string readBodyUntilEnd(std::size_t mostBytes);
 
+    /// HTTPSession::get() gives a signed char, in which the byte 0xFF is the end of the stream.
+    int next() override;
+    std::size_t readSome(char *bytes, std::size_t count) override;
+
 private:
     /// Reads exactly `count` bytes onto the end of `bytes`.
     void readBytes(std::string &bytes, std::size_t count);
--- a/tests/modules/backend/backendclienttest.cpp
+++ b/tests/modules/backend/backendclienttest.cpp
@@ -185,6 +185,20 @@
     EXPECT_EQ(answerTo("HTTP/1.1 204 No Content\r\n\r\n").status(), 204);
 }
 
+TEST_F(BackendClientTest, AnswersMayHoldEveryByteValue)
+{
+    std::string bytes;
+    for (int value = 0; value < 256; ++value) {
+        bytes.push_back(static_cast<char>(value));
+    }
+    EXPECT_EQ(answerTo("HTTP/1.1 200 OK\r\nContent-Length: 256\r\n\r\n" + bytes).body().bytes(), bytes);
+    EXPECT_EQ(answerTo("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n100\r\n" + bytes + "\r\n0\r\n\r\n")
+                  .body()
+                  .bytes(),
+              bytes);
+    EXPECT_EQ(answerTo("HTTP/1.0 200 OK\r\n\r\n" + bytes).body().bytes(), bytes);
+}
+
 TEST_F(BackendClientTest, AnswersThatBreakOffAreUnknown)
 {
     const std::vector<std::string> answers = {
--- a/tests/system/frontrobustnesstest.cpp
+++ b/tests/system/frontrobustnesstest.cpp
@@ -61,6 +61,18 @@
 
 } // namespace
 
+TEST_F(FrontRobustness, BodiesMayHoldEveryByteValue)
+{
+    std::string bytes;
+    for (int value = 0; value < 256; ++value) {
+        bytes.push_back(static_cast<char>(value));
+    }
+    const std::string head = "POST /stock/a HTTP/1.1\r\nHost: yard\r\n";
+    EXPECT_EQ(statusLineFor(head + "Content-Length: 256\r\n\r\n" + bytes), "HTTP/1.1 200 OK");
+    EXPECT_EQ(statusLineFor(head + "Transfer-Encoding: chunked\r\n\r\n100\r\n" + bytes + "\r\n0\r\n\r\n"),
+              "HTTP/1.1 200 OK");
+}
+
 TEST_F(FrontRobustness, WhatIsNotAWholeRequestIsRefusedAndDoesNotRun)
 {
     const std::string host = "Host: yard\r\n";
