--- a/platform/store/storeplugin.cpp
+++ b/modules/store/storeplugin.cpp
@@ -3,7 +3,6 @@
 #include "core/kernel/kernel.h"
 #include "core/kernel/sharedtable.h"
 #include "core/pipeline/interfaces.h"
-#include "platform/store/storeclient.h"
 
 #include <array>
 #include <atomic>
@@ -142,9 +141,6 @@
 };
 
 const auto registration = registerPlugin<StorePlugin>("store", {});
-const StoreConnectorRegistration connector([](std::string address, Duration timeout) {
-    return std::make_unique<StoreClient>(std::move(address), timeout);
-});
 
 } // namespace
 
--- a/scripts/layering.sh
+++ b/scripts/layering.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Checks that decisions stay apart from the encoding of messages: core/ and servers/ name no network or RPC library,
-# and no layer includes a later one.
+# Checks that decisions stay apart from the encoding of messages: core/ and servers/ name no network or RPC library, no
+# layer includes a later one, and the platform's names stand only where they are translated.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -12,14 +12,28 @@
 if grep -rnE '#include [<"](Poco/|kj/|capnp/)' core servers; then
   fail "core/ and servers/ must not include POCO, KJ or Cap'n Proto"
 fi
-if grep -rnE '#include "(servers|modules|main|tests)/' core; then
+if grep -rnE '#include "(servers|modules|platform|main|tests)/' core; then
   fail "core/ must not include a later layer"
 fi
-if grep -rnE '#include "(modules|main|tests)/' servers; then
+if grep -rnE '#include "(modules|platform|main|tests)/' servers; then
   fail "servers/ must not include a later layer"
 fi
-if grep -rnE '#include "(main|tests)/' modules; then
-  fail "modules/ must not include a later layer"
+if grep -rnE '#include "(platform|main|tests)/' modules || grep -rnE '#include "(platform|tests)/' main; then
+  fail "modules/ and main/ must not include a later layer; platform/ is reached by its registrations alone"
 fi
-[ $status -eq 0 ] && echo "layering: clean"
+if grep -rnE '#include "(main|tests)/' platform; then
+  fail "platform/ must not include main/ or tests/"
+fi
+# The names of the platform's headers, fields, kinds and paths.
+names='Fescuepond-(Attempt-Id|Deadline-Ms|Expect-Instance|Response-Signature|Caller-Service|Not-Executed|Server-Load|Instance-Id)'
+names="$names|path_prefix|traffic_split|max_attempts|timeout_s|aim_s|cold_left_s|heartbeat_addr|has_more|[?&]wait_ms|\"born\"|\"metadata\"|/objects/|/instances/"
+if grep -rnE "$names" core servers modules main benchmarks examples tests --include='*.cpp' --include='*.h' --include='*.capnp' \
+  | grep -v '^tests/platform/'; then
+  fail "the platform's names stand outside platform/, deploy/ and tests/platform/"
+fi
+lines=$(cat platform/*.h platform/*/*.h platform/*/*.cpp | wc -l)
+if [ "$lines" -gt 1500 ]; then
+  fail "platform/ has $lines lines; it only translates and stays under 1,500"
+fi
+[ $status -eq 0 ] && echo "layering: clean; platform/ has $lines lines"
 exit $status
--- /dev/null
+++ b/tests/platform/desiredstatetest.cpp
@@ -0,0 +1,120 @@
+// Decoding of desired states: what is taken, and that everything else is a finding.
+
+#include "platform/configuration/desiredstate.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <random>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+const std::string Whole = R"({"version":"00000007","routes":{"columns":["name","host","path_prefix","kind","timeout_s",
+"aim_s","priority","traffic_split","max_attempts","service"],"rows":[
+["r-a","a.example","/x/","safe",1,1.5,1,[{"service":"s1","weight":90},{"service":"s2","weight":10}],2,null],
+["r-b","a.example","/x/y/","unsafe",1.25,3,0,null,1,"s1"]]},
+"services":{"columns":["name","health_path","max_connections","protocol","tls"],
+"rows":[["s1","/health",532,"h1",false],["s2","/health",676,"h1",false]]},
+"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}})";
+
+struct Read {
+    Configuration configuration;
+    std::string findings;
+};
+
+Read read(const std::string &text)
+{
+    Read result;
+    boost::leaf::try_handle_all(
+        [&]() -> Result<void> {
+            BOOST_LEAF_ASSIGN(result.configuration, readDesiredState(text, 12));
+            return {};
+        },
+        [&](const Findings &findings) {
+            result.findings = toString(findings);
+        },
+        [&] {
+            result.findings = "failed";
+        });
+    return result;
+}
+
+std::string replaced(const std::string &from, const std::string &to)
+{
+    std::string text = Whole;
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+} // namespace
+
+TEST(DesiredState, RoutesBecomeTheProductsOwn)
+{
+    const Read result = read(Whole);
+    ASSERT_EQ(result.findings, "");
+    EXPECT_EQ(result.configuration.version(), 12);
+    const RouteDeclaration *longest = result.configuration.route("a.example", "/x/y/z?q=/x/");
+    ASSERT_NE(longest, nullptr);
+    EXPECT_EQ(longest->kind().name(), "r-b");
+    EXPECT_FALSE(longest->kind().idempotent());
+    EXPECT_EQ(longest->kind().deadline(), std::chrono::milliseconds(1250));
+    EXPECT_EQ(longest->kind().retryAllowance(), 0);
+    EXPECT_EQ(longest->kind().rank(), 0);
+    const RouteDeclaration *split = result.configuration.route("a.example", "/x/z");
+    ASSERT_NE(split, nullptr);
+    EXPECT_EQ(split->kind().retryAllowance(), 1);
+    EXPECT_EQ(split->responseTimeGoal(), std::chrono::milliseconds(1500));
+    EXPECT_EQ(split->serviceFor(0.89), "s1");
+    EXPECT_EQ(split->serviceFor(0.91), "s2");
+    EXPECT_EQ(result.configuration.route("a.example", "/z/"), nullptr);
+    EXPECT_EQ(result.configuration.route("b.example", "/x/"), nullptr);
+}
+
+TEST(DesiredState, EachFaultIsAFindingAndNothingIsTaken)
+{
+    const std::vector<std::pair<std::string, std::string>> faults = {
+        {"\"/x/y/\"", "\"x/y\""},
+        {"\"unsafe\"", "\"odd\""},
+        {"1.25", "null"},
+        {"1.25", "-1"},
+        {"null,1,\"s1\"", "null,0,\"s1\""},
+        {"null,1,\"s1\"", "null,1,\"s9\""},
+        {"\"weight\":90", "\"weight\":\"x\""},
+        {"\"columns\":[\"name\",\"host\"", "\"columns\":[\"name\",\"hast\""},
+    };
+    for (const auto &[from, to] : faults) {
+        const Read result = read(replaced(from, to));
+        EXPECT_NE(result.findings, "") << from << " -> " << to;
+        EXPECT_EQ(result.configuration, Configuration()) << from << " -> " << to;
+    }
+}
+
+RC_GTEST_PROP(DesiredStateProperty, DamagedTextsEndInAResultOrFindings, (unsigned seed))
+{
+    std::mt19937 random(seed);
+    std::string text = Whole;
+    for (unsigned i = 0; i < 1 + random() % 4; ++i) {
+        const std::size_t at = random() % text.size();
+        switch (random() % 3) {
+        case 0:
+            text[at] = static_cast<char>(random());
+            break;
+        case 1:
+            text.resize(at + 1);
+            break;
+        default:
+            text.erase(at, 1 + random() % 20);
+        }
+        if (text.empty()) {
+            text = "{}";
+        }
+    }
+    const Read result = read(text);
+    RC_ASSERT(!result.findings.empty() || result.configuration.version() == 12);
+}
+
+} // namespace fescuepond
--- /dev/null
+++ b/tests/platform/targetdialecttest.cpp
@@ -0,0 +1,94 @@
+// What targets are told and what their answers are taken for.
+
+#include "core/kernel/strategy.h"
+#include "core/pipeline/backenddialect.h"
+#include "platform/names.h"
+
+#include <gtest/gtest.h>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+class TargetDialectTest : public testing::Test
+{
+protected:
+    TargetDialectTest()
+    {
+        boost::leaf::try_handle_all(
+            [this]() -> Result<void> {
+                BOOST_LEAF_ASSIGN(m_dialect, makeStrategy<BackendDialect>("fleet"));
+                return {};
+            },
+            [] {});
+    }
+
+    static CallOutcome answer(int status, Headers headers)
+    {
+        return CallOutcome().withState(CallState::Answered).withStatus(status).withHeaders(std::move(headers));
+    }
+
+    std::unique_ptr<BackendDialect> m_dialect;
+    const Headers m_signed = {{"fescuepond-response-signature", "x"}, {"fescuepond-attempt-id", "a1"}};
+};
+
+} // namespace
+
+TEST_F(TargetDialectTest, TheTargetLearnsTheTimeLeftTheCallerAndWhoIsMeant)
+{
+    const TimePoint now{std::chrono::hours(1)};
+    const auto context =
+        CallContext().withDeadline(now + milliseconds(1234)).withCallerService("s2").withCallerAttempt("a1");
+    const CallRequest call = CallRequest().withContext(context).withHeaders({{"accept", "*/*"}});
+    const Headers headers = m_dialect->requestHeaders(call, "i-7", now);
+    EXPECT_EQ(headers.at(platform::DeadlineHeader), "1234");
+    EXPECT_EQ(headers.at(platform::CallerServiceHeader), "s2");
+    EXPECT_EQ(headers.at(platform::ExpectInstanceHeader), "i-7");
+    EXPECT_EQ(headers.at("accept"), "*/*");
+    EXPECT_EQ(m_dialect->requestHeaders(call, "i-7", now + milliseconds(9999)).at(platform::DeadlineHeader), "1");
+    EXPECT_FALSE(m_dialect->requestHeaders(call, "", now).contains(platform::ExpectInstanceHeader));
+}
+
+TEST_F(TargetDialectTest, OnlyTheTargetsOwnWordSaysThatACallWasNotRun)
+{
+    EXPECT_EQ(m_dialect->interpret(answer(503, {{"fescuepond-not-executed", "1"}})).reason(), Reason::BackendBusy);
+    EXPECT_EQ(m_dialect->interpret(answer(421, {})).reason(), Reason::Leaving);
+    EXPECT_EQ(m_dialect->interpret(answer(503, m_signed)).state(), CallState::Answered);
+    EXPECT_EQ(m_dialect->interpret(answer(500, m_signed)).state(), CallState::Answered);
+}
+
+TEST_F(TargetDialectTest, ASuccessNeedsTheSignatureTheIdAndPlainBytes)
+{
+    EXPECT_EQ(m_dialect->interpret(answer(200, m_signed)).state(), CallState::Answered);
+    for (const char *missing : {"fescuepond-response-signature", "fescuepond-attempt-id"}) {
+        Headers headers = m_signed;
+        headers.erase(missing);
+        EXPECT_EQ(m_dialect->interpret(answer(200, headers)).state(), CallState::OutcomeUnknown) << missing;
+    }
+    Headers encoded = m_signed;
+    encoded["content-encoding"] = "gzip";
+    EXPECT_EQ(m_dialect->interpret(answer(200, encoded)).state(), CallState::OutcomeUnknown);
+}
+
+TEST_F(TargetDialectTest, AnAnswerToAnotherRequestIsKnownByItsId)
+{
+    const CallRequest call = CallRequest().withContext(CallContext().withCallerAttempt("a1"));
+    EXPECT_TRUE(m_dialect->isAnswerTo(call, m_signed));
+    EXPECT_TRUE(m_dialect->isAnswerTo(call, {}));
+    EXPECT_FALSE(m_dialect->isAnswerTo(call, {{"fescuepond-attempt-id", "a2"}}));
+}
+
+TEST_F(TargetDialectTest, LoadIsThreeNumbersOrNone)
+{
+    const auto load = m_dialect->load({{"fescuepond-server-load", "3,1,8"}});
+    EXPECT_EQ(load, std::optional(BackendLoad().withRunning(3).withWaiting(1).withSlots(8)));
+    for (const char *text : {"", "3", "3,1", "3,1,", "a,1,8", "3,1,8x", "3,1,8,9"}) {
+        EXPECT_FALSE(m_dialect->load({{"fescuepond-server-load", text}})) << text;
+    }
+}
+
+} // namespace fescuepond
--- /dev/null
+++ b/tests/platform/targetreporttest.cpp
@@ -0,0 +1,87 @@
+// Decoding of liveness reports.
+
+#include "platform/control/targetreport.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <random>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+const std::string Whole = R"({"service":"s1","address":"10.0.0.9:80","zone":"a","version":"v1","slots":49,)"
+                          R"("state":"ready","cold_left_s":1.5,"sequence":4,"born":1700000000123})";
+
+std::optional<BackendReport> read(const std::string &text)
+{
+    std::optional<BackendReport> result;
+    boost::leaf::try_handle_all(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(report, readTargetReport("i-1", text));
+            result = std::move(report);
+            return {};
+        },
+        [] {});
+    return result;
+}
+
+std::string replaced(const std::string &from, const std::string &to)
+{
+    std::string text = Whole;
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+} // namespace
+
+TEST(TargetReport, IsDecodedFieldByField)
+{
+    const auto report = read(Whole);
+    ASSERT_TRUE(report);
+    EXPECT_EQ(report->instance(), "i-1");
+    EXPECT_EQ(report->service(), "s1");
+    EXPECT_EQ(report->sequence(), 4);
+    EXPECT_EQ(report->startedAtMs(), 1700000000123);
+    EXPECT_EQ(report->slots(), 49);
+    EXPECT_EQ(report->state(), BackendState::Ready);
+    EXPECT_EQ(report->coldFor(), std::chrono::milliseconds(1500));
+    EXPECT_EQ(read(replaced("ready", "draining"))->state(), BackendState::Draining);
+}
+
+TEST(TargetReport, AFieldThatIsMissingOrOfAnotherTypeNamesNoBackendServer)
+{
+    const std::vector<std::pair<std::string, std::string>> faults = {
+        {"\"ready\"", "\"resting\""},
+        {"\"ready\"", "7"},
+        {"\"s1\"", "null"},
+        {"\"s1\"", "\"\""},
+        {"49", "\"49x\""},
+        {"49", "-1"},
+        {"\"sequence\":4,", ""},
+        {"\"sequence\":4", "\"sequence\":4.5"},
+        {"1700000000123", "1.5"},
+        {"1700000000123", "\"now\""},
+        {"1.5", "[]"},
+        {"{", "["},
+    };
+    for (const auto &[from, to] : faults) {
+        EXPECT_FALSE(read(replaced(from, to))) << from << " -> " << to;
+    }
+}
+
+RC_GTEST_PROP(TargetReportProperty, AnyBytesAreAReportOrNone, (unsigned seed))
+{
+    std::mt19937 random(seed);
+    std::string text = Whole;
+    for (unsigned i = 0; i < 1 + random() % 6; ++i) {
+        text[random() % text.size()] = static_cast<char>(random());
+    }
+    const auto report = read(text);
+    RC_ASSERT(!report || report->instance() == "i-1");
+}
+
+} // namespace fescuepond
