Send calls only to the life of a node that is meant

Test: Stranger.CallForAnEarlierLifeIsNotRunByANodeThatLooksTheSame, seen to fail first (the call ran at the stranger). Change: a member's record and its connections name the same life; a call for another life is not sent. Ruled out: the suspicion time, which bounds only how long calls go to a node that nobody answers for.

--- a/core/pipeline/interfaces.h
+++ b/core/pipeline/interfaces.h
@@ -165,6 +165,8 @@
     virtual ~PeerMessages() = default;
     /// IP and port on which this node listens for others.
     virtual std::string address() const = 0;
+    /// This life of the process, as others see it on their connections.
+    virtual Incarnation incarnation() const = 0;
     /// Only while plug-ins start.
     virtual void setHandler(PeerTopic topic, PeerHandler handler) = 0;
     /// The reply is nothing when `address` could not be reached or did not answer within `timeout`.
--- a/modules/backend/backendclient.cpp
+++ b/modules/backend/backendclient.cpp
@@ -23,6 +23,8 @@
 constexpr Duration LeastTimeout = std::chrono::milliseconds(1);
 /// A backend server that lives takes a connection on its own VM within this time.
 constexpr Duration AliveCheckTimeout = std::chrono::milliseconds(300);
+/// A process that ends closes its connections one after the other: one that it still took breaks within this time.
+constexpr Duration DyingTime = std::chrono::milliseconds(20);
 
 /// For how long a connection may have been idle when a call is sent on it.
 Duration idleLimit(const BackendConnection &connection, bool isIdempotent)
@@ -152,7 +154,11 @@
 bool BackendClient::isAlive(TimePoint deadline)
 {
     try {
-        keep(open(std::min(deadline, now() + AliveCheckTimeout)));
+        ConnectionPtr connection = open(std::min(deadline, now() + AliveCheckTimeout));
+        if (connection->stream().poll(toPoco(DyingTime), Poco::Net::Socket::SELECT_READ)) {
+            return false;
+        }
+        keep(std::move(connection));
         return true;
     } catch (const Poco::Exception &) {
         return false;
--- a/modules/membership/membershipplugin.cpp
+++ b/modules/membership/membershipplugin.cpp
@@ -35,7 +35,7 @@
         const Member self = Member()
                                 .withName(settings.name())
                                 .withStartedAtMs(wallClockMs())
-                                .withIncarnation(Incarnation::random())
+                                .withIncarnation(kernel.require<PeerMessages>().incarnation())
                                 .withService(settings.service())
                                 .withZone(settings.zone())
                                 .withRegion(settings.region())
--- a/modules/peer/peerplugin.cpp
+++ b/modules/peer/peerplugin.cpp
@@ -26,7 +26,7 @@
         m_pipeline = &kernel.require<TargetPipeline>();
         m_settlement = &kernel.require<AttemptSettlement>();
         m_services = std::make_unique<PeerServices>(
-            PeerServices{kernel, *m_pipeline, *m_settlement, *this, m_handlers, Incarnation::random()});
+            PeerServices{kernel, *m_pipeline, *m_settlement, *this, m_handlers, m_incarnation});
         m_sender = std::make_unique<PeerSender>(kernel, m_loop);
         std::promise<std::string> listening;
         m_loop.start([this, &listening] {
@@ -56,6 +56,11 @@
         return advertised.empty() ? m_address : advertised;
     }
 
+    Incarnation incarnation() const override
+    {
+        return m_incarnation;
+    }
+
     void send(const Member &target, const CallRequest &call, Done done) override
     {
         const CallContext &context = call.context();
@@ -144,6 +149,7 @@
     Kernel *m_kernel = nullptr;
     TargetPipeline *m_pipeline = nullptr;
     AttemptSettlement *m_settlement = nullptr;
+    const Incarnation m_incarnation = Incarnation::random();
     OutgoingCalls m_outgoing;
     EventLoop m_loop;
     std::unique_ptr<PeerSender> m_sender;
--- a/modules/peer/peersender.cpp
+++ b/modules/peer/peersender.cpp
@@ -48,8 +48,8 @@
 
 void PeerSender::send(const Member &target, const CallRequest &call, Done done)
 {
-    m_loop.post([this, address = target.peerAddress(), call, done = std::move(done)] {
-        sendOnLoop(std::make_shared<Outgoing>(Outgoing{address, call, std::nullopt}), done);
+    m_loop.post([this, address = target.peerAddress(), life = target.incarnation(), call, done = std::move(done)] {
+        sendOnLoop(std::make_shared<Outgoing>(Outgoing{address, life, call, std::nullopt}), done);
     });
 }
 
@@ -92,6 +92,9 @@
 
 kj::Promise<CallOutcome> PeerSender::request(const OutgoingPtr &outgoing, kj::Own<PeerConnection> connection)
 {
+    if (connection->incarnation() != outgoing->target) {
+        return KJ_EXCEPTION(DISCONNECTED, "another life of a node has the address");
+    }
     outgoing->sentTo = connection->incarnation();
     auto message = connection->peer().callRequest();
     encode(outgoing->call, m_kernel.clock().now(), message.initCall());
--- a/modules/peer/peersender.h
+++ b/modules/peer/peersender.h
@@ -35,6 +35,7 @@
     /// A call on its way. Used only on the loop's thread.
     struct Outgoing {
         std::string address;
+        Incarnation target; ///< The life of the node that is meant; another one at its address gets nothing.
         CallRequest call;
         std::optional<Incarnation> sentTo; ///< Nothing until it was handed to a connection: it can't have run.
         int failures = 0; ///< How often the target could not be asked what became of it.
--- a/tests/system/strangertest.cpp
+++ b/tests/system/strangertest.cpp
@@ -39,4 +39,25 @@
     EXPECT_TRUE(quarry.journalLines("begin").empty());
 }
 
+// The other fleet's node even has the name and the service of the one that is gone.
+TEST(Stranger, CallForAnEarlierLifeIsNotRunByANodeThatLooksTheSame)
+{
+    Fleet fleet;
+    ASSERT_EQ(fleet.publish({declarationOf("desk"), declarationOf("yard")}), 0);
+    const FleetNode &desk = fleet.addNode({.name = "desk-a", .service = "desk"});
+    FleetNode &yard = fleet.addNode({.name = "yard-a", .service = "yard"});
+    ASSERT_TRUE(fleet.waitUntilReady(2));
+    const std::string address = yard.peer;
+    yard.process.reset();
+
+    Fleet others;
+    ASSERT_EQ(others.publish({declarationOf("yard")}), 0);
+    FleetNode &stranger = others.addNode({.name = "yard-a", .service = "yard", .peerAddress = address});
+    ASSERT_EQ(stranger.peer, address);
+
+    const HttpReply reply = sendHttp(desk.front, {.path = "/stock", .host = "yard"});
+    EXPECT_EQ(reply.outcome(), "not-run") << reply.body;
+    EXPECT_TRUE(stranger.journalLines("begin").empty());
+}
+
 } // namespace fescuepond::test
