Know the parent of a backend server's call by the deadline that it was told; log how calls end

Their calls expire with the parent, whose deadline the node itself handed out. Also: one line for each call that fails and for one success in 64.

--- a/core/pipeline/callsinflight.cpp
+++ b/core/pipeline/callsinflight.cpp
@@ -23,8 +23,24 @@
     return a > 0 && b > 0 ? std::min(a, b) : std::max(a, b);
 }
 
+/// A deadline is rounded down to milliseconds twice, and a message between two processes of one VM takes as long.
+constexpr Duration DeadlineTolerance = std::chrono::microseconds(2500);
+
 } // namespace
 
+CallContext childOf(const CallContext &parent)
+{
+    return CallContext()
+        .withRootId(parent.rootId())
+        .withRootKind(parent.rootKind())
+        .withRank(parent.rank())
+        .withKeptShare(parent.keptShare())
+        .withDeadline(parent.deadline())
+        .withDepth(parent.depth() + 1)
+        // The calls of a non-idempotent call are never cancelled with it: it runs to its end.
+        .withParentAttempt(parent.idempotent() ? parent.attemptId() : AttemptId());
+}
+
 void CallsInFlight::add(const CallContext &context)
 {
     m_table.locked([&](Table &table) {
@@ -56,6 +72,22 @@
     });
 }
 
+std::optional<CallContext> CallsInFlight::findByDeadline(TimePoint deadline) const
+{
+    return m_table.locked([&](const Table &table) {
+        std::optional<CallContext> nearest;
+        Duration least = DeadlineTolerance;
+        for (const auto &[callId, entry] : table) {
+            const Duration distance = std::chrono::abs(entry.m_context.deadline() - deadline);
+            if (distance <= least) {
+                nearest = entry.m_context;
+                least = distance;
+            }
+        }
+        return nearest;
+    });
+}
+
 int CallsInFlight::takeAllowance(const CallId &callId)
 {
     return m_table.locked([&](Table &table) {
--- a/core/pipeline/callsinflight.h
+++ b/core/pipeline/callsinflight.h
@@ -15,6 +15,9 @@
 namespace fescuepond
 {
 
+/// The context of a call made while `parent` runs.
+CallContext childOf(const CallContext &parent);
+
 class CallsInFlight
 {
 public:
@@ -23,6 +26,10 @@
     CallOutcome remove(const CallId &callId, const CallOutcome &outcome);
     /// The context of the call, or nothing when it doesn't run here.
     std::optional<CallContext> find(const CallId &callId) const;
+    /// The call whose deadline is nearest to `deadline`, if it is near enough to be the same: a backend server whose
+    /// calls don't name their parent lets them expire with it. The deadline that it was told is rounded to
+    /// milliseconds.
+    std::optional<CallContext> findByDeadline(TimePoint deadline) const;
     /// Takes the part of the call's retry allowance that one child call gets and returns it.
     int takeAllowance(const CallId &callId);
     /// A child call ended: its unused retries come back, and what it told of the room on its path is kept. Ignored when
--- a/modules/classification/classificationplugin.cpp
+++ b/modules/classification/classificationplugin.cpp
@@ -1,16 +1,31 @@
 // Entry stage that classifies calls by the configuration in force.
 
+#include "core/kernel/eventlog.h"
 #include "core/kernel/kernel.h"
 #include "core/kernel/random.h"
 #include "core/pipeline/interfaces.h"
 #include "servers/classification/classifier.h"
 
+#include <functional>
+#include <string>
+
 namespace fescuepond
 {
 
 namespace
 {
 
+constexpr int FirstServerError = 500;
+/// One in so many successes is logged. Which ones follows from the attempt's name, so that a request is logged at all
+/// nodes or at none.
+constexpr std::uint64_t LoggedSuccessPeriod = 64;
+
+bool isLogged(const CallContext &context, const CallOutcome &outcome)
+{
+    const bool isSuccess = outcome.state() == CallState::Answered && outcome.status() < FirstServerError;
+    return !isSuccess || std::hash<std::string>()(context.callerAttempt()) % LoggedSuccessPeriod == 0;
+}
+
 class ClassificationPlugin final : public Plugin, public CallStage
 {
 public:
@@ -28,6 +43,12 @@
         const auto result = classify(call, configuration.get(), randomFraction(), m_kernel->clock().now());
         if (const auto *refusal = std::get_if<CallOutcome>(&result)) {
             m_kernel->metrics().count("fescuepond_unclassified_total", {{"reason", toString(refusal->reason())}});
+            Event("request_unclassified")
+                .with("attempt", call.context().callerAttempt())
+                .with("host", call.host())
+                .with("path", call.path())
+                .with("configuration_version", configuration ? configuration->version() : 0)
+                .with("reason", toString(refusal->reason()));
             done(*refusal);
             return;
         }
@@ -39,13 +60,36 @@
     void observe(const CallRequest &call, const Next &next, Done done)
     {
         const TimePoint begin = m_kernel->clock().now();
-        next(call,
-             [this, begin, service = call.service(), kind = call.context().kind(), done = std::move(done)](
-                 const CallOutcome &outcome) {
-                 const Labels labels = {{"service", service}, {"kind", kind}, {"outcome", toString(outcome.state())}};
-                 m_kernel->metrics().observe("fescuepond_call_seconds", labels, m_kernel->clock().now() - begin);
-                 done(outcome);
-             });
+        const auto version = m_source->configuration()->version();
+        next(call, [this, begin, call, version, done = std::move(done)](const CallOutcome &outcome) {
+            const Duration took = m_kernel->clock().now() - begin;
+            const Labels labels = {
+                {"service", call.service()}, {"kind", call.context().kind()}, {"outcome", toString(outcome.state())}};
+            m_kernel->metrics().observe("fescuepond_call_seconds", labels, took);
+            if (isLogged(call.context(), outcome)) {
+                log(call, outcome, took, version);
+            }
+            done(outcome);
+        });
+    }
+
+    static void log(const CallRequest &call, const CallOutcome &outcome, Duration took, ObjectVersion version)
+    {
+        using std::chrono::milliseconds;
+        const CallContext &context = call.context();
+        Event("request_ended")
+            .with("attempt", context.callerAttempt())
+            .with("root", context.rootId().toString())
+            .with("depth", context.depth())
+            .with("caller", context.callerService())
+            .with("service", call.service())
+            .with("kind", context.kind())
+            .with("configuration_version", version)
+            .with("state", toString(outcome.state()))
+            .with("reason", toString(outcome.reason()))
+            .with("status", outcome.status())
+            .with("took_ms", std::chrono::duration_cast<milliseconds>(took).count())
+            .with("detail", outcome.detail());
     }
 
     Kernel *m_kernel = nullptr;
--- a/modules/local/localplugin.cpp
+++ b/modules/local/localplugin.cpp
@@ -21,20 +21,6 @@
 namespace
 {
 
-/// The context of a call made while `parent` runs. Its retry allowance is set apart.
-CallContext childOf(const CallContext &parent)
-{
-    return CallContext()
-        .withRootId(parent.rootId())
-        .withRootKind(parent.rootKind())
-        .withRank(parent.rank())
-        .withKeptShare(parent.keptShare())
-        .withDeadline(parent.deadline())
-        .withDepth(parent.depth() + 1)
-        // The calls of a non-idempotent call are never cancelled with it: it runs to its end.
-        .withParentAttempt(parent.idempotent() ? parent.attemptId() : AttemptId());
-}
-
 /// What the backend server adds to the key of a child call.
 std::string ownKey(const HttpRequest &request)
 {
--- a/servers/classification/classifier.cpp
+++ b/servers/classification/classifier.cpp
@@ -39,8 +39,11 @@
     }
     const CallRequest routed = call.withService(route->serviceFor(fraction));
     const KindDeclaration &kind = route->kind();
-    return routed.withContext(rootContext(routed, kind)
-                                  .withCallId(CallId::random())
+    const bool isRoot = call.context().rootId().isNone();
+    const CallContext child =
+        call.context().withRetryAllowance(std::min(call.context().retryAllowance(), kind.retryAllowance()));
+    const CallContext origin = isRoot ? rootContext(routed, kind) : child;
+    return routed.withContext(origin.withCallId(CallId::random())
                                   .withKind(kind.name())
                                   .withIdempotent(kind.idempotent())
                                   .withDeadline(earlierDeadline(now + kind.deadline(), call.context().deadline()))
