Compress the connections between nodes

Change: LZ4 frames with the history of the connection, flushed with each write; version 2 of the peer protocol.

--- /dev/null
+++ b/modules/peer/compressedstream.cpp
@@ -0,0 +1,161 @@
+// A compressed stream between two nodes.
+
+#include "modules/peer/compressedstream.h"
+
+#include <kj/debug.h>
+
+#include <algorithm>
+#include <cstring>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+/// Decompressed at a time. What one read decompresses to is bounded by LZ4's greatest ratio, 255.
+constexpr std::size_t PlainBytes = 65'536;
+
+LZ4F_preferences_t preferences()
+{
+    LZ4F_preferences_t result = LZ4F_INIT_PREFERENCES;
+    result.frameInfo.blockMode = LZ4F_blockLinked;
+    result.frameInfo.blockSizeID = LZ4F_max64KB;
+    return result;
+}
+
+/// The result of a call of the library that returns a size.
+std::size_t checked(std::size_t result)
+{
+    KJ_REQUIRE(!LZ4F_isError(result), "the stream between nodes is damaged", LZ4F_getErrorName(result));
+    return result;
+}
+
+} // namespace
+
+CompressedStream::CompressedStream(kj::Own<kj::AsyncIoStream> inner)
+    : m_inner(kj::mv(inner))
+{
+    LZ4F_cctx *compression = nullptr;
+    checked(LZ4F_createCompressionContext(&compression, LZ4F_VERSION));
+    m_compression.reset(compression);
+    LZ4F_dctx *decompression = nullptr;
+    checked(LZ4F_createDecompressionContext(&decompression, LZ4F_VERSION));
+    m_decompression.reset(decompression);
+}
+
+void CompressedStream::compress(kj::ArrayPtr<const kj::byte> bytes, std::string &result)
+{
+    const LZ4F_preferences_t chosen = preferences();
+    if (!m_hasBegun) {
+        const std::size_t at = result.size();
+        result.resize(at + LZ4F_HEADER_SIZE_MAX);
+        result.resize(
+            at + checked(LZ4F_compressBegin(m_compression.get(), result.data() + at, LZ4F_HEADER_SIZE_MAX, &chosen)));
+        m_hasBegun = true;
+    }
+    const std::size_t at = result.size();
+    const std::size_t most = LZ4F_compressBound(bytes.size(), &chosen);
+    result.resize(at + most);
+    result.resize(at
+                  + checked(LZ4F_compressUpdate(
+                      m_compression.get(), result.data() + at, most, bytes.begin(), bytes.size(), nullptr)));
+}
+
+void CompressedStream::flush(std::string &result)
+{
+    const LZ4F_preferences_t chosen = preferences();
+    const std::size_t at = result.size();
+    const std::size_t most = LZ4F_compressBound(0, &chosen);
+    result.resize(at + most);
+    result.resize(at + checked(LZ4F_flush(m_compression.get(), result.data() + at, most, nullptr)));
+}
+
+kj::Promise<void> CompressedStream::send(std::string bytes)
+{
+    auto kept = kj::heap<std::string>(std::move(bytes));
+    auto written = m_inner->write(kept->data(), kept->size());
+    return written.attach(kj::mv(kept));
+}
+
+kj::Promise<void> CompressedStream::write(const void *buffer, size_t size)
+{
+    const kj::ArrayPtr<const kj::byte> piece(static_cast<const kj::byte *>(buffer), size);
+    return write(kj::arrayPtr(&piece, 1));
+}
+
+kj::Promise<void> CompressedStream::write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces)
+{
+    std::string bytes;
+    for (const auto &piece : pieces) {
+        compress(piece, bytes);
+    }
+    flush(bytes);
+    return send(std::move(bytes));
+}
+
+kj::Promise<size_t> CompressedStream::tryRead(void *buffer, size_t minBytes, size_t maxBytes)
+{
+    return readOn(static_cast<kj::byte *>(buffer), minBytes, maxBytes, 0);
+}
+
+kj::Promise<size_t> CompressedStream::readOn(kj::byte *buffer, size_t minBytes, size_t maxBytes, size_t done)
+{
+    const std::size_t taken = std::min(maxBytes - done, m_plain.size() - m_plainAt);
+    std::memcpy(buffer + done, m_plain.data() + m_plainAt, taken);
+    m_plainAt += taken;
+    done += taken;
+    if (m_plainAt == m_plain.size()) {
+        m_plain.clear();
+        m_plainAt = 0;
+    }
+    if (done >= minBytes) {
+        return done;
+    }
+    return m_inner->tryRead(m_read.data(), 1, m_read.size())
+        .then([this, buffer, minBytes, maxBytes, done](size_t count) -> kj::Promise<size_t> {
+            if (count == 0) {
+                return done;
+            }
+            decompress(count);
+            return readOn(buffer, minBytes, maxBytes, done);
+        });
+}
+
+void CompressedStream::decompress(std::size_t count)
+{
+    std::size_t at = 0;
+    std::size_t produced = PlainBytes;
+    // A full piece may be followed by more that the library has kept.
+    while (at < count || produced == PlainBytes) {
+        const std::size_t end = m_plain.size();
+        m_plain.resize(end + PlainBytes);
+        produced = PlainBytes;
+        std::size_t consumed = count - at;
+        const std::size_t result = LZ4F_decompress(
+            m_decompression.get(), m_plain.data() + end, &produced, m_read.data() + at, &consumed, nullptr);
+        m_plain.resize(end + produced);
+        checked(result);
+        at += consumed;
+        if (consumed == 0 && produced == 0) {
+            return;
+        }
+    }
+}
+
+kj::Promise<void> CompressedStream::whenWriteDisconnected()
+{
+    return m_inner->whenWriteDisconnected();
+}
+
+void CompressedStream::shutdownWrite()
+{
+    m_inner->shutdownWrite();
+}
+
+void CompressedStream::abortRead()
+{
+    m_inner->abortRead();
+}
+
+} // namespace fescuepond
--- /dev/null
+++ b/modules/peer/compressedstream.h
@@ -0,0 +1,60 @@
+// A stream between two nodes whose bytes are compressed on the way, with the history of the connection: messages repeat
+// names and headers, and bytes between availability zones are dear.
+//
+// LZ4 frames, flushed with each write, so that a message is never held back.
+
+#pragma once
+
+#include <kj/async-io.h>
+#include <lz4frame.h>
+
+#include <array>
+#include <memory>
+#include <string>
+
+namespace fescuepond
+{
+
+class CompressedStream final : public kj::AsyncIoStream
+{
+public:
+    explicit CompressedStream(kj::Own<kj::AsyncIoStream> inner);
+
+    kj::Promise<size_t> tryRead(void *buffer, size_t minBytes, size_t maxBytes) override;
+    kj::Promise<void> write(const void *buffer, size_t size) override;
+    kj::Promise<void> write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces) override;
+    kj::Promise<void> whenWriteDisconnected() override;
+    void shutdownWrite() override;
+    void abortRead() override;
+
+private:
+    struct FreeCompression {
+        void operator()(LZ4F_cctx *context) const
+        {
+            LZ4F_freeCompressionContext(context);
+        }
+    };
+    struct FreeDecompression {
+        void operator()(LZ4F_dctx *context) const
+        {
+            LZ4F_freeDecompressionContext(context);
+        }
+    };
+    static constexpr std::size_t ReadBytes = 16'384;
+
+    void compress(kj::ArrayPtr<const kj::byte> bytes, std::string &result);
+    void flush(std::string &result);
+    kj::Promise<void> send(std::string bytes);
+    kj::Promise<size_t> readOn(kj::byte *buffer, size_t minBytes, size_t maxBytes, size_t done);
+    void decompress(std::size_t count);
+
+    kj::Own<kj::AsyncIoStream> m_inner;
+    std::unique_ptr<LZ4F_cctx, FreeCompression> m_compression;
+    std::unique_ptr<LZ4F_dctx, FreeDecompression> m_decompression;
+    bool m_hasBegun = false; ///< The frame's header was written.
+    std::array<kj::byte, ReadBytes> m_read; ///< As it came.
+    std::string m_plain; ///< Decompressed and not read yet, from m_plainAt on.
+    std::size_t m_plainAt = 0;
+};
+
+} // namespace fescuepond
--- a/modules/peer/peer.capnp
+++ b/modules/peer/peer.capnp
@@ -6,7 +6,7 @@
 $Cxx.namespace("fescuepond::wire");
 
 # Version of this protocol. Nodes of different versions refuse each other's calls.
-const protocolVersion :UInt32 = 1;
+const protocolVersion :UInt32 = 2;
 
 struct Id {
   high @0 :UInt64;
--- a/modules/peer/peer.capnp.h
+++ b/modules/peer/peer.capnp.h
@@ -45,7 +45,7 @@
 namespace fescuepond {
 namespace wire {
 
-static constexpr  ::uint32_t PROTOCOL_VERSION = 1u;
+static constexpr  ::uint32_t PROTOCOL_VERSION = 2u;
 struct Id {
   Id() = delete;
 
--- a/modules/peer/peerconnection.cpp
+++ b/modules/peer/peerconnection.cpp
@@ -3,6 +3,7 @@
 #include "modules/peer/peerconnection.h"
 
 #include "core/kernel/eventlog.h"
+#include "modules/peer/compressedstream.h"
 #include "modules/peer/messagelimits.h"
 
 #include <capnp/message.h>
@@ -26,7 +27,7 @@
 
 PeerConnection::PeerConnection(kj::Own<kj::AsyncIoStream> stream, kj::Timer &timer, std::uint64_t mostMessageBytes)
     : m_timer(timer)
-    , m_stream(kj::mv(stream))
+    , m_stream(kj::heap<CompressedStream>(kj::mv(stream)))
     , m_network(*m_stream, capnp::rpc::twoparty::Side::CLIENT, readerOptions(mostMessageBytes))
     , m_rpc(capnp::makeRpcClient(m_network))
     , m_peer(peerOf(m_rpc))
--- a/modules/peer/peerlistener.cpp
+++ b/modules/peer/peerlistener.cpp
@@ -4,6 +4,7 @@
 
 #include "core/kernel/eventlog.h"
 #include "core/kernel/kernel.h"
+#include "modules/peer/compressedstream.h"
 #include "modules/peer/messagelimits.h"
 
 #include <capnp/rpc-twoparty.h>
@@ -42,7 +43,7 @@
 /// One accepted connection. Declared in the order in which each member needs the one before.
 struct Incoming {
     Incoming(kj::Own<kj::AsyncIoStream> stream, std::uint64_t mostMessageBytes, kj::Own<PeerServer> server)
-        : m_stream(kj::mv(stream))
+        : m_stream(kj::heap<CompressedStream>(kj::mv(stream)))
         , m_network(*m_stream, capnp::rpc::twoparty::Side::SERVER, readerOptions(mostMessageBytes))
         , m_server(*server)
         , m_rpc(capnp::makeRpcServer(m_network, wire::Peer::Client(kj::mv(server))))
--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -4,7 +4,7 @@
 
 packages=(
   g++ cmake ninja-build ccache clang-format clang-tidy
-  libpoco-dev libcapnp-dev libboost1.81-dev libgflags-dev libfmt-dev libyaml-cpp-dev libxxhash-dev
+  libpoco-dev libcapnp-dev libboost1.81-dev libgflags-dev libfmt-dev libyaml-cpp-dev libxxhash-dev liblz4-dev
   libgtest-dev libgmock-dev librapidcheck-dev curl
 )
 
--- /dev/null
+++ b/tests/modules/peer/compressedstreamtest.cpp
@@ -0,0 +1,103 @@
+// The compressed stream between nodes: every byte arrives, in whatever pieces, and damage is noticed.
+
+#include "modules/peer/compressedstream.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+#include <string>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+/// Two ends of a connection, and the loop that they need.
+struct Connection {
+    std::string read(kj::AsyncIoStream &stream, std::size_t count)
+    {
+        std::string bytes(count, '\0');
+        bytes.resize(stream.tryRead(bytes.data(), count, count).wait(m_io.waitScope));
+        return bytes;
+    }
+
+    kj::AsyncIoContext m_io = kj::setupAsyncIo();
+    kj::TwoWayPipe m_pipe = m_io.provider->newTwoWayPipe();
+};
+
+} // namespace
+
+TEST(CompressedStream, BytesArriveWholeAndInOrderWhateverTheirPieces)
+{
+    Connection connection;
+    CompressedStream sender(kj::mv(connection.m_pipe.ends[0]));
+    CompressedStream receiver(kj::mv(connection.m_pipe.ends[1]));
+    std::mt19937 random(20261204);
+    for (const std::size_t size : {1U, 100U, 5000U, 70'000U, 400'000U}) {
+        std::string bytes(size, 'x');
+        for (std::size_t i = 0; i < size; i += 1 + random() % 3) {
+            bytes[i] = static_cast<char>(random());
+        }
+        auto written = sender.write(bytes.data(), bytes.size());
+        std::string received = connection.read(receiver, size / 3);
+        received += connection.read(receiver, size - size / 3);
+        EXPECT_TRUE(received == bytes) << size;
+        written.wait(connection.m_io.waitScope);
+    }
+}
+
+TEST(CompressedStream, AMessageIsNotHeldBack)
+{
+    Connection connection;
+    CompressedStream sender(kj::mv(connection.m_pipe.ends[0]));
+    CompressedStream receiver(kj::mv(connection.m_pipe.ends[1]));
+    for (const std::string message : {"a", "second", "third"}) {
+        auto written = sender.write(message.data(), message.size());
+        EXPECT_EQ(connection.read(receiver, message.size()), message);
+        written.wait(connection.m_io.waitScope);
+    }
+}
+
+TEST(CompressedStream, RepeatedMessagesShrink)
+{
+    Connection connection;
+    CompressedStream sender(kj::mv(connection.m_pipe.ends[0]));
+    const std::string message = "accept:*/*|accept-encoding:identity|user-agent:sdk-client/1.9.3|content-type:a/b";
+    std::array<char, 4096> first{};
+    std::array<char, 4096> second{};
+    auto written = sender.write(message.data(), message.size());
+    const auto firstSize =
+        connection.m_pipe.ends[1]->tryRead(first.data(), 1, first.size()).wait(connection.m_io.waitScope);
+    written.wait(connection.m_io.waitScope);
+    auto again = sender.write(message.data(), message.size());
+    const auto secondSize =
+        connection.m_pipe.ends[1]->tryRead(second.data(), 1, second.size()).wait(connection.m_io.waitScope);
+    again.wait(connection.m_io.waitScope);
+    EXPECT_LT(secondSize, firstSize / 2);
+}
+
+TEST(CompressedStream, BytesThatAreNoFrameEndTheStream)
+{
+    Connection connection;
+    CompressedStream receiver(kj::mv(connection.m_pipe.ends[1]));
+    const std::string garbage = "this is no frame at all";
+    auto written = connection.m_pipe.ends[0]->write(garbage.data(), garbage.size());
+    EXPECT_THROW(connection.read(receiver, 1), kj::Exception);
+}
+
+TEST(CompressedStream, TheEndOfTheOtherSideIsTheEndOfTheBytes)
+{
+    Connection connection;
+    CompressedStream sender(kj::mv(connection.m_pipe.ends[0]));
+    CompressedStream receiver(kj::mv(connection.m_pipe.ends[1]));
+    auto written = sender.write("abc", 3)
+                       .then([&sender] {
+                           sender.shutdownWrite();
+                       })
+                       .eagerlyEvaluate(nullptr);
+    EXPECT_EQ(connection.read(receiver, 10), "abc");
+    written.wait(connection.m_io.waitScope);
+}
+
+} // namespace fescuepond
--- a/tests/system/hostileinputtest.cpp
+++ b/tests/system/hostileinputtest.cpp
@@ -1,6 +1,7 @@
 // Bytes that no node and no caller would send, on the peer port and on the port for callers: each ends only its own
 // connection, with a clear error where there is somebody to tell.
 
+#include "modules/peer/compressedstream.h"
 #include "modules/peer/peer.capnp.h"
 #include "tests/support/fleet.h"
 
@@ -178,7 +179,8 @@
                           return connected.attach(kj::mv(address));
                       })
                       .wait(io.waitScope);
-    capnp::TwoPartyClient client(*stream);
+    CompressedStream compressed(kj::mv(stream));
+    capnp::TwoPartyClient client(compressed);
     auto peer = client.bootstrap().castAs<wire::Peer>();
     auto hello = peer.helloRequest();
     hello.setVersion(wire::PROTOCOL_VERSION + 1);
