--- a/servers/routing/router.cpp
+++ b/servers/routing/router.cpp
@@ -13,8 +13,7 @@
 namespace
 {
 
-/// Above this utilisation of the caller's own zone, targets further away are looked
-/// at.
+/// Above this utilisation of the caller's own zone, targets further away are looked at.
 constexpr double SpillUtilisation = 0.8;
 /// A target further away has to be less utilised by this, for each step of distance.
 constexpr double DistanceCost = 0.1;
