--- a/modules/http/httpconnection.cpp
+++ b/modules/http/httpconnection.cpp
@@ -31,7 +31,7 @@
     for (const auto &[name, value] : request) {
         bytes += name.size() + value.size();
         std::string &known = headers[toLower(name)];
-        known = known.empty() ? value : known + ", " + value;
+        known.append(known.empty() ? "" : ", ").append(value);
     }
     if (bytes > limit) {
         throw RequestError(StatusHeaderTooLarge, "the header is too long");
--- a/modules/routing/routingplugin.cpp
+++ b/modules/routing/routingplugin.cpp
@@ -107,6 +107,9 @@
     {
         const TimePoint now = m_kernel->clock().now();
         noteOutcome(target, outcome, now);
+        if (outcome.state() != CallState::Answered) {
+            log(*routed, target, outcome);
+        }
         const bool moves =
             mayMove(outcome, routed->m_moves, routed->m_call.context().deadline(), now) && hasUntried(*routed);
         if (!moves) {
@@ -118,6 +121,22 @@
         route(routed);
     }
 
+    static void log(const RoutedCall &routed, const Member &target, const CallOutcome &outcome)
+    {
+        Event("attempt_failed")
+            .with("attempt", routed.m_call.context().callerAttempt())
+            .with("service", routed.m_call.service())
+            .with("target", target.name())
+            .with("target_state", toString(target.state()))
+            .with("moves", routed.m_moves)
+            .with("state", toString(outcome.state()))
+            .with("reason", toString(outcome.reason()))
+            .with("reached_backend", outcome.backendWasReached())
+            .with("target_in_flight", outcome.targetInFlight())
+            .with("target_limit", outcome.targetLimit())
+            .with("detail", outcome.detail());
+    }
+
     bool hasUntried(const RoutedCall &routed) const
     {
         const auto targets = m_membership->targetsOf(routed.m_call.service());
--- a/modules/verbs/nodeverb.cpp
+++ b/modules/verbs/nodeverb.cpp
@@ -106,7 +106,7 @@
             while (received == SIGHUP) {
                 sigwait(&signals, &received);
                 if (received == SIGHUP) {
-                    Event("reload_requested");
+                    Event("reload_requested").with("signal", "SIGHUP");
                     settings.check("signal");
                 }
             }
--- a/tests/platform/desiredstatetest.cpp
+++ b/tests/platform/desiredstatetest.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-const std::string Whole = R"({"version":"00000007","routes":{"columns":["name","host","path_prefix","kind","timeout_s",
+const std::string whole = R"({"version":"00000007","routes":{"columns":["name","host","path_prefix","kind","timeout_s",
 "aim_s","priority","traffic_split","max_attempts","service"],"rows":[
 ["r-a","a.example","/x/","safe",1,1.5,1,[{"service":"s1","weight":90},{"service":"s2","weight":10}],2,null],
 ["r-b","a.example","/x/y/","unsafe",1.25,3,0,null,1,"s1"]]},
@@ -45,7 +45,7 @@
 
 std::string replaced(const std::string &from, const std::string &to)
 {
-    std::string text = Whole;
+    std::string text = whole;
     text.replace(text.find(from), from.size(), to);
     return text;
 }
@@ -54,7 +54,7 @@
 
 TEST(DesiredState, RoutesBecomeTheProductsOwn)
 {
-    const Read result = read(Whole);
+    const Read result = read(whole);
     ASSERT_EQ(result.findings, "");
     EXPECT_EQ(result.configuration.version(), 12);
     const RouteDeclaration *longest = result.configuration.route("a.example", "/x/y/z?q=/x/");
@@ -96,7 +96,7 @@
 RC_GTEST_PROP(DesiredStateProperty, DamagedTextsEndInAResultOrFindings, (unsigned seed))
 {
     std::mt19937 random(seed);
-    std::string text = Whole;
+    std::string text = whole;
     for (unsigned i = 0; i < 1 + random() % 4; ++i) {
         const std::size_t at = random() % text.size();
         switch (random() % 3) {
--- a/tests/platform/targetreporttest.cpp
+++ b/tests/platform/targetreporttest.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-const std::string Whole = R"({"service":"s1","address":"10.0.0.9:80","zone":"a","version":"v1","slots":49,)"
+const std::string whole = R"({"service":"s1","address":"10.0.0.9:80","zone":"a","version":"v1","slots":49,)"
                           R"("state":"ready","cold_left_s":1.5,"sequence":4,"born":1700000000123})";
 
 std::optional<BackendReport> read(const std::string &text)
@@ -31,7 +31,7 @@
 
 std::string replaced(const std::string &from, const std::string &to)
 {
-    std::string text = Whole;
+    std::string text = whole;
     text.replace(text.find(from), from.size(), to);
     return text;
 }
@@ -40,7 +40,7 @@
 
 TEST(TargetReport, IsDecodedFieldByField)
 {
-    const auto report = read(Whole);
+    const auto report = read(whole);
     ASSERT_TRUE(report);
     EXPECT_EQ(report->instance(), "i-1");
     EXPECT_EQ(report->service(), "s1");
@@ -76,7 +76,7 @@
 RC_GTEST_PROP(TargetReportProperty, AnyBytesAreAReportOrNone, (unsigned seed))
 {
     std::mt19937 random(seed);
-    std::string text = Whole;
+    std::string text = whole;
     for (unsigned i = 0; i < 1 + random() % 6; ++i) {
         text[random() % text.size()] = static_cast<char>(random());
     }
--- a/tests/servers/retry/retrybudgettest.cpp
+++ b/tests/servers/retry/retrybudgettest.cpp
@@ -50,10 +50,10 @@
 {
     std::mt19937 random(seed);
     const std::size_t nodes = 1 + random() % 100;
-    const double callsPerSecond = 1 + random() % 500;
+    const std::size_t callsPerSecond = 1 + random() % 500;
     std::vector<RetryBudget> budgets(nodes);
     // Few nodes take most of the calls.
-    std::geometric_distribution<std::size_t> skewed(0.05 + 0.5 * (random() % 100) / 100.0);
+    std::geometric_distribution<std::size_t> skewed(0.05 + 0.005 * static_cast<double>(random() % 100));
     SlidingCount calls;
     SlidingCount retries;
     TimePoint now{std::chrono::hours(1)};
