Tell the room further down where children don't name their parent; lengthen the queue

A tree makes five such calls in turn. Their own limit is shorter than the rest of their parent's, so they aren't matched to it, and the path limit at the entry hears nothing. Beside that, the path limits of all nodes keep about 22 calls waiting at the service together, and its queue has 15 places.

Change: servers/pathlimit/kindrooms learns from failures which kind of call makes which other, and adds the room that the latter was told to the former's outcomes; a refusal below marks the error as failed below. The queue has 2.5 places for each slot instead of 0.75.

Ruled out: a longer queue alone, the rooms alone.

--- a/core/kernel/lockorder.h
+++ b/core/kernel/lockorder.h
@@ -22,6 +22,7 @@
     Attempts,
     Retries,
     PathLimit,
+    PathRoom,
     Admission,
     CallsInFlight,
     Routing,
--- a/core/pipeline/callpipeline.h
+++ b/core/pipeline/callpipeline.h
@@ -30,6 +30,7 @@
     Classify,
     Key, ///< Calls that may run at most once go to the home of their key.
     PathLimit,
+    PathRoom, ///< Notes what the outcomes of calls without a known parent tell of the services below.
     Retry,
     Route, ///< Chooses a target and sends; ends the pipeline.
 };
@@ -39,6 +40,7 @@
     Leaving, ///< Refuses new calls once the node has left.
     Fence, ///< Refuses attempts that were declared as never to run.
     Quarantine,
+    PathRoom, ///< Tells the room of the services below, where children do not name their parent.
     Admission,
     Run, ///< Sends to the backend server; ends the pipeline.
 };
--- a/servers/admission/admissioncontroller.h
+++ b/servers/admission/admissioncontroller.h
@@ -14,7 +14,9 @@
 
 struct AdmissionRules {
     QueueRules queue;
-    double queueFactor = 0.75; ///< Places in the queue for each slot.
+    /// Places in the queue for each slot. Enough for what the path limits of all nodes keep waiting here together; a
+    /// refusal of one call here loses all that its request has done before.
+    double queueFactor = 2.5;
     bool refuseDoomed = true; ///< Refuses calls whose deadline is nearer than the likely service time.
 };
 
--- /dev/null
+++ b/servers/pathlimit/kindrooms.h
@@ -0,0 +1,57 @@
+// Room further down for calls whose children don't name their parent.
+//
+// Answers to load that lies further down: a request that makes several calls in turn at a narrow service is lost with
+// the first one that is refused there, and so is the work done for it. Where children name their parent, the room that
+// their answers tell goes up with the parent's own answer. Where they don't, it is known for each kind of call that
+// leaves this VM, but not for whom it was made. The failures tell: a backend server answers with a server error right
+// after a call that it needed has failed. Kinds for which that is seen often enough count as callers of the failed
+// kind, and are told its room.
+
+#pragma once
+
+#include "core/kernel/clock.h"
+
+#include <deque>
+#include <map>
+#include <string>
+
+namespace fescuepond
+{
+
+/// How a call that left this VM ended.
+enum class ChildEnd {
+    Served,
+    Refused, ///< For want of room.
+    Failed, ///< In another way.
+};
+
+class KindRooms
+{
+public:
+    /// A call of `childKind`, whose parent is not known, has ended. `room` is 0 when the answer didn't say it.
+    void childEnded(const std::string &childKind, double room, ChildEnd end, TimePoint now);
+    /// A call of `kind` that ran here was answered with a server error; tells whether the cause is a refused child.
+    bool parentFailed(const std::string &kind, TimePoint now);
+    /// The least room for the calls that calls of `kind` make; 0: unknown.
+    double roomFor(const std::string &kind, TimePoint now) const;
+
+private:
+    struct Failure {
+        std::string m_childKind;
+        ChildEnd m_end;
+        TimePoint m_at;
+    };
+    struct Child {
+        double m_room = 0; ///< Moving average; 0: not told yet.
+        TimePoint m_toldAt;
+        double m_failures = 0; ///< Not less than any count in m_parents.
+        std::map<std::string, double> m_parents; ///< Failures that each kind's server error followed.
+    };
+
+    static bool isParent(const Child &child, const std::string &kind);
+
+    std::deque<Failure> m_failures; ///< Those that no server error has followed yet, the oldest first.
+    std::map<std::string, Child> m_children;
+};
+
+} // namespace fescuepond
