--- a/core/values/call.h
+++ b/core/values/call.h
@@ -40,6 +40,8 @@
     FESCUEPOND_FIELD(std::string, callerAttempt, withCallerAttempt);
     FESCUEPOND_FIELD(std::string, callerService, withCallerService); ///< Service of the VM where the request began.
     FESCUEPOND_FIELD(TimePoint, goal, withGoal); ///< An answer that comes later is worth less.
+    /// The target of the failed attempt that this one repeats; none for a first attempt. Not told to other nodes.
+    FESCUEPOND_FIELD(Incarnation, failedTarget, withFailedTarget);
 
 public:
     friend auto operator<=>(const CallContext &, const CallContext &) = default;
@@ -113,6 +115,8 @@
     FESCUEPOND_FIELD(Duration, retryAfter, withRetryAfter); ///< When there may be room again; 0: unsaid.
     /// The call was sent to a backend server, whether or not that ran it.
     FESCUEPOND_FIELD(bool, backendWasReached, withBackendWasReached);
+    /// The target that the call was last sent to; none: nowhere, or another node sent it. Not told to other nodes.
+    FESCUEPOND_FIELD(Incarnation, target, withTarget);
 
 public:
     static CallOutcome notRun(Reason reason, std::string detail);
--- a/modules/retry/retryplugin.cpp
+++ b/modules/retry/retryplugin.cpp
@@ -22,6 +22,7 @@
     Done m_done;
     RetryAllowance m_allowance;
     TimePoint m_sentAt{};
+    Incarnation m_failedTarget; ///< Of the latest failed attempt.
 };
 
 class RetryPlugin final : public Plugin, public CallStage
@@ -31,6 +32,11 @@
     {
         m_kernel = &kernel;
         m_membership = &kernel.require<Membership>();
+        const NodeSettings &settings = kernel.settings();
+        m_rules = RetryRules()
+                      .withRatio(settings.retryRatio())
+                      .withSlack(static_cast<double>(settings.retrySlack()))
+                      .withWindow(std::chrono::duration_cast<Duration>(settings.retryWindow()));
         kernel.require<EntryPipeline>().add(EntryPlace::Retry, *this);
         return {};
     }
@@ -40,7 +46,7 @@
         const TimePoint now = m_kernel->clock().now();
         m_budgets.locked([&](Budgets &budgets) {
             RetryBudget &budget = budgets[call.service()];
-            budget = budget.afterCall(now);
+            budget = budget.afterCall(m_rules, now);
         });
         const RetryAllowance allowance(call.context().retryAllowance());
         sendAttempt(std::make_shared<RetriedCall>(RetriedCall{call, next, std::move(done), allowance}));
@@ -53,7 +59,9 @@
     {
         retried->m_allowance = retried->m_allowance.afterSending();
         retried->m_sentAt = m_kernel->clock().now();
-        const CallContext context = retried->m_call.context().withRetryAllowance(retried->m_allowance.given());
+        const CallContext context = retried->m_call.context()
+                                        .withRetryAllowance(retried->m_allowance.given())
+                                        .withFailedTarget(retried->m_failedTarget);
         m_kernel->metrics().count("fescuepond_attempts_total", {{"service", retried->m_call.service()}});
         retried->m_next(retried->m_call.withContext(context), [this, retried](const CallOutcome &outcome) {
             attemptEnded(retried, outcome);
@@ -72,6 +80,7 @@
         }
         const RetryVerdict verdict = decide(*retried, outcome);
         if (verdict == RetryVerdict::Retry) {
+            retried->m_failedTarget = outcome.target();
             sendAttempt(retried);
             return;
         }
@@ -95,16 +104,12 @@
                                  .withTook(now - retried.m_sentAt)
                                  .withRemaining(context.deadline() - now)
                                  .withCrashCount(context.crashCount());
-        const NodeSettings &settings = m_kernel->settings();
-        const auto rules = RetryRules()
-                               .withRatio(settings.retryRatio())
-                               .withSlack(static_cast<double>(settings.retrySlack()))
-                               .withNodes(m_membership->all().size());
+        const RetryRules rules = m_rules.withNodes(m_membership->all().size());
         return m_budgets.locked([&](Budgets &budgets) {
             RetryBudget &budget = budgets[retried.m_call.service()];
             const RetryVerdict verdict = decideRetry(attempt, budget.permitsRetry(rules, now));
             if (verdict == RetryVerdict::Retry) {
-                budget = budget.afterRetry(now);
+                budget = budget.afterRetry(rules, now);
             }
             return verdict;
         });
@@ -112,6 +117,7 @@
 
     Kernel *m_kernel = nullptr;
     Membership *m_membership = nullptr;
+    RetryRules m_rules; ///< Set at the start; without the count of nodes.
     SharedTable<Budgets> m_budgets{LockRank::Retries}; ///< By service; services are few and declared.
 };
 
--- a/modules/routing/routingplugin.cpp
+++ b/modules/routing/routingplugin.cpp
@@ -94,7 +94,8 @@
                 const TargetLoad load = found == loads.end() ? TargetLoad() : found->second;
                 candidates.push_back(RouteCandidate().withTarget(target).withLoad(load));
             }
-            auto chosen = chooseTarget(candidates, m_origin, now, random);
+            const Incarnation &failed = routed.m_call.context().failedTarget();
+            auto chosen = chooseTarget(withoutFailed(std::move(candidates), failed), m_origin, now, random);
             if (chosen) {
                 TargetLoad &load = loads[chosen->incarnation()];
                 load = afterSend(load, now);
@@ -113,7 +114,7 @@
         const bool moves =
             mayMove(outcome, routed->m_moves, routed->m_call.context().deadline(), now) && hasUntried(*routed);
         if (!moves) {
-            routed->m_done(outcome);
+            routed->m_done(outcome.withTarget(target.incarnation()));
             return;
         }
         ++routed->m_moves;
@@ -125,6 +126,7 @@
     {
         Event("attempt_failed")
             .with("attempt", routed.m_call.context().callerAttempt())
+            .with("root", routed.m_call.context().rootId().toString())
             .with("service", routed.m_call.service())
             .with("target", target.name())
             .with("target_state", toString(target.state()))
--- a/servers/routing/router.cpp
+++ b/servers/routing/router.cpp
@@ -66,8 +66,30 @@
     return candidates;
 }
 
+/// Compares candidates by how full they are, and by how many calls they fail against the best of them.
+class Comparison
+{
+public:
+    Comparison(const RouteCandidates &candidates, TimePoint now)
+        : m_now(now)
+    {
+        for (const RouteCandidate &candidate : candidates) {
+            m_leastFailing = std::min(m_leastFailing, failingPartAt(candidate.load(), now));
+        }
+    }
+    double utilisationOf(const RouteCandidate &candidate) const
+    {
+        return comparedUtilisation(candidate.load(), m_leastFailing, m_now);
+    }
+
+private:
+    const TimePoint m_now;
+    double m_leastFailing = 1;
+};
+
 /// The less utilised of two random candidates; null when there is none.
-const RouteCandidate *twoChoices(const std::vector<const RouteCandidate *> &tier, TimePoint now, std::uint64_t random)
+const RouteCandidate *
+twoChoices(const std::vector<const RouteCandidate *> &tier, const Comparison &comparison, std::uint64_t random)
 {
     if (tier.empty()) {
         return nullptr;
@@ -79,7 +101,7 @@
     // The second is another one than the first.
     const std::size_t step = 1 + (random >> HalfWordBits) % (tier.size() - 1);
     const std::size_t second = (first + step) % tier.size();
-    const bool isFirstLess = utilisation(tier[first]->load(), now) <= utilisation(tier[second]->load(), now);
+    const bool isFirstLess = comparison.utilisationOf(*tier[first]) <= comparison.utilisationOf(*tier[second]);
     return isFirstLess ? tier[first] : tier[second];
 }
 
@@ -94,27 +116,39 @@
         invariant(mayTakeWork(candidate.target()), "a member that leaves or is dead gets no call");
         tiers.at(distanceTo(candidate.target(), origin)).push_back(&candidate);
     }
+    const Comparison comparison(usable, now);
     const RouteCandidate *best = nullptr;
     double bestCost = 0;
     for (std::size_t distance = OwnZone; distance <= OtherRegion; ++distance) {
         random *= TierMix;
         random ^= random >> HalfWordBits;
-        const RouteCandidate *candidate = twoChoices(tiers.at(distance), now, random);
+        const RouteCandidate *candidate = twoChoices(tiers.at(distance), comparison, random);
         if (candidate == nullptr) {
             continue;
         }
-        const double cost = utilisation(candidate->load(), now) + DistanceCost * static_cast<double>(distance);
+        const double cost = comparison.utilisationOf(*candidate) + DistanceCost * static_cast<double>(distance);
         if (best == nullptr || cost < bestCost) {
             best = candidate;
             bestCost = cost;
         }
-        if (utilisation(best->load(), now) <= SpillUtilisation) {
+        if (comparison.utilisationOf(*best) <= SpillUtilisation) {
             break;
         }
     }
     return best == nullptr ? std::nullopt : std::optional(best->target());
 }
 
+RouteCandidates withoutFailed(RouteCandidates candidates, const Incarnation &failed)
+{
+    const auto isFailed = [&](const RouteCandidate &candidate) {
+        return candidate.target().incarnation() == failed;
+    };
+    if (!std::all_of(candidates.begin(), candidates.end(), isFailed)) {
+        std::erase_if(candidates, isFailed);
+    }
+    return candidates;
+}
+
 bool mayMove(const CallOutcome &outcome, int movesMade, TimePoint deadline, TimePoint now)
 {
     const bool liesInTarget = outcome.reason() == Reason::Leaving || outcome.reason() == Reason::ConnectionLost
--- a/servers/routing/router.h
+++ b/servers/routing/router.h
@@ -43,6 +43,9 @@
 std::optional<Member>
 chooseTarget(const RouteCandidates &candidates, const RouteOrigin &origin, TimePoint now, std::uint64_t random);
 
+/// Leaves out the target where an earlier attempt failed, unless it is the only one.
+RouteCandidates withoutFailed(RouteCandidates candidates, const Incarnation &failed);
+
 /// Most times that one call moves on to another target.
 constexpr int MostMoves = 2;
 
--- a/servers/routing/targetload.cpp
+++ b/servers/routing/targetload.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace fescuepond
 {
@@ -25,6 +26,17 @@
 constexpr Duration LongestEjection = std::chrono::seconds(30);
 constexpr int MostDoublings = 5;
 
+/// Weight of the newest call in the moving average of failing calls.
+constexpr double FailingWeight = 0.1;
+/// A failing part counts for so long after the last call; then some calls find out whether it still holds.
+constexpr Duration FailingLife = std::chrono::seconds(2);
+/// Failing parts that differ by less are taken as equal: they are averages of few calls.
+constexpr double FailingMargin = 0.1;
+/// Power of the served part by which the utilisation is divided. With it, a target that fails half of its calls is used
+/// only when the others are more than ten times as full.
+constexpr double FailingPower = 6;
+constexpr int FirstServerError = 500;
+
 struct VerdictRow {
     CallState state;
     Reason reason;
@@ -42,6 +54,14 @@
     VerdictRow{CallState::OutcomeUnknown, Reason::DeadlineExceeded, TargetVerdict::Doubtful},
 };
 
+/// Whether a target that runs failed the call for its own sake.
+bool isOwnFailure(const CallOutcome &outcome)
+{
+    const bool isOwnError = outcome.state() == CallState::Answered && outcome.status() >= FirstServerError
+        && outcome.reason() != Reason::FailedBelow;
+    return isOwnError || outcome.reason() == Reason::BackendBusy || outcome.reason() == Reason::AnswerLost;
+}
+
 TargetLoad afterFailure(const TargetLoad &load, TargetVerdict verdict, TimePoint now)
 {
     const TargetLoad failed = load.withFailures(load.failures() + 1);
@@ -67,6 +87,11 @@
     return row == Verdicts.end() ? TargetVerdict::Neutral : row->verdict;
 }
 
+double failingPartAt(const TargetLoad &load, TimePoint now)
+{
+    return now - load.endedAt() < FailingLife ? load.failingPart() : 0;
+}
+
 TargetLoad afterSend(const TargetLoad &load, TimePoint now)
 {
     return load.withInFlight(load.inFlight() + 1).withUsedAt(now);
@@ -80,6 +105,11 @@
         ended = ended.withLimit(outcome.targetLimit()).withReported(outcome.targetInFlight()).withReportedAt(now);
     }
     const TargetVerdict verdict = judge(outcome);
+    const bool isOwn = isOwnFailure(outcome);
+    if (isOwn || outcome.state() == CallState::Answered) {
+        const double before = failingPartAt(load, now);
+        ended = ended.withFailingPart(before + FailingWeight * ((isOwn ? 1 : 0) - before)).withEndedAt(now);
+    }
     switch (verdict) {
     case TargetVerdict::Good:
         return ended.withFailures(0).withEjections(0).withEjectedUntil(TimePoint());
@@ -100,4 +130,10 @@
     return (inFlight + 1) / (hasLimit ? load.limit() : UnknownLimit);
 }
 
+double comparedUtilisation(const TargetLoad &load, double leastFailingPart, TimePoint now)
+{
+    const double excess = std::max(0.0, failingPartAt(load, now) - leastFailingPart - FailingMargin);
+    return utilisation(load, now) / std::pow(1 - excess, FailingPower);
+}
+
 } // namespace fescuepond
--- a/servers/routing/targetload.h
+++ b/servers/routing/targetload.h
@@ -21,6 +21,9 @@
     FESCUEPOND_FIELD(int, ejections, withEjections); ///< Since it last answered.
     FESCUEPOND_FIELD(TimePoint, ejectedUntil, withEjectedUntil);
     FESCUEPOND_FIELD(TimePoint, usedAt, withUsedAt);
+    /// Part of the latest calls that it refused or answered with an error of its own, though it runs.
+    FESCUEPOND_FIELD(double, failingPart, withFailingPart);
+    FESCUEPOND_FIELD(TimePoint, endedAt, withEndedAt); ///< When a call last ended there.
 
 public:
     friend auto operator<=>(const TargetLoad &, const TargetLoad &) = default;
@@ -40,8 +43,14 @@
 TargetLoad afterSend(const TargetLoad &load, TimePoint now);
 TargetLoad afterOutcome(const TargetLoad &load, const CallOutcome &outcome, TimePoint now);
 
+/// The failing part, 0 once nothing has told of it for some time.
+double failingPartAt(const TargetLoad &load, TimePoint now);
+
 /// (calls in flight + 1) / limit: above 1 the next call would wait.
 double utilisation(const TargetLoad &load, TimePoint now);
+/// The utilisation by which targets are compared. One that fails a greater part of its calls than the best does looks
+/// fuller than it is, or it would draw the more calls the faster it fails them.
+double comparedUtilisation(const TargetLoad &load, double leastFailingPart, TimePoint now);
 
 inline bool isEjected(const TargetLoad &load, TimePoint now)
 {
--- a/tests/servers/retry/retrypolicytest.cpp
+++ b/tests/servers/retry/retrypolicytest.cpp
@@ -34,6 +34,12 @@
     EXPECT_EQ(decideRetry(attemptWith(answered(503)), true), RetryVerdict::NotRetryable);
 }
 
+TEST(RetryPolicy, ARefusalByTheBackendServerItselfIsRetriedElsewhere)
+{
+    const auto refused = attemptWith(CallOutcome::notRun(Reason::BackendBusy, "")).withIdempotent(false);
+    EXPECT_EQ(decideRetry(refused, true), RetryVerdict::Retry);
+}
+
 TEST(RetryPolicy, OnlyTheHopNextToTheFailureRetries)
 {
     EXPECT_EQ(decideRetry(attemptWith(answered(500)), true), RetryVerdict::Retry);
--- a/tests/servers/routing/routertest.cpp
+++ b/tests/servers/routing/routertest.cpp
@@ -102,6 +102,78 @@
     EXPECT_FALSE(mayMove(outcome(CallState::OutcomeUnknown, Reason::ConnectionLost), 0, deadline, now));
 }
 
+TEST(Router, ARepeatGoesToAnotherTargetWhileThereIsOne)
+{
+    const Incarnation life = Incarnation::random();
+    const auto failed = candidate("failed", "a", 10, 0);
+    const auto first = failed.withTarget(failed.target().withIncarnation(life));
+    const auto second = candidate("second", "b", 10, 9);
+    EXPECT_EQ(chosen(withoutFailed({first, second}, life)).at("second"), 2000);
+    EXPECT_EQ(chosen(withoutFailed({first}, life)).at("failed"), 2000);
+}
+
+// Three equal targets at half of their load, of which one refuses 45% of its calls at once and so looks idle.
+TEST(Router, LoadMovesAwayFromATargetThatRefusesAPartOfItsCalls)
+{
+    constexpr int Calls = 4000;
+    constexpr double RefusedPart = 0.45;
+    constexpr auto CallTime = std::chrono::milliseconds(40);
+    constexpr auto Pause = std::chrono::microseconds(1300); // 31 of 60 slots are taken on average.
+    std::mt19937_64 random(7);
+    std::uniform_real_distribution<double> fraction;
+    std::map<std::string, TargetLoad> loads = {{"grey", {}}, {"one", {}}, {"two", {}}};
+    std::multimap<TimePoint, std::string> running;
+    int refused = 0;
+    TimePoint time = now;
+    for (int call = 0; call < Calls; ++call) {
+        time += Pause;
+        while (!running.empty() && running.begin()->first <= time) {
+            TargetLoad &load = loads[running.begin()->second];
+            load = afterOutcome(load, outcome(CallState::Answered, Reason::None).withTargetLimit(20), time);
+            running.erase(running.begin());
+        }
+        RouteCandidates candidates;
+        for (const auto &[name, load] : loads) {
+            candidates.push_back(candidate(name, "a", 0, 0).withLoad(load));
+        }
+        const std::string target = chooseTarget(candidates, origin, time, random())->name();
+        TargetLoad &load = loads[target];
+        load = afterSend(load, time);
+        if (target == "grey" && fraction(random) < RefusedPart) {
+            ++refused;
+            load = afterOutcome(load, outcome(CallState::NotRun, Reason::BackendBusy).withTargetLimit(20), time);
+        } else {
+            running.emplace(time + CallTime, target);
+        }
+    }
+    // Spread evenly, 15% would be refused; the others have room for all.
+    EXPECT_LT(refused, Calls * 3 / 100);
+}
+
+TEST(TargetLoad, AFailingPartIsForgottenWhenNoCallTellsOfIt)
+{
+    TargetLoad load;
+    const double healthy = utilisation(load, now);
+    for (int i = 0; i < 20; ++i) {
+        load = afterOutcome(afterSend(load, now), outcome(CallState::Answered, Reason::None).withStatus(500), now);
+    }
+    EXPECT_GT(comparedUtilisation(load, 0, now), 4 * healthy);
+    EXPECT_EQ(comparedUtilisation(load, 0, now + std::chrono::seconds(3)), healthy);
+    // Where all fail alike, none is avoided.
+    EXPECT_EQ(comparedUtilisation(load, failingPartAt(load, now), now), healthy);
+}
+
+TEST(TargetLoad, AnErrorThatCameFromFurtherDownDoesNotCountAgainstTheTarget)
+{
+    TargetLoad load;
+    const double healthy = utilisation(load, now);
+    for (int i = 0; i < 20; ++i) {
+        load =
+            afterOutcome(afterSend(load, now), outcome(CallState::Answered, Reason::FailedBelow).withStatus(500), now);
+    }
+    EXPECT_EQ(comparedUtilisation(load, 0, now), healthy);
+}
+
 TEST(TargetLoad, EjectionGrowsIsBoundedAndEndsWithAnAnswer)
 {
     TimePoint time = now;
