Tell a request's story from the logs; take the bounds of the surroundings from the settings

The event log names the node on each line, writes a bounded number of lines in a second (log_lines_per_second; successes half of them at most) and counts what it leaves out by event. The target's node logs what it refused or what failed at its backend server, with the inputs that decided. 'fescuepond explain ID FILE...' puts the lines of one request in order and marks the one that decided.

The times of a planned stop, of a leaving backend server, of its reports and of the retry budget were constants that fit the two deployments here.

--- a/core/kernel/eventlog.cpp
+++ b/core/kernel/eventlog.cpp
@@ -11,7 +11,6 @@
 #include <chrono>
 #include <cstdint>
 #include <mutex>
-#include <utility>
 
 namespace fescuepond
 {
@@ -19,14 +18,22 @@
 namespace
 {
 
-RankedMutex &outputMutex()
+/// What all events share. Only with its mutex held.
+struct Output {
+    RankedMutex m_mutex{LockRank::EventLog};
+    std::string m_node; ///< As it stands on a line; empty: nothing.
+    LineBudget m_budget{0};
+};
+
+Output &output()
 {
-    static RankedMutex mutex(LockRank::EventLog);
-    return mutex;
+    static Output shared;
+    return shared;
 }
 
-/// A pipe that polls as writable takes so many bytes without blocking, less what a notice of dropped lines needs.
-constexpr std::size_t LongestLine = 4000;
+/// A pipe that polls as writable takes a page without blocking. The rest is for the counts of suppressed lines, which
+/// are short and few.
+constexpr std::size_t LongestLine = 3000;
 
 std::int64_t nowMs()
 {
@@ -64,26 +71,41 @@
 
 } // namespace
 
-Event::Event(std::string_view name)
+void startEventLog(std::string_view node, std::size_t linesPerSecond)
+{
+    Output &shared = output();
+    const std::lock_guard guard(shared.m_mutex);
+    shared.m_node = node.empty() ? std::string() : fmt::format(" node={}", node);
+    shared.m_budget = LineBudget(linesPerSecond);
+}
+
+Event::Event(std::string_view name, LineWeight weight)
+    : m_name(name)
+    , m_weight(weight)
 {
-    m_line = fmt::format("time_ms={} event={}", nowMs(), name);
 }
 
 Event::~Event()
 {
-    m_line.resize(std::min(m_line.size(), LongestLine));
-    m_line += '\n';
-    const std::lock_guard guard(outputMutex());
-    static std::size_t dropped = 0;
+    Output &shared = output();
+    const std::lock_guard guard(shared.m_mutex);
+    const std::int64_t time = nowMs();
+    if (!shared.m_budget.take(m_name, m_weight, time)) {
+        return;
+    }
     if (!takesLine()) {
-        ++dropped;
+        shared.m_budget.countSuppressed(m_name);
         return;
     }
-    if (dropped > 0) {
-        m_line += fmt::format("time_ms={} event=log_lines_dropped count={}\n", nowMs(), std::exchange(dropped, 0));
+    std::string text = fmt::format("time_ms={}{} event={}{}", time, shared.m_node, m_name, m_line);
+    text.resize(std::min(text.size(), LongestLine));
+    text += '\n';
+    for (const auto &[event, count] : shared.m_budget.takeSuppressed()) {
+        text +=
+            fmt::format("time_ms={}{} event=log_lines_suppressed of={} count={}\n", time, shared.m_node, event, count);
     }
-    // What the reader has no room for is counted as dropped above; a failed write has nowhere to be told.
-    [[maybe_unused]] const auto written = ::write(STDOUT_FILENO, m_line.data(), m_line.size());
+    // What the reader has no room for is counted as suppressed above; a failed write has nowhere to be told.
+    [[maybe_unused]] const auto written = ::write(STDOUT_FILENO, text.data(), text.size());
 }
 
 void Event::append(std::string_view key, const std::string &value)
--- a/core/kernel/kernel.cpp
+++ b/core/kernel/kernel.cpp
@@ -3,6 +3,7 @@
 #include "core/kernel/kernel.h"
 
 #include "core/kernel/eventlog.h"
+#include "core/settings/stopplan.h"
 
 #include <cstdlib>
 #include <mutex>
@@ -84,16 +85,17 @@
         const std::lock_guard guard(m_mutex);
         m_draining = true;
     }
-    Event("drain_started").with("limit_ms", m_settings.drainTimeout().count());
+    const StopPlan plan = stopPlan(m_settings);
+    Event("drain_started").with("limit_ms", plan.drainTimeout.count());
     for (const StartedPlugin &started : m_started) {
         started.m_plugin->beginDrain();
     }
-    pause(m_settings.leaveGrace());
-    Event("drain_refuses_new_work").with("grace_ms", m_settings.leaveGrace().count());
+    pause(plan.leaveGrace);
+    Event("drain_refuses_new_work").with("grace_ms", plan.leaveGrace.count());
     for (const StartedPlugin &started : m_started) {
         started.m_plugin->refuseNewWork();
     }
-    const bool drained = waitForWorkInFlight();
+    const bool drained = waitForWorkInFlight(plan.drainTimeout);
     stopAll();
     Event("node_stopped").with("drained", drained);
     return drained;
@@ -107,9 +109,9 @@
     });
 }
 
-bool Kernel::waitForWorkInFlight()
+bool Kernel::waitForWorkInFlight(Duration longest)
 {
-    const TimePoint limit = m_clock.now() + m_settings.drainTimeout();
+    const TimePoint limit = m_clock.now() + longest;
     while (m_clock.now() < limit) {
         std::size_t inFlight = 0;
         for (const StartedPlugin &started : m_started) {
--- a/core/kernel/kernel.h
+++ b/core/kernel/kernel.h
@@ -82,7 +82,7 @@
     };
 
     void *lookUp(std::type_index type, const char *name) const;
-    bool waitForWorkInFlight();
+    bool waitForWorkInFlight(Duration longest);
     /// Sleeps for `time`; nothing ends it early.
     void pause(Duration time);
     void stopAll();
--- /dev/null
+++ b/core/kernel/linebudget.cpp
@@ -0,0 +1,47 @@
+// Counts lines of the event log by second.
+
+#include "core/kernel/linebudget.h"
+
+#include <utility>
+
+namespace fescuepond
+{
+
+namespace
+{
+constexpr std::int64_t SecondMs = 1000;
+constexpr std::size_t RoutineDivisor = 2;
+} // namespace
+
+LineBudget::LineBudget(std::size_t linesPerSecond)
+    : m_linesPerSecond(linesPerSecond)
+{
+}
+
+bool LineBudget::take(std::string_view event, LineWeight weight, std::int64_t nowMs)
+{
+    const std::int64_t second = nowMs / SecondMs;
+    if (second != m_second) {
+        m_second = second;
+        m_written = 0;
+    }
+    const std::size_t allowed = weight == LineWeight::Routine ? m_linesPerSecond / RoutineDivisor : m_linesPerSecond;
+    if (m_linesPerSecond > 0 && m_written >= allowed) {
+        countSuppressed(event);
+        return false;
+    }
+    ++m_written;
+    return true;
+}
+
+void LineBudget::countSuppressed(std::string_view event)
+{
+    ++m_suppressed[std::string(event)];
+}
+
+std::map<std::string, std::size_t> LineBudget::takeSuppressed()
+{
+    return std::exchange(m_suppressed, {});
+}
+
+} // namespace fescuepond
--- a/core/settings/nodesettings.h
+++ b/core/settings/nodesettings.h
@@ -17,6 +17,7 @@
 {
 
 using Milliseconds = std::chrono::milliseconds;
+using Seconds = std::chrono::duration<double>;
 using StringList = std::vector<std::string>;
 
 /// All settings of one node. docs/OPERATORS.md describes them; settingRows() is the source of that table.
@@ -42,6 +43,11 @@
     FESCUEPOND_FIELD(std::string, registrationAddress, withRegistrationAddress);
     FESCUEPOND_FIELD(double, retryRatio, withRetryRatio);
     FESCUEPOND_FIELD(std::size_t, retrySlack, withRetrySlack);
+    FESCUEPOND_FIELD(Seconds, retryWindow, withRetryWindow);
+    FESCUEPOND_FIELD(Seconds, backendDrain, withBackendDrain);
+    FESCUEPOND_FIELD(Seconds, backendReportInterval, withBackendReportInterval);
+    FESCUEPOND_FIELD(Seconds, stopLimit, withStopLimit); ///< 0: none.
+    FESCUEPOND_FIELD(std::size_t, logLinesPerSecond, withLogLinesPerSecond);
     FESCUEPOND_FIELD(std::size_t, httpThreads, withHttpThreads);
     FESCUEPOND_FIELD(std::size_t, backendThreads, withBackendThreads);
     FESCUEPOND_FIELD(std::size_t, maxBodyBytes, withMaxBodyBytes);
@@ -61,7 +67,8 @@
                                    NodeSettings (NodeSettings::*)(std::size_t) const,
                                    NodeSettings (NodeSettings::*)(bool) const,
                                    NodeSettings (NodeSettings::*)(double) const,
-                                   NodeSettings (NodeSettings::*)(Milliseconds) const>;
+                                   NodeSettings (NodeSettings::*)(Milliseconds) const,
+                                   NodeSettings (NodeSettings::*)(Seconds) const>;
 
 /// One row of the table of settings.
 struct SettingRow {
--- a/core/settings/settingformat.cpp
+++ b/core/settings/settingformat.cpp
@@ -38,6 +38,11 @@
     SettingRule{"backend_slots", SettingFormat::Number, 1, 100'000},
     SettingRule{"retry_ratio", SettingFormat::Ratio},
     SettingRule{"retry_slack", SettingFormat::Number, 0, 1'000'000},
+    SettingRule{"retry_window_s", SettingFormat::Seconds, 1, 3600},
+    SettingRule{"backend_drain_s", SettingFormat::Seconds, 0, 3600},
+    SettingRule{"backend_report_interval_s", SettingFormat::Seconds, 0, 3600},
+    SettingRule{"stop_limit_s", SettingFormat::Seconds, 0, 3600},
+    SettingRule{"log_lines_per_second", SettingFormat::Number, 0, 1'000'000},
     SettingRule{"http_threads", SettingFormat::Number, 2, 10'000},
     SettingRule{"backend_threads", SettingFormat::Number, 1, 100'000},
     SettingRule{"max_body_bytes", SettingFormat::Number, 0, 100'000'000},
@@ -97,12 +102,12 @@
     return isInRange ? "" : fmt::format("must lie between {} and {}", rule.least, rule.most);
 }
 
-std::string ratioFault(const std::string &text)
+std::string fractionFault(const std::string &text, double least, double most)
 {
     double value = -1;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
     const bool isWhole = error == std::errc() && end == text.data() + text.size();
-    return isWhole && value >= 0 && value <= 1 ? "" : "must lie between 0 and 1";
+    return isWhole && value >= least && value <= most ? "" : fmt::format("must lie between {} and {}", least, most);
 }
 
 } // namespace
@@ -153,7 +158,9 @@
     case SettingFormat::Number:
         return numberFault(rule, text);
     case SettingFormat::Ratio:
-        return ratioFault(text);
+        return fractionFault(text, 0, 1);
+    case SettingFormat::Seconds:
+        return fractionFault(text, static_cast<double>(rule.least), static_cast<double>(rule.most));
     case SettingFormat::Plain:
         return {};
     }
--- a/core/settings/settingformat.h
+++ b/core/settings/settingformat.h
@@ -18,6 +18,7 @@
     RemoteAddress, ///< IP:port, also each of a list.
     Number,
     Ratio, ///< From 0 to 1.
+    Seconds, ///< With fractions.
     Plain, ///< Anything.
 };
 
--- a/core/settings/settingsreader.cpp
+++ b/core/settings/settingsreader.cpp
@@ -50,6 +50,10 @@
     {
         return (m_settings.*setter)(Milliseconds(m_node.as<std::uint32_t>()));
     }
+    NodeSettings operator()(NodeSettings (NodeSettings::*setter)(Seconds) const) const
+    {
+        return (m_settings.*setter)(Seconds(m_node.as<double>()));
+    }
 
 private:
     const NodeSettings &m_settings;
--- a/modules/admission/admissionplugin.cpp
+++ b/modules/admission/admissionplugin.cpp
@@ -3,6 +3,7 @@
 // The decisions are those of servers/admission. This part keeps the calls that wait, a timer for their deadlines, and
 // the metrics. The limit, the load and the room on the path ride back on every outcome.
 
+#include "core/kernel/eventlog.h"
 #include "core/kernel/kernel.h"
 #include "core/kernel/sharedtable.h"
 #include "core/pipeline/interfaces.h"
@@ -173,6 +174,18 @@
         const TargetLoad load = m_table->locked([&](const AdmissionTable &table) {
             return loadOf(table.controller, waiting.entry);
         });
+        using std::chrono::milliseconds;
+        const Duration waited = m_kernel->clock().now() - waiting.submittedAt;
+        Event("admission_refused")
+            .with("attempt", context.callerAttempt())
+            .with("root", context.rootId().toString())
+            .with("depth", context.depth())
+            .with("kind", context.kind())
+            .with("rank", context.rank())
+            .with("reason", toString(decided.refusal))
+            .with("limit", load.limit)
+            .with("here", load.inFlight)
+            .with("waited_ms", std::chrono::duration_cast<milliseconds>(waited).count());
         const CallOutcome outcome = CallOutcome::notRun(decided.refusal, detailOf(decided.refusal))
                                         .withUnusedAllowance(context.retryAllowance());
         waiting.done(withLoad(outcome, load, context.depth()));
--- a/modules/backend/backendplugin.cpp
+++ b/modules/backend/backendplugin.cpp
@@ -1,5 +1,6 @@
 // Last target stage: runs a call on the local backend server.
 
+#include "core/kernel/eventlog.h"
 #include "core/kernel/kernel.h"
 #include "core/kernel/strategy.h"
 #include "core/pipeline/callpipeline.h"
@@ -15,6 +16,8 @@
 namespace
 {
 
+constexpr int FirstServerError = 500;
+
 class BackendPlugin final : public Plugin, public CallStage
 {
 public:
@@ -38,7 +41,12 @@
     {
         m_calls->add(call.context());
         m_kernel->pool().post(Lane::Backend, [this, call, done = std::move(done)] {
-            done(m_calls->remove(call.context().callId(), run(call)));
+            const TimePoint begin = m_kernel->clock().now();
+            const CallOutcome outcome = m_calls->remove(call.context().callId(), run(call));
+            done(outcome);
+            if (outcome.state() != CallState::Answered || outcome.status() >= FirstServerError) {
+                log(call, outcome, m_kernel->clock().now() - begin);
+            }
         });
     }
 
@@ -59,6 +67,23 @@
         return outcome;
     }
 
+    void log(const CallRequest &call, const CallOutcome &outcome, Duration took) const
+    {
+        using std::chrono::milliseconds;
+        const CallContext &context = call.context();
+        Event("backend_call_failed")
+            .with("attempt", context.callerAttempt())
+            .with("root", context.rootId().toString())
+            .with("depth", context.depth())
+            .with("kind", context.kind())
+            .with("instance", m_status->instance())
+            .with("state", toString(outcome.state()))
+            .with("reason", toString(outcome.reason()))
+            .with("status", outcome.status())
+            .with("took_ms", std::chrono::duration_cast<milliseconds>(took).count())
+            .with("detail", outcome.detail());
+    }
+
     Kernel *m_kernel = nullptr;
     CallsInFlight *m_calls = nullptr;
     AttemptSettlement *m_settlement = nullptr;
--- a/modules/classification/classificationplugin.cpp
+++ b/modules/classification/classificationplugin.cpp
@@ -77,7 +77,8 @@
     {
         using std::chrono::milliseconds;
         const CallContext &context = call.context();
-        Event("request_ended")
+        const bool isSuccess = outcome.state() == CallState::Answered && outcome.status() < FirstServerError;
+        Event("request_ended", isSuccess ? LineWeight::Routine : LineWeight::Failure)
             .with("attempt", context.callerAttempt())
             .with("root", context.rootId().toString())
             .with("depth", context.depth())
--- a/modules/ledger/keyhandover.cpp
+++ b/modules/ledger/keyhandover.cpp
@@ -3,6 +3,7 @@
 #include "modules/ledger/keyhandover.h"
 
 #include "core/kernel/eventlog.h"
+#include "core/settings/stopplan.h"
 #include "modules/peer/wireencoding.h"
 
 #include <kj/exception.h>
@@ -71,7 +72,7 @@
 
 void KeyHandover::begin()
 {
-    const Duration limit = m_kernel.settings().drainTimeout();
+    const Duration limit = stopPlan(m_kernel.settings()).drainTimeout;
     m_closeAt = m_kernel.clock().now() + limit - std::min(HandoverTime, limit / 2);
     m_kernel.timers().once(m_kernel.clock().now() + IdleCheckInterval, [this] {
         closeWhenIdle();
--- a/modules/pathlimit/pathlimitplugin.cpp
+++ b/modules/pathlimit/pathlimitplugin.cpp
@@ -3,6 +3,7 @@
 // The decisions are those of servers/pathlimit. Calls that a backend server makes pass through: their root request
 // was let in before.
 
+#include "core/kernel/eventlog.h"
 #include "core/kernel/kernel.h"
 #include "core/kernel/sharedtable.h"
 #include "core/pipeline/callpipeline.h"
@@ -132,6 +133,16 @@
         const CallContext &context = decided.entering.call.context();
         m_kernel->metrics().count("fescuepond_path_refused_total",
                                   {{"kind", context.rootKind()}, {"reason", toString(decided.refusal)}});
+        const double window = m_table.locked([&](const PathTable &table) {
+            return table.limiter.windowOf(pathOf(decided.entering.call));
+        });
+        Event("path_refused")
+            .with("attempt", context.callerAttempt())
+            .with("root", context.rootId().toString())
+            .with("kind", context.kind())
+            .with("rank", context.rank())
+            .with("reason", toString(decided.refusal))
+            .with("window", window);
         decided.entering.done(CallOutcome::notRun(decided.refusal, detailOf(decided.refusal))
                                   .withUnusedAllowance(context.retryAllowance()));
     }
--- a/modules/registration/registrationplugin.cpp
+++ b/modules/registration/registrationplugin.cpp
@@ -28,7 +28,14 @@
         m_switch = &kernel.require<ServingSwitch>();
         kernel.provide<BackendStatus>(*this);
         kernel.provide<BackendReports>(*this);
-        m_makesReports = kernel.settings().backendReports();
+        const NodeSettings &settings = kernel.settings();
+        const BackendTimes times =
+            BackendTimes::from(std::chrono::duration_cast<Duration>(settings.backendDrain()),
+                               std::chrono::duration_cast<Duration>(settings.backendReportInterval()));
+        m_table.locked([&](Table &table) {
+            table.m_register = table.m_register.withTimes(times);
+        });
+        m_makesReports = settings.backendReports();
         if (!m_makesReports) {
             m_switch->setServing(true, slots());
             return {};
--- /dev/null
+++ b/modules/verbs/explainverb.cpp
@@ -0,0 +1,73 @@
+// `fescuepond explain`: tells the story of one request from the logs of any number of nodes.
+
+#include "core/verbs/verb.h"
+#include "servers/explanation/story.h"
+
+#include <fmt/format.h>
+
+#include <fstream>
+#include <iostream>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+void readLines(std::istream &stream, LogLines &lines)
+{
+    std::string text;
+    while (std::getline(stream, text)) {
+        if (auto line = parseLogLine(text)) {
+            lines.push_back(std::move(*line));
+        }
+    }
+}
+
+Result<LogLines> readLogs(const Arguments &files)
+{
+    LogLines lines;
+    if (files.empty()) {
+        readLines(std::cin, lines);
+    }
+    for (const std::string &file : files) {
+        std::ifstream stream(file);
+        if (!stream) {
+            return failure(fmt::format("can't read '{}'", file));
+        }
+        readLines(stream, lines);
+    }
+    return lines;
+}
+
+void print(const Story &story)
+{
+    for (std::size_t i = 0; i < story.lines().size(); ++i) {
+        fmt::print("{} {}\n", story.deciding() == i ? '>' : ' ', story.lines()[i].text());
+    }
+    fmt::print("cause: {}\n", story.cause());
+    if (!story.isComplete()) {
+        fmt::print("incomplete: lines are missing; give the logs of all nodes, and look for log_lines_suppressed\n");
+    }
+}
+
+ExitCode run(const Arguments &arguments)
+{
+    if (arguments.empty()) {
+        fmt::print(stderr, "usage: fescuepond explain ID [FILE...]\n");
+        return ExitCode::Usage;
+    }
+    return reportFindings([&]() -> Result<ExitCode> {
+        BOOST_LEAF_AUTO(lines, readLogs(Arguments(arguments.begin() + 1, arguments.end())));
+        const Story story = tellStory(lines, arguments.front());
+        print(story);
+        return story.isComplete() ? ExitCode::Done : ExitCode::Findings;
+    });
+}
+
+const VerbRegistration registration(
+    {"explain", "ID [FILE...]", "Tells from logs why the request with this attempt id ended as it did.", {}, run});
+
+} // namespace
+
+} // namespace fescuepond
--- a/modules/verbs/nodeverb.cpp
+++ b/modules/verbs/nodeverb.cpp
@@ -140,6 +140,7 @@
     BOOST_LEAF_AUTO(settings, readSettings(path, text));
     const sigset_t signals = handledSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    startEventLog(settings.name(), settings.logLinesPerSecond());
     const SteadyClock clock;
     Kernel kernel(settings, clock);
     BOOST_LEAF_CHECK(kernel.start(registeredPlugins()));
--- a/servers/registration/backendregister.cpp
+++ b/servers/registration/backendregister.cpp
@@ -26,8 +26,21 @@
     return candidate.startedAtMs() > known.startedAtMs();
 }
 
+constexpr int DrainGraceDivisor = 4; ///< Of the time for which a leaving backend server takes work.
+constexpr double DrainPart = 0.85; ///< Of that time; the rest is for the way to it.
+constexpr int MissedReports = 4;
+constexpr Duration ReportDelay = std::chrono::seconds(1);
+
 } // namespace
 
+BackendTimes BackendTimes::from(Duration drain, Duration reportInterval)
+{
+    return BackendTimes()
+        .withSilence(reportInterval * MissedReports + ReportDelay)
+        .withDrainGrace(drain / DrainGraceDivisor)
+        .withDrainLimit(std::chrono::duration_cast<Duration>(drain * DrainPart));
+}
+
 const char *toString(BackendState state)
 {
     static constexpr std::array Names = {"unknown", "ready", "draining", "silent"};
@@ -45,7 +58,7 @@
     if (m_drainingSince != TimePoint()) {
         return BackendState::Draining;
     }
-    if (m_report.state() == BackendState::Ready && now - m_heardAt >= ReportSilence) {
+    if (m_report.state() == BackendState::Ready && now - m_heardAt >= m_times.silence()) {
         return BackendState::Silent;
     }
     return m_report.state();
@@ -57,7 +70,7 @@
     case BackendState::Unknown:
         return false;
     case BackendState::Draining:
-        return now - m_drainingSince < DrainGrace;
+        return now - m_drainingSince < m_times.drainGrace();
     case BackendState::Ready:
     case BackendState::Silent:
         break;
@@ -67,7 +80,7 @@
 
 bool BackendRegister::mayBegin(TimePoint now) const
 {
-    return state(now) == BackendState::Draining ? now - m_drainingSince < DrainLimit
+    return state(now) == BackendState::Draining ? now - m_drainingSince < m_times.drainLimit()
                                                 : state(now) != BackendState::Unknown;
 }
 
@@ -78,7 +91,7 @@
         return {known, ReportVerdict::Foreign};
     }
     const bool isKnown = known.report().state() != BackendState::Unknown;
-    const bool isSilent = isKnown && now - known.heardAt() >= ReportSilence;
+    const bool isSilent = isKnown && now - known.heardAt() >= known.times().silence();
     const bool isNew = !isKnown || (isSilent && !isSameBoot(report, known.report()));
     if (!isNew && !isLater(report, known.report())) {
         return {known, ReportVerdict::Old};
--- a/servers/registration/backendregister.h
+++ b/servers/registration/backendregister.h
@@ -14,18 +14,28 @@
 namespace fescuepond
 {
 
-/// A backend server that has said nothing for so long is taken for gone. Reports come every one to two seconds and may
-/// be seconds late.
-constexpr Duration ReportSilence = std::chrono::seconds(7);
-/// Calls that arrive so long after the backend server said that it leaves are refused. Their senders have been told by
-/// then, unless they are cut off.
-constexpr Duration DrainGrace = std::chrono::milliseconds(500);
-/// Nothing is given to a backend server so long after it said that it leaves; below the two seconds for which it is
-/// sure to take work.
-constexpr Duration DrainLimit = std::chrono::milliseconds(1700);
+/// Times that the surroundings set.
+class BackendTimes
+{
+    /// A backend server that has said nothing for so long is taken for gone.
+    FESCUEPOND_FIELD(Duration, silence, withSilence);
+    /// Calls that arrive so long after the backend server said that it leaves are refused. Their senders have been told
+    /// by then, unless they are cut off.
+    FESCUEPOND_FIELD(Duration, drainGrace, withDrainGrace);
+    /// Nothing is given to a backend server so long after it said that it leaves; below the time for which it is sure
+    /// to take work.
+    FESCUEPOND_FIELD(Duration, drainLimit, withDrainLimit);
+
+public:
+    /// `drain`: for so long a leaving backend server takes work. `reportInterval`: usual time between two reports, each
+    /// of which may be seconds late.
+    static BackendTimes from(Duration drain, Duration reportInterval);
+    friend auto operator<=>(const BackendTimes &, const BackendTimes &) = default;
+};
 
 class BackendRegister
 {
+    FESCUEPOND_FIELD(BackendTimes, times, withTimes);
     FESCUEPOND_FIELD(BackendReport, report, withReport); ///< The latest that was taken.
     FESCUEPOND_FIELD(TimePoint, heardAt, withHeardAt);
     FESCUEPOND_FIELD(TimePoint, drainingSince, withDrainingSince); ///< Of the latest boot; zero: it isn't.
--- a/servers/retry/retrybudget.cpp
+++ b/servers/retry/retrybudget.cpp
@@ -7,21 +7,13 @@
 namespace fescuepond
 {
 
-namespace
+std::int64_t RetryBudget::slotNumber(const RetryRules &rules, TimePoint now)
 {
-
-constexpr Duration SlotTime = std::chrono::seconds(1);
-
-std::int64_t slotNumber(TimePoint now)
-{
-    return now.time_since_epoch() / SlotTime;
+    return now.time_since_epoch() / (rules.window() / SlotsOfWindow);
 }
 
-} // namespace
-
-RetryBudget::Slot &RetryBudget::slotAt(TimePoint now)
+RetryBudget::Slot &RetryBudget::slotAt(std::int64_t number)
 {
-    const std::int64_t number = slotNumber(now);
     Slot &slot = m_slots[static_cast<std::size_t>(number) % SlotCount];
     if (slot.m_number != number) {
         slot = Slot{number, 0, 0};
@@ -29,23 +21,23 @@
     return slot;
 }
 
-RetryBudget RetryBudget::afterCall(TimePoint now) const
+RetryBudget RetryBudget::afterCall(const RetryRules &rules, TimePoint now) const
 {
     RetryBudget next = *this;
-    ++next.slotAt(now).m_calls;
+    ++next.slotAt(slotNumber(rules, now)).m_calls;
     return next;
 }
 
-RetryBudget RetryBudget::afterRetry(TimePoint now) const
+RetryBudget RetryBudget::afterRetry(const RetryRules &rules, TimePoint now) const
 {
     RetryBudget next = *this;
-    ++next.slotAt(now).m_retries;
+    ++next.slotAt(slotNumber(rules, now)).m_retries;
     return next;
 }
 
 bool RetryBudget::permitsRetry(const RetryRules &rules, TimePoint now) const
 {
-    const std::int64_t oldest = slotNumber(now) - RetryWindow / SlotTime;
+    const std::int64_t oldest = slotNumber(rules, now) - SlotsOfWindow;
     double calls = 0;
     double retries = 0;
     for (const Slot &slot : m_slots) {
--- a/servers/retry/retrybudget.h
+++ b/servers/retry/retrybudget.h
@@ -23,13 +23,12 @@
     FESCUEPOND_FIELD(double, ratio, withRatio); ///< Repeats as a part of the calls.
     FESCUEPOND_FIELD(double, slack, withSlack); ///< Repeats beyond that part, in one window.
     FESCUEPOND_FIELD(std::size_t, nodes, withNodes); ///< Nodes of the fleet; at least 1.
+    FESCUEPOND_FIELD(Duration, window, withWindow); ///< Any span over which the ratio holds.
 
 public:
     friend auto operator<=>(const RetryRules &, const RetryRules &) = default;
 };
 
-/// Span over which repeats are counted.
-constexpr Duration RetryWindow = std::chrono::seconds(10);
 /// Levels of a call tree at which repeats may add up: each level keeps to this part of the ratio.
 constexpr double RetryLevels = 4;
 /// Part of the slack that is used. A repeat at the top of a tree repeats several calls at its bottom.
@@ -39,22 +38,24 @@
 class RetryBudget
 {
 public:
-    RetryBudget afterCall(TimePoint now) const;
-    RetryBudget afterRetry(TimePoint now) const;
+    RetryBudget afterCall(const RetryRules &rules, TimePoint now) const;
+    RetryBudget afterRetry(const RetryRules &rules, TimePoint now) const;
     bool permitsRetry(const RetryRules &rules, TimePoint now) const;
     friend auto operator<=>(const RetryBudget &, const RetryBudget &) = default;
 
 private:
+    static constexpr int SlotsOfWindow = 10;
     /// One more than a window has, so that the sum never leaves out a part of the span.
-    static constexpr std::size_t SlotCount = 11;
+    static constexpr std::size_t SlotCount = SlotsOfWindow + 1;
     struct Slot {
-        std::int64_t m_number = -1; ///< Of its second; a slot whose second is past counts nothing.
+        std::int64_t m_number = -1; ///< Of its part of the time; a slot whose part is past counts nothing.
         std::uint32_t m_calls = 0;
         std::uint32_t m_retries = 0;
         friend auto operator<=>(const Slot &, const Slot &) = default;
     };
 
-    Slot &slotAt(TimePoint now);
+    static std::int64_t slotNumber(const RetryRules &rules, TimePoint now);
+    Slot &slotAt(std::int64_t number);
 
     std::array<Slot, SlotCount> m_slots{};
 };
--- /dev/null
+++ b/tests/servers/explanation/storytest.cpp
@@ -0,0 +1,100 @@
+// The story of a request, from recorded log lines.
+
+#include "servers/explanation/story.h"
+
+#include <gtest/gtest.h>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+LogLines linesFrom(const std::vector<std::string> &texts)
+{
+    LogLines lines;
+    for (const std::string &text : texts) {
+        if (const auto line = parseLogLine(text)) {
+            lines.push_back(*line);
+        }
+    }
+    return lines;
+}
+
+const std::vector<std::string> refusedBelow = {
+    "time_ms=1007 node=shop-1 event=request_ended attempt=a1 root=r1 depth=0 caller=shop service=stock kind=look "
+    "state=answered reason=failed-below status=500 took_ms=7 detail=\"\"",
+    "time_ms=1006 node=stock-1 event=backend_call_failed attempt=a1 root=r1 depth=0 kind=look instance=i-1 "
+    "state=answered reason=failed-below status=500 took_ms=5 detail=\"\"",
+    "time_ms=1004 node=stock-1 event=attempt_failed attempt=b7 root=r9 service=route target=route-1 state=not-run "
+    "reason=overload target_in_flight=35 target_limit=20",
+    "time_ms=1005 node=stock-1 event=request_ended attempt=b7 root=r9 depth=0 caller=stock service=route kind=way "
+    "state=not-run reason=overload status=0 took_ms=2 detail=\"the queue is full\"",
+    "time_ms=1003 node=route-1 event=admission_refused attempt=b7 root=r9 depth=0 kind=way rank=3 reason=overload "
+    "limit=20 here=35 waited_ms=0",
+    "time_ms=1005 node=stock-2 event=request_ended attempt=c1 root=r8 depth=0 service=route kind=way state=not-run "
+    "reason=leaving status=0 took_ms=2",
+};
+
+} // namespace
+
+TEST(LogLine, ReadsQuotedValuesAndTextBeforeTheTime)
+{
+    const auto line =
+        parseLogLine("   1.5 host-7 time_ms=42 event=sample detail=\"a \\\"b\\\" k=v\\nc\" empty=\"\" n=3");
+    ASSERT_TRUE(line);
+    EXPECT_EQ(line->timeMs(), 42);
+    EXPECT_EQ(line->event(), "sample");
+    EXPECT_EQ(line->field("detail"), "a \"b\" k=v\nc");
+    EXPECT_EQ(line->field("empty"), "");
+    EXPECT_EQ(line->field("n"), "3");
+    EXPECT_EQ(line->field("k"), "");
+}
+
+TEST(LogLine, PassesOverWhatIsNoEvent)
+{
+    for (const char *text : {"", "hello", "time_ms=", "time_ms=x event=a", "time_ms=5 sample", "time_ms=5 event=\"a"}) {
+        const auto line = parseLogLine(text);
+        EXPECT_TRUE(!line || line->event() == "a") << text;
+    }
+}
+
+TEST(Story, FollowsAFailureToTheRefusalFurtherDown)
+{
+    const Story story = tellStory(linesFrom(refusedBelow), "a1");
+    EXPECT_TRUE(story.isComplete());
+    ASSERT_TRUE(story.deciding());
+    EXPECT_EQ(story.lines().at(*story.deciding()).event(), "admission_refused");
+    EXPECT_EQ(story.lines().size(), 5) << "the call of another node doesn't belong to it";
+    EXPECT_NE(story.cause().find("no room"), std::string::npos);
+}
+
+TEST(Story, IsIncompleteWhenLinesAreMissing)
+{
+    const LogLines all = linesFrom(refusedBelow);
+    const Story unknown = tellStory(all, "nobody");
+    EXPECT_FALSE(unknown.isComplete());
+    EXPECT_FALSE(unknown.deciding());
+    const Story noCause = tellStory({all.at(0), all.at(1)}, "a1");
+    EXPECT_FALSE(noCause.isComplete());
+}
+
+TEST(Story, AServedRequestHasNoDecidingLine)
+{
+    const Story story = tellStory(linesFrom({"time_ms=5 node=n event=request_ended attempt=a root=r state=answered "
+                                             "reason=none status=200 took_ms=3"}),
+                                  "a");
+    EXPECT_TRUE(story.isComplete());
+    EXPECT_FALSE(story.deciding());
+}
+
+TEST(Story, AnUnclassifiedRequestIsExplainedByItsReason)
+{
+    const Story story = tellStory(linesFrom({"time_ms=5 node=n event=request_unclassified attempt=a host=h path=/p "
+                                             "configuration_version=3 reason=unknown-route"}),
+                                  "a");
+    EXPECT_TRUE(story.isComplete());
+    EXPECT_NE(story.cause().find("no route"), std::string::npos);
+}
+
+} // namespace fescuepond
--- a/tests/servers/registration/backendregistertest.cpp
+++ b/tests/servers/registration/backendregistertest.cpp
@@ -18,6 +18,9 @@
 
 constexpr TimePoint Start{std::chrono::hours(1)};
 
+const BackendTimes usualTimes = BackendTimes::from(std::chrono::seconds(2), milliseconds(1500));
+const BackendRegister fresh = BackendRegister().withTimes(usualTimes);
+
 BackendReport report(const std::string &instance, std::uint64_t born, std::uint64_t sequence, BackendState state)
 {
     return BackendReport()
@@ -38,7 +41,7 @@
 
 TEST(BackendRegister, NothingArrivesBeforeTheFirstReport)
 {
-    const BackendRegister none;
+    const BackendRegister &none = fresh;
     EXPECT_FALSE(none.mayArrive(Start));
     EXPECT_FALSE(none.mayBegin(Start));
     const BackendRegister ready = after(none, report("i-1", 5, 1, BackendState::Ready)).state;
@@ -48,7 +51,7 @@
 
 TEST(BackendRegister, LateReportsOfABootChangeNothing)
 {
-    const BackendRegister ready = after({}, report("i-1", 5, 4, BackendState::Ready)).state;
+    const BackendRegister ready = after(fresh, report("i-1", 5, 4, BackendState::Ready)).state;
     EXPECT_EQ(after(ready, report("i-1", 5, 3, BackendState::Draining)).verdict, ReportVerdict::Old);
     EXPECT_EQ(after(ready, report("i-0", 4, 9, BackendState::Ready)).verdict, ReportVerdict::Old);
     EXPECT_EQ(afterReport(ready, report("i-1", 5, 5, BackendState::Ready), "quarry", Start).verdict,
@@ -57,7 +60,7 @@
 
 TEST(BackendRegister, ABootThatLeavesDoesNotComeBackButItsNextBootDoes)
 {
-    const BackendRegister ready = after({}, report("i-1", 5, 4, BackendState::Ready)).state;
+    const BackendRegister ready = after(fresh, report("i-1", 5, 4, BackendState::Ready)).state;
     const BackendRegister draining = after(ready, report("i-1", 5, 5, BackendState::Draining)).state;
     EXPECT_EQ(draining.state(Start), BackendState::Draining);
     const BackendRegister again =
@@ -69,21 +72,31 @@
 TEST(BackendRegister, AfterItsWordThatItLeavesTheDoorClosesBeforeTheBoundOfTwoSeconds)
 {
     constexpr Duration Bound = std::chrono::seconds(2);
-    const BackendRegister ready = after({}, report("i-1", 5, 4, BackendState::Ready)).state;
+    const BackendRegister ready = after(fresh, report("i-1", 5, 4, BackendState::Ready)).state;
     for (const BackendRegister &leaving :
          {after(ready, report("i-1", 5, 5, BackendState::Draining)).state, afterLeave(ready, "i-1", Start).state}) {
         EXPECT_TRUE(leaving.mayBegin(Start));
-        EXPECT_FALSE(leaving.mayArrive(Start + DrainGrace));
-        EXPECT_FALSE(leaving.mayBegin(Start + DrainLimit));
-        EXPECT_LT(DrainLimit, Bound);
+        EXPECT_FALSE(leaving.mayArrive(Start + usualTimes.drainGrace()));
+        EXPECT_FALSE(leaving.mayBegin(Start + usualTimes.drainLimit()));
+        EXPECT_LT(usualTimes.drainLimit(), Bound);
     }
     EXPECT_EQ(afterLeave(ready, "i-0", Start).verdict, ReportVerdict::Foreign);
 }
 
+TEST(BackendRegister, ItsTimesFollowTheSurroundings)
+{
+    for (const int drainMs : {400, 1000, 2500, 10'000}) {
+        const BackendTimes times = BackendTimes::from(milliseconds(drainMs), milliseconds(drainMs));
+        EXPECT_LT(times.drainLimit(), milliseconds(drainMs));
+        EXPECT_LT(times.drainGrace(), times.drainLimit());
+        EXPECT_GT(times.silence(), milliseconds(drainMs) * 2) << "one report may be missing";
+    }
+}
+
 TEST(BackendRegister, ASilentBackendServerGetsNoNewCallsUntilItReportsAgain)
 {
-    const BackendRegister ready = after({}, report("i-1", 5, 4, BackendState::Ready)).state;
-    const TimePoint late = Start + ReportSilence;
+    const BackendRegister ready = after(fresh, report("i-1", 5, 4, BackendState::Ready)).state;
+    const TimePoint late = Start + usualTimes.silence();
     EXPECT_EQ(ready.state(late), BackendState::Silent);
     EXPECT_FALSE(ready.isServing(late));
     EXPECT_TRUE(after(ready, report("i-1", 5, 5, BackendState::Ready), late).state.isServing(late));
@@ -106,7 +119,7 @@
     }
     const BackendReport latest = reports.back();
     std::shuffle(reports.begin(), reports.end(), random);
-    BackendRegister known;
+    BackendRegister known = fresh;
     for (const BackendReport &next : reports) {
         known = after(known, next).state;
     }
--- a/tests/servers/retry/retrybudgettest.cpp
+++ b/tests/servers/retry/retrybudgettest.cpp
@@ -18,10 +18,11 @@
 
 constexpr double Ratio = 0.2;
 constexpr double Slack = 48;
+constexpr Duration RetryWindow = std::chrono::seconds(10);
 
 RetryRules rulesFor(std::size_t nodes)
 {
-    return RetryRules().withRatio(Ratio).withSlack(Slack).withNodes(nodes);
+    return RetryRules().withRatio(Ratio).withSlack(Slack).withNodes(nodes).withWindow(RetryWindow);
 }
 
 /// Times of what happened in the last window.
@@ -60,11 +61,11 @@
     for (int i = 0; i < 8000; ++i) {
         now += milliseconds(1 + static_cast<int>(random() % 2000 / callsPerSecond));
         RetryBudget &budget = budgets[skewed(random) % nodes];
-        budget = budget.afterCall(now);
+        budget = budget.afterCall(rulesFor(nodes), now);
         calls.add(now);
         // Everything fails: each node sends as many repeats as it may.
         for (int repeat = 0; repeat < 3 && budget.permitsRetry(rulesFor(nodes), now); ++repeat) {
-            budget = budget.afterRetry(now);
+            budget = budget.afterRetry(rulesFor(nodes), now);
             retries.add(now);
         }
         const auto callCount = static_cast<double>(calls.count(now));
@@ -78,7 +79,7 @@
     RetryBudget budget;
     int sent = 0;
     while (budget.permitsRetry(rulesFor(1), now)) {
-        budget = budget.afterRetry(now);
+        budget = budget.afterRetry(rulesFor(1), now);
         ++sent;
     }
     EXPECT_EQ(sent, 8);
@@ -92,7 +93,7 @@
     RetryBudget budget;
     EXPECT_FALSE(budget.permitsRetry(rulesFor(100), now));
     for (int i = 0; i < 20; ++i) {
-        budget = budget.afterCall(now);
+        budget = budget.afterCall(rulesFor(100), now);
     }
     EXPECT_TRUE(budget.permitsRetry(rulesFor(100), now));
 }
--- a/tests/system/verbtest.cpp
+++ b/tests/system/verbtest.cpp
@@ -48,6 +48,7 @@
         {{"status"}, 2, "usage: fescuepond status"},
         {{"status", "127.0.0.1:1"}, 3, "127.0.0.1:1: no answer"},
         {{"drain", "127.0.0.1:1"}, 3, "127.0.0.1:1: no answer"},
+        {{"explain"}, 2, "usage: fescuepond explain"},
         {{"version"}, 0, "fescuepond "},
     };
     for (const UsageCase &entry : cases) {
@@ -55,13 +56,29 @@
         EXPECT_EQ(fleet.runVerb(entry.arguments, &output), entry.code) << entry.part << "\n" << output;
         EXPECT_NE(output.find(entry.part), std::string::npos) << entry.part << "\n" << output;
     }
-    for (const std::string verb : {"node", "publish", "check", "status", "drain", "version"}) {
+    for (const std::string verb : {"node", "publish", "check", "status", "drain", "explain", "version"}) {
         std::string output;
         EXPECT_EQ(fleet.runVerb({verb, "--help"}, &output), 0);
         EXPECT_NE(output.find("usage: fescuepond " + verb), std::string::npos) << output;
     }
 }
 
+TEST(Verbs, ExplainTellsTheCauseAndWhetherLinesAreMissing)
+{
+    const Fleet fleet;
+    const std::string log = fleet.folder() + "/node.log";
+    std::ofstream(log) << "a line of another program\n"
+                       << "time_ms=9 node=n event=request_ended attempt=a root=r state=not-run reason=no-target "
+                          "status=0 took_ms=1 detail=\"service 'yard' has no target\"\n";
+    std::string output;
+    EXPECT_EQ(fleet.runVerb({"explain", "a", log}, &output), 0);
+    EXPECT_NE(output.find("> time_ms=9"), std::string::npos) << output;
+    EXPECT_NE(output.find("cause: no node of the service was known"), std::string::npos) << output;
+    EXPECT_EQ(fleet.runVerb({"explain", "b", log}, &output), 1);
+    EXPECT_NE(output.find("incomplete"), std::string::npos) << output;
+    EXPECT_EQ(fleet.runVerb({"explain", "a", fleet.folder() + "/nosuch"}), 1);
+}
+
 TEST(Verbs, StatusShowsNodesAndDrainStopsThem)
 {
     Fleet fleet;
