--- a/modules/pathlimit/pathroomplugin.cpp
+++ b/modules/pathlimit/pathroomplugin.cpp
@@ -29,15 +29,6 @@
     return outcome.state() == CallState::Answered && outcome.status() >= FirstServerError;
 }
 
-ChildEnd endOf(const CallOutcome &outcome)
-{
-    if (outcome.state() == CallState::Answered && outcome.status() < FirstServerError) {
-        return ChildEnd::Served;
-    }
-    return outcome.reason() == Reason::Overload || outcome.reason() == Reason::BackendBusy ? ChildEnd::Refused
-                                                                                           : ChildEnd::Failed;
-}
-
 /// The lesser of two rooms, of which 0 means that nothing was told.
 double leastRoom(double a, double b)
 {
@@ -70,8 +61,9 @@
             return;
         }
         next(call, [this, kind = call.context().kind(), done = std::move(done)](const CallOutcome &outcome) {
+            const bool isFailed = outcome.state() != CallState::Answered || isServerError(outcome);
             m_rooms.locked([&](KindRooms &rooms) {
-                rooms.childEnded(kind, roomOf(outcome), endOf(outcome), m_clock.now());
+                rooms.childEnded(kind, roomOf(outcome), isFailed, m_clock.now());
             });
             done(outcome);
         });
--- a/servers/pathlimit/kindrooms.cpp
+++ b/servers/pathlimit/kindrooms.cpp
@@ -23,7 +23,7 @@
 constexpr double ForgottenPart = 0.5;
 } // namespace
 
-void KindRooms::childEnded(const std::string &childKind, double room, ChildEnd end, TimePoint now)
+void KindRooms::childEnded(const std::string &childKind, double room, bool isFailed, TimePoint now)
 {
     Child &child = m_children[childKind];
     if (room > 0) {
@@ -31,13 +31,13 @@
         child.m_room = isFresh ? child.m_room + (room - child.m_room) / SmoothedAnswers : room;
         child.m_toldAt = now;
     }
-    if (end == ChildEnd::Served) {
+    if (!isFailed) {
         return;
     }
     if (m_failures.size() == MostFailures) {
         m_failures.pop_front();
     }
-    m_failures.push_back({childKind, end, now});
+    m_failures.push_back({childKind, now});
     ++child.m_failures;
     if (child.m_failures < MostCounted) {
         return;
@@ -62,7 +62,7 @@
     Child &child = m_children[cause.m_childKind];
     double &count = child.m_parents[kind];
     count = std::min(count + 1, child.m_failures);
-    return cause.m_end == ChildEnd::Refused && isParent(child, kind);
+    return isParent(child, kind);
 }
 
 double KindRooms::roomFor(const std::string &kind, TimePoint now) const
--- a/servers/pathlimit/kindrooms.h
+++ b/servers/pathlimit/kindrooms.h
@@ -18,19 +18,12 @@
 namespace fescuepond
 {
 
-/// How a call that left this VM ended.
-enum class ChildEnd {
-    Served,
-    Refused, ///< For want of room.
-    Failed, ///< In another way.
-};
-
 class KindRooms
 {
 public:
     /// A call of `childKind`, whose parent is not known, has ended. `room` is 0 when the answer didn't say it.
-    void childEnded(const std::string &childKind, double room, ChildEnd end, TimePoint now);
-    /// A call of `kind` that ran here was answered with a server error; tells whether the cause is a refused child.
+    void childEnded(const std::string &childKind, double room, bool isFailed, TimePoint now);
+    /// A call of `kind` that ran here was answered with a server error; tells whether a failed child is the cause.
     bool parentFailed(const std::string &kind, TimePoint now);
     /// The least room for the calls that calls of `kind` make; 0: unknown.
     double roomFor(const std::string &kind, TimePoint now) const;
@@ -38,7 +31,6 @@
 private:
     struct Failure {
         std::string m_childKind;
-        ChildEnd m_end;
         TimePoint m_at;
     };
     struct Child {
