Look up parents by deadline only for kinds of calls that the backend server makes

Change: a call that would outlive all that run here can't be a child. Kinds of which more than a tenth are such are clients' kinds and are never looked up; the same knowledge keeps clients' failures out of the rooms of kinds.

--- a/core/kernel/lockorder.h
+++ b/core/kernel/lockorder.h
@@ -16,6 +16,7 @@
     Plugins,
     Configuration,
     Registration,
+    Parentage,
     Members,
     KeyRecords,
     Quarantine,
--- a/core/pipeline/callsinflight.cpp
+++ b/core/pipeline/callsinflight.cpp
@@ -72,19 +72,20 @@
     });
 }
 
-std::optional<CallContext> CallsInFlight::findByDeadline(TimePoint deadline) const
+DeadlineMatch CallsInFlight::findByDeadline(TimePoint deadline) const
 {
     return m_table.locked([&](const Table &table) {
-        std::optional<CallContext> nearest;
+        DeadlineMatch match;
         Duration least = DeadlineTolerance;
         for (const auto &[callId, entry] : table) {
-            const Duration distance = std::chrono::abs(entry.m_context.deadline() - deadline);
-            if (distance <= least) {
-                nearest = entry.m_context;
-                least = distance;
+            const Duration later = entry.m_context.deadline() - deadline;
+            match.mayBeChild = match.mayBeChild || later >= -DeadlineTolerance;
+            if (std::chrono::abs(later) <= least) {
+                match.nearest = entry.m_context;
+                least = std::chrono::abs(later);
             }
         }
-        return nearest;
+        return match;
     });
 }
 
--- a/core/pipeline/callsinflight.h
+++ b/core/pipeline/callsinflight.h
@@ -18,6 +18,15 @@
 /// The context of a call made while `parent` runs.
 CallContext childOf(const CallContext &parent);
 
+/// What the calls that run here have to do with a deadline. A backend server whose calls don't name their parent lets
+/// them expire with it or earlier; it was told the deadline rounded to milliseconds.
+struct DeadlineMatch {
+    /// The call whose deadline is nearest, if it is near enough to be the same.
+    std::optional<CallContext> nearest;
+    /// A call runs that has the same deadline or a later one.
+    bool mayBeChild = false;
+};
+
 class CallsInFlight
 {
 public:
@@ -26,10 +35,7 @@
     CallOutcome remove(const CallId &callId, const CallOutcome &outcome);
     /// The context of the call, or nothing when it doesn't run here.
     std::optional<CallContext> find(const CallId &callId) const;
-    /// The call whose deadline is nearest to `deadline`, if it is near enough to be the same: a backend server whose
-    /// calls don't name their parent lets them expire with it. The deadline that it was told is rounded to
-    /// milliseconds.
-    std::optional<CallContext> findByDeadline(TimePoint deadline) const;
+    DeadlineMatch findByDeadline(TimePoint deadline) const;
     /// Takes the part of the call's retry allowance that one child call gets and returns it.
     int takeAllowance(const CallId &callId);
     /// A child call ended: its unused retries come back, and what it told of the room on its path is kept. Ignored when
--- a/core/pipeline/interfaces.h
+++ b/core/pipeline/interfaces.h
@@ -81,6 +81,18 @@
     virtual void leaves(const std::string &instance) = 0;
 };
 
+/// Tells for which call the backend server beside this node makes another one, where its calls don't name it.
+class CallParents
+{
+public:
+    virtual ~CallParents() = default;
+    /// The running call that `call` was made for. Nothing: a client sent it, or it isn't known which. `deadline`: the
+    /// sender waits no longer; unset: it doesn't say.
+    virtual std::optional<CallContext> parentOf(const CallRequest &call, TimePoint deadline) = 0;
+    /// Whether the backend server makes the calls of this kind, rather than clients.
+    virtual bool isFromBackend(const std::string &kind) const = 0;
+};
+
 /// Sends calls to targets, the local one included.
 class CallSender
 {
--- /dev/null
+++ b/modules/parentage/parentageplugin.cpp
@@ -0,0 +1,62 @@
+// Finds the call that the backend server makes another call for, where its calls don't name it.
+//
+// The deadline is the only trace: a call expires with its parent. By itself it would take many clients' requests for
+// calls of the backend server when many calls run, so only kinds that clients don't send are looked up.
+
+#include "core/kernel/kernel.h"
+#include "core/kernel/sharedtable.h"
+#include "core/pipeline/callsinflight.h"
+#include "core/pipeline/interfaces.h"
+#include "servers/parentage/callerkinds.h"
+
+namespace fescuepond
+{
+
+namespace
+{
+
+class ParentagePlugin final : public Plugin, public CallParents
+{
+public:
+    Result<void> start(Kernel &kernel) override
+    {
+        m_source = &kernel.require<ConfigurationSource>();
+        m_calls = &kernel.require<CallsInFlight>();
+        kernel.provide<CallParents>(*this);
+        return {};
+    }
+
+    std::optional<CallContext> parentOf(const CallRequest &call, TimePoint deadline) override
+    {
+        const auto configuration = m_source->configuration();
+        const RouteDeclaration *route =
+            configuration == nullptr ? nullptr : configuration->route(call.host(), call.path());
+        if (route == nullptr || deadline == TimePoint()) {
+            return std::nullopt;
+        }
+        const DeadlineMatch match = m_calls->findByDeadline(deadline);
+        const bool isFromBackend = m_kinds.locked([&](CallerKinds &kinds) {
+            kinds.arrived(route->kind().name(), match.mayBeChild);
+            return kinds.isFromBackend(route->kind().name());
+        });
+        return isFromBackend ? match.nearest : std::nullopt;
+    }
+
+    bool isFromBackend(const std::string &kind) const override
+    {
+        return m_kinds.locked([&](const CallerKinds &kinds) {
+            return kinds.isFromBackend(kind);
+        });
+    }
+
+private:
+    ConfigurationSource *m_source = nullptr;
+    CallsInFlight *m_calls = nullptr;
+    SharedTable<CallerKinds> m_kinds{LockRank::Parentage};
+};
+
+const auto registration = registerPlugin<ParentagePlugin>("parentage", {"pipelines", "configuration"});
+
+} // namespace
+
+} // namespace fescuepond
--- a/modules/pathlimit/pathroomplugin.cpp
+++ b/modules/pathlimit/pathroomplugin.cpp
@@ -7,7 +7,7 @@
 #include "core/kernel/sharedtable.h"
 #include "core/kernel/strategy.h"
 #include "core/pipeline/backenddialect.h"
-#include "core/pipeline/callpipeline.h"
+#include "core/pipeline/interfaces.h"
 #include "servers/admission/admissionqueue.h"
 #include "servers/pathlimit/kindrooms.h"
 
@@ -45,18 +45,19 @@
     return leastRoom(own, outcome.pathLimit());
 }
 
-/// Entry stage: how calls end whose parent isn't known. Those of clients are among them and explain no failure here.
+/// Entry stage: how calls of the backend server end whose parent isn't known.
 class LeavingCalls final : public CallStage
 {
 public:
-    LeavingCalls(SharedRooms &rooms, const Clock &clock)
+    LeavingCalls(SharedRooms &rooms, const CallParents &parents, const Clock &clock)
         : m_rooms(rooms)
+        , m_parents(parents)
         , m_clock(clock)
     {
     }
     void handle(const CallRequest &call, const Next &next, Done done) override
     {
-        if (call.context().depth() > 0) {
+        if (call.context().depth() > 0 || !m_parents.isFromBackend(call.context().kind())) {
             next(call, std::move(done));
             return;
         }
@@ -71,6 +72,7 @@
 
 private:
     SharedRooms &m_rooms;
+    const CallParents &m_parents;
     const Clock &m_clock;
 };
 
@@ -115,7 +117,7 @@
         if (dialect->childrenNameParent()) {
             return {};
         }
-        m_leaving = std::make_unique<LeavingCalls>(m_rooms, kernel.clock());
+        m_leaving = std::make_unique<LeavingCalls>(m_rooms, kernel.require<CallParents>(), kernel.clock());
         m_running = std::make_unique<RunningCalls>(m_rooms, kernel.clock());
         kernel.require<EntryPipeline>().add(EntryPlace::PathRoom, *m_leaving);
         kernel.require<TargetPipeline>().add(TargetPlace::PathRoom, *m_running);
@@ -128,7 +130,7 @@
     std::unique_ptr<RunningCalls> m_running;
 };
 
-const auto registration = registerPlugin<PathRoomPlugin>("pathroom", {"pipelines"});
+const auto registration = registerPlugin<PathRoomPlugin>("pathroom", {"pipelines", "parentage"});
 
 } // namespace
 
--- /dev/null
+++ b/tests/core/pipeline/callsinflighttest.cpp
@@ -0,0 +1,55 @@
+// The table of calls that run at the backend server.
+
+#include "core/pipeline/callsinflight.h"
+
+#include <gtest/gtest.h>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+const TimePoint deadline{std::chrono::hours(1)};
+
+CallContext callWith(TimePoint end)
+{
+    return CallContext().withCallId(CallId::random()).withDeadline(end);
+}
+
+} // namespace
+
+TEST(CallsInFlight, FindsTheCallWithTheNearestDeadline)
+{
+    CallsInFlight calls;
+    const CallContext parent = callWith(deadline);
+    calls.add(parent);
+    calls.add(callWith(deadline + milliseconds(4)));
+    const DeadlineMatch match = calls.findByDeadline(deadline - microseconds(1900));
+    EXPECT_EQ(match.nearest, std::optional(parent));
+    EXPECT_TRUE(match.mayBeChild);
+}
+
+TEST(CallsInFlight, AnEarlierDeadlineMayBeAChildsWithoutTellingWhose)
+{
+    CallsInFlight calls;
+    calls.add(callWith(deadline));
+    const DeadlineMatch match = calls.findByDeadline(deadline - milliseconds(300));
+    EXPECT_FALSE(match.nearest);
+    EXPECT_TRUE(match.mayBeChild);
+}
+
+TEST(CallsInFlight, ALaterDeadlineIsNoChilds)
+{
+    CallsInFlight calls;
+    EXPECT_FALSE(calls.findByDeadline(deadline).mayBeChild);
+    calls.add(callWith(deadline));
+    const DeadlineMatch match = calls.findByDeadline(deadline + milliseconds(10));
+    EXPECT_FALSE(match.nearest);
+    EXPECT_FALSE(match.mayBeChild);
+}
+
+} // namespace fescuepond
