Refuse at once what can't have its turn in time; say when to come back from the queue's drain

Change: a queue knows how fast it drains and how the latest arrivals are spread over the order of importance. The path limit's queues do the same.

--- a/modules/admission/admissionplugin.cpp
+++ b/modules/admission/admissionplugin.cpp
@@ -171,8 +171,8 @@
         const CallContext &context = waiting.call.context();
         m_kernel->metrics().count("fescuepond_admission_refused_total",
                                   {{"kind", context.rootKind()}, {"reason", toString(decided.refusal)}});
-        const TargetLoad load = m_table->locked([&](const AdmissionTable &table) {
-            return loadOf(table.controller, waiting.entry);
+        const auto [load, drainTime] = m_table->locked([&](const AdmissionTable &table) {
+            return std::pair(loadOf(table.controller, waiting.entry), table.controller.drainTime());
         });
         using std::chrono::milliseconds;
         const Duration waited = m_kernel->clock().now() - waiting.submittedAt;
@@ -187,7 +187,8 @@
             .with("here", load.inFlight)
             .with("waited_ms", std::chrono::duration_cast<milliseconds>(waited).count());
         const CallOutcome outcome = CallOutcome::notRun(decided.refusal, detailOf(decided.refusal))
-                                        .withUnusedAllowance(context.retryAllowance());
+                                        .withUnusedAllowance(context.retryAllowance())
+                                        .withRetryAfter(std::min(drainTime, LongestRetryAfter));
         waiting.done(withLoad(outcome, load, context.depth()));
     }
 
--- a/modules/pathlimit/pathlimitplugin.cpp
+++ b/modules/pathlimit/pathlimitplugin.cpp
@@ -133,8 +133,9 @@
         const CallContext &context = decided.entering.call.context();
         m_kernel->metrics().count("fescuepond_path_refused_total",
                                   {{"kind", context.rootKind()}, {"reason", toString(decided.refusal)}});
-        const double window = m_table.locked([&](const PathTable &table) {
-            return table.limiter.windowOf(pathOf(decided.entering.call));
+        const auto [window, drainTime] = m_table.locked([&](const PathTable &table) {
+            const PathKey path = pathOf(decided.entering.call);
+            return std::pair(table.limiter.windowOf(path), table.limiter.drainTime(path));
         });
         Event("path_refused")
             .with("attempt", context.callerAttempt())
@@ -144,7 +145,8 @@
             .with("reason", toString(decided.refusal))
             .with("window", window);
         decided.entering.done(CallOutcome::notRun(decided.refusal, detailOf(decided.refusal))
-                                  .withUnusedAllowance(context.retryAllowance()));
+                                  .withUnusedAllowance(context.retryAllowance())
+                                  .withRetryAfter(std::min(drainTime, LongestRetryAfter)));
     }
 
     void letIn(const EnteringCall &entering)
--- a/servers/admission/admissioncontroller.h
+++ b/servers/admission/admissioncontroller.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "servers/admission/admissionqueue.h"
+#include "servers/admission/drainestimate.h"
 #include "servers/admission/limitstrategy.h"
 #include "servers/admission/servicetimes.h"
 
@@ -18,6 +19,9 @@
     /// refusal of one call here loses all that its request has done before.
     double queueFactor = 2.5;
     bool refuseDoomed = true; ///< Refuses calls whose deadline is nearer than the likely service time.
+    /// Refuses calls at once whose turn would come too late. Their callers may try elsewhere, and what waits for them
+    /// further up is freed.
+    bool refuseHopeless = true;
 };
 
 /// Every submission gets exactly one decision: at once, or from a later function.
@@ -61,6 +65,8 @@
     {
         return m_queue.room(entry, m_limit->limit());
     }
+    /// How long it takes until what waits now has begun.
+    Duration drainTime() const;
     Duration likelyTime(const std::string &kind) const
     {
         return m_times.likely(kind);
@@ -71,11 +77,14 @@
     TimePoint latestStart(const AdmissionEntry &entry) const;
     void takeFree(AdmissionDecisions &decisions);
     void refuseDue(AdmissionDecisions &decisions, TimePoint now);
+    void refuseHopeless(AdmissionDecisions &decisions, TimePoint now);
 
     const AdmissionRules m_rules;
     std::unique_ptr<LimitStrategy> m_limit;
     AdmissionQueue m_queue;
+    ArrivalSample m_arrivals;
     ServiceTimes m_times;
+    DrainEstimate m_drain; ///< Over all kinds.
 };
 
 } // namespace fescuepond
--- a/servers/pathlimit/pathlimiter.cpp
+++ b/servers/pathlimit/pathlimiter.cpp
@@ -62,6 +62,7 @@
     if (leaveAt <= now) {
         return {AdmissionDecision().withId(entry.id()).withRefusal(Reason::DeadlineExceeded)};
     }
+    path.m_arrivals.add(entry.order(), now);
     AdmissionDecisions decisions;
     refuseDue(path, decisions, now);
     const double places = std::max(FewestPlaces, PlacesForEachCall * path.m_window.size());
@@ -70,6 +71,7 @@
         decisions.push_back(AdmissionDecision().withId(refused->id()).withRefusal(Reason::Overload));
     }
     takeFree(path, decisions);
+    refuseHopeless(path, decisions, now);
     return decisions;
 }
 
@@ -82,6 +84,7 @@
     }
     if (taken) {
         path.m_times.add(*taken);
+        path.m_drain.add(*taken);
     }
     path.m_queue.finish(id);
     AdmissionDecisions decisions;
@@ -112,6 +115,16 @@
     return earliest;
 }
 
+Duration PathLimiter::drainTime(const PathKey &path) const
+{
+    const auto found = m_paths.find(path);
+    if (found == m_paths.end()) {
+        return Duration::zero();
+    }
+    const Path &known = found->second;
+    return known.m_drain.interval(known.m_window.size()) * static_cast<std::int64_t>(known.m_queue.queued());
+}
+
 double PathLimiter::windowOf(const PathKey &path) const
 {
     const auto found = m_paths.find(path);
@@ -143,6 +156,17 @@
     }
 }
 
+void PathLimiter::refuseHopeless(Path &path, AdmissionDecisions &decisions, TimePoint now) const
+{
+    if (!m_rules.refuseHopeless || path.m_queue.queued() == 0) {
+        return;
+    }
+    const Duration interval = path.m_drain.leastInterval(path.m_window.size());
+    for (const AdmissionEntry &entry : path.m_queue.removeHopeless(path.m_arrivals, now, interval)) {
+        decisions.push_back(AdmissionDecision().withId(entry.id()).withRefusal(Reason::Overload));
+    }
+}
+
 void PathLimiter::takeFree(Path &path, AdmissionDecisions &decisions)
 {
     while (const auto entry = path.m_queue.take(std::max(LeastWindow, path.m_window.size()))) {
--- a/servers/pathlimit/pathlimiter.h
+++ b/servers/pathlimit/pathlimiter.h
@@ -11,6 +11,7 @@
 #pragma once
 
 #include "servers/admission/admissionqueue.h"
+#include "servers/admission/drainestimate.h"
 #include "servers/admission/servicetimes.h"
 
 #include <cstddef>
@@ -53,6 +54,7 @@
 struct PathRules {
     QueueRules queue;
     bool refuseDoomed = true;
+    bool refuseHopeless = true; ///< See AdmissionRules.
 };
 
 /// The windows and queues of all paths that start here. Every submission gets exactly one decision.
@@ -69,6 +71,8 @@
     AdmissionDecisions expire(TimePoint now);
     std::optional<TimePoint> nextExpiry() const;
 
+    /// How long it takes until what waits on the path now has been let in.
+    Duration drainTime(const PathKey &path) const;
     double windowOf(const PathKey &path) const;
     std::size_t queued() const;
     std::size_t underWay() const;
@@ -81,11 +85,14 @@
         }
         PathWindow m_window;
         AdmissionQueue m_queue;
+        ArrivalSample m_arrivals;
         DurationHistogram m_times;
+        DrainEstimate m_drain;
     };
 
     Path &pathOf(const PathKey &path);
     static void refuseDue(Path &path, AdmissionDecisions &decisions, TimePoint now);
+    void refuseHopeless(Path &path, AdmissionDecisions &decisions, TimePoint now) const;
     static void takeFree(Path &path, AdmissionDecisions &decisions);
 
     const PathRules m_rules;
