--- a/servers/admission/admissionentry.cpp
+++ b/servers/admission/admissionentry.cpp
@@ -18,7 +18,8 @@
         .withKind(context.kind())
         .withRootKind(context.rootKind())
         .withKeptShare(context.keptShare())
-        .withDeadline(context.deadline());
+        .withDeadline(context.deadline())
+        .withIsRoot(context.depth() == 0);
 }
 
 } // namespace fescuepond
--- a/tests/servers/admission/admissioncontrollertest.cpp
+++ b/tests/servers/admission/admissioncontrollertest.cpp
@@ -23,7 +23,8 @@
         .withOrder(ShedOrder().withRank(rank).withRootHash(id).withEntryId(id))
         .withKind("kind")
         .withRootKind("service/kind")
-        .withDeadline(start + untilDeadline);
+        .withDeadline(start + untilDeadline)
+        .withIsRoot(true);
 }
 
 AdmissionController controllerWith(double slots)
