--- a/core/pipeline/backenddialect.h
+++ b/core/pipeline/backenddialect.h
@@ -7,23 +7,11 @@
 #include "core/kernel/clock.h"
 #include "core/values/call.h"
 
-#include <optional>
 #include <string>
 
 namespace fescuepond
 {
 
-/// What a backend server says of its load.
-class BackendLoad
-{
-    FESCUEPOND_FIELD(int, running, withRunning);
-    FESCUEPOND_FIELD(int, waiting, withWaiting);
-    FESCUEPOND_FIELD(int, slots, withSlots);
-
-public:
-    friend auto operator<=>(const BackendLoad &, const BackendLoad &) = default;
-};
-
 class BackendDialect
 {
 public:
@@ -36,7 +24,6 @@
     virtual bool isAnswerTo(const CallRequest &call, const Headers &headers) const = 0;
     /// What a whole answer means.
     virtual CallOutcome interpret(const CallOutcome &answer) const = 0;
-    virtual std::optional<BackendLoad> load(const Headers &headers) const = 0;
     /// Whether the calls that a backend server makes name the call that they are made for.
     virtual bool childrenNameParent() const = 0;
 };
--- a/core/pipeline/callsinflight.cpp
+++ b/core/pipeline/callsinflight.cpp
@@ -10,19 +10,6 @@
 namespace
 {
 
-constexpr int FirstServerError = 500;
-
-bool isFailure(const CallOutcome &outcome)
-{
-    return outcome.state() != CallState::Answered || outcome.status() >= FirstServerError;
-}
-
-/// The lesser of two rooms, of which 0 means that nothing was told.
-double leastRoom(double a, double b)
-{
-    return a > 0 && b > 0 ? std::min(a, b) : std::max(a, b);
-}
-
 /// A deadline is rounded down to milliseconds twice, and a message between two processes of one VM takes as long.
 constexpr Duration DeadlineTolerance = std::chrono::microseconds(2500);
 
@@ -59,8 +46,7 @@
         }
         const Entry entry = found->second;
         table.m_calls.erase(found);
-        const bool isFailedBelow =
-            entry.m_hasFailedChild && outcome.state() == CallState::Answered && isFailure(outcome);
+        const bool isFailedBelow = entry.m_hasFailedChild && isServerError(outcome);
         const CallOutcome ended = isFailedBelow ? outcome.withReason(Reason::FailedBelow) : outcome;
         return ended.withUnusedAllowance(entry.m_context.retryAllowance()).withPathLimit(entry.m_roomBelow);
     });
@@ -137,7 +123,7 @@
         found->second.m_changed = ++table.m_changes;
         CallContext &context = found->second.m_context;
         context = context.withRetryAllowance(context.retryAllowance() + outcome.unusedAllowance());
-        found->second.m_hasFailedChild = found->second.m_hasFailedChild || isFailure(outcome);
+        found->second.m_hasFailedChild = found->second.m_hasFailedChild || !isSuccess(outcome);
         found->second.m_roomBelow = leastRoom(found->second.m_roomBelow, outcome.pathLimit());
     });
 }
--- a/core/values/call.cpp
+++ b/core/values/call.cpp
@@ -2,6 +2,7 @@
 
 #include "core/values/call.h"
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 
@@ -18,6 +19,21 @@
     return CallOutcome().withState(CallState::OutcomeUnknown).withReason(reason).withDetail(std::move(detail));
 }
 
+bool isServerError(const CallOutcome &outcome)
+{
+    return outcome.state() == CallState::Answered && outcome.status() >= FirstServerError;
+}
+
+bool isSuccess(const CallOutcome &outcome)
+{
+    return outcome.state() == CallState::Answered && outcome.status() < FirstServerError;
+}
+
+double leastRoom(double a, double b)
+{
+    return a > 0 && b > 0 ? std::min(a, b) : std::max(a, b);
+}
+
 const char *toString(CallState state)
 {
     static constexpr std::array Names = {"answered", "not-run", "outcome-unknown"};
--- a/core/values/call.h
+++ b/core/values/call.h
@@ -124,6 +124,16 @@
     friend auto operator<=>(const CallOutcome &, const CallOutcome &) = default;
 };
 
+/// The least HTTP status by which a backend server says that it failed.
+constexpr int FirstServerError = 500;
+
+/// The backend server answered that it failed.
+bool isServerError(const CallOutcome &outcome);
+/// The backend server answered, and not with a server error.
+bool isSuccess(const CallOutcome &outcome);
+/// The lesser of two rooms on a path, of which 0 means that nothing was told.
+double leastRoom(double a, double b);
+
 /// Names as they stand in responses, logs and metrics.
 const char *toString(CallState state);
 const char *toString(Reason reason);
--- a/modules/backend/backendplugin.cpp
+++ b/modules/backend/backendplugin.cpp
@@ -16,8 +16,6 @@
 namespace
 {
 
-constexpr int FirstServerError = 500;
-
 class BackendPlugin final : public Plugin, public CallStage
 {
 public:
@@ -44,7 +42,7 @@
             const TimePoint begin = m_kernel->clock().now();
             const CallOutcome outcome = m_calls->remove(call.context().callId(), run(call));
             done(outcome);
-            if (outcome.state() != CallState::Answered || outcome.status() >= FirstServerError) {
+            if (!isSuccess(outcome)) {
                 log(call, outcome, m_kernel->clock().now() - begin);
             }
         });
--- a/modules/backend/plaindialect.cpp
+++ b/modules/backend/plaindialect.cpp
@@ -27,10 +27,6 @@
     {
         return answer;
     }
-    std::optional<BackendLoad> load(const Headers &) const override
-    {
-        return std::nullopt;
-    }
     bool childrenNameParent() const override
     {
         return true;
--- a/modules/classification/classificationplugin.cpp
+++ b/modules/classification/classificationplugin.cpp
@@ -15,15 +15,13 @@
 namespace
 {
 
-constexpr int FirstServerError = 500;
 /// One in so many successes is logged. Which ones follows from the attempt's name, so that a request is logged at all
 /// nodes or at none.
 constexpr std::uint64_t LoggedSuccessPeriod = 64;
 
 bool isLogged(const CallContext &context, const CallOutcome &outcome)
 {
-    const bool isSuccess = outcome.state() == CallState::Answered && outcome.status() < FirstServerError;
-    return !isSuccess || std::hash<std::string>()(context.callerAttempt()) % LoggedSuccessPeriod == 0;
+    return !isSuccess(outcome) || std::hash<std::string>()(context.callerAttempt()) % LoggedSuccessPeriod == 0;
 }
 
 class ClassificationPlugin final : public Plugin, public CallStage
@@ -77,8 +75,7 @@
     {
         using std::chrono::milliseconds;
         const CallContext &context = call.context();
-        const bool isSuccess = outcome.state() == CallState::Answered && outcome.status() < FirstServerError;
-        Event("request_ended", isSuccess ? LineWeight::Routine : LineWeight::Failure)
+        Event("request_ended", isSuccess(outcome) ? LineWeight::Routine : LineWeight::Failure)
             .with("attempt", context.callerAttempt())
             .with("root", context.rootId().toString())
             .with("depth", context.depth())
--- a/modules/pathlimit/pathroomplugin.cpp
+++ b/modules/pathlimit/pathroomplugin.cpp
@@ -20,21 +20,8 @@
 namespace
 {
 
-constexpr int FirstServerError = 500;
-
 using SharedRooms = SharedTable<KindRooms>;
 
-bool isServerError(const CallOutcome &outcome)
-{
-    return outcome.state() == CallState::Answered && outcome.status() >= FirstServerError;
-}
-
-/// The lesser of two rooms, of which 0 means that nothing was told.
-double leastRoom(double a, double b)
-{
-    return a > 0 && b > 0 ? std::min(a, b) : std::max(a, b);
-}
-
 /// The room that the outcome tells of the service that was called and of those below it; 0: unsaid.
 double roomOf(const CallOutcome &outcome)
 {
@@ -62,9 +49,8 @@
             return;
         }
         next(call, [this, kind = call.context().kind(), done = std::move(done)](const CallOutcome &outcome) {
-            const bool isFailed = outcome.state() != CallState::Answered || isServerError(outcome);
             m_rooms.locked([&](KindRooms &rooms) {
-                rooms.childEnded(kind, roomOf(outcome), isFailed, m_clock.now());
+                rooms.childEnded(kind, roomOf(outcome), !isSuccess(outcome), m_clock.now());
             });
             done(outcome);
         });
--- a/servers/retry/retrypolicy.cpp
+++ b/servers/retry/retrypolicy.cpp
@@ -36,12 +36,6 @@
 /// Statuses of a backend server's own failure. 503 says that it is overloaded.
 constexpr std::array RetryableStatuses = {500, 502, 504};
 
-bool isServerError(const CallOutcome &outcome)
-{
-    constexpr int FirstServerError = 500;
-    return outcome.status() >= FirstServerError;
-}
-
 /// A backend server answered that it failed, and no call below it had failed: this hop is next to the failure.
 bool isOwnServerError(const CallOutcome &outcome)
 {
@@ -67,11 +61,6 @@
 
 } // namespace
 
-bool isSuccess(const CallOutcome &outcome)
-{
-    return outcome.state() == CallState::Answered && !isServerError(outcome);
-}
-
 RetryVerdict decideRetry(const FailedAttempt &attempt, bool isWithinBudget)
 {
     if (isSuccess(attempt.outcome())) {
--- a/servers/retry/retrypolicy.h
+++ b/servers/retry/retrypolicy.h
@@ -34,9 +34,6 @@
     NoTime,
 };
 
-/// The backend server answered and did not fail.
-bool isSuccess(const CallOutcome &outcome);
-
 /// `isWithinBudget`: the budget of repeats to the service has room for one.
 RetryVerdict decideRetry(const FailedAttempt &attempt, bool isWithinBudget);
 
--- a/servers/routing/targetload.cpp
+++ b/servers/routing/targetload.cpp
@@ -35,7 +35,6 @@
 /// Power of the served part by which the utilisation is divided. With it, a target that fails half of its calls is used
 /// only when the others are more than ten times as full.
 constexpr double FailingPower = 6;
-constexpr int FirstServerError = 500;
 
 struct VerdictRow {
     CallState state;
@@ -57,8 +56,7 @@
 /// Whether a target that runs failed the call for its own sake.
 bool isOwnFailure(const CallOutcome &outcome)
 {
-    const bool isOwnError = outcome.state() == CallState::Answered && outcome.status() >= FirstServerError
-        && outcome.reason() != Reason::FailedBelow;
+    const bool isOwnError = isServerError(outcome) && outcome.reason() != Reason::FailedBelow;
     return isOwnError || outcome.reason() == Reason::BackendBusy || outcome.reason() == Reason::AnswerLost;
 }
 
--- a/tests/platform/targetdialecttest.cpp
+++ b/tests/platform/targetdialecttest.cpp
@@ -82,13 +82,4 @@
     EXPECT_FALSE(m_dialect->isAnswerTo(call, {{"fescuepond-attempt-id", "a2"}}));
 }
 
-TEST_F(TargetDialectTest, LoadIsThreeNumbersOrNone)
-{
-    const auto load = m_dialect->load({{"fescuepond-server-load", "3,1,8"}});
-    EXPECT_EQ(load, std::optional(BackendLoad().withRunning(3).withWaiting(1).withSlots(8)));
-    for (const char *text : {"", "3", "3,1", "3,1,", "a,1,8", "3,1,8x", "3,1,8,9"}) {
-        EXPECT_FALSE(m_dialect->load({{"fescuepond-server-load", text}})) << text;
-    }
-}
-
 } // namespace fescuepond
