--- a/servers/admission/admissioncontroller.h
+++ b/servers/admission/admissioncontroller.h
@@ -19,7 +19,8 @@
     /// refusal of one call here loses all that its request has done before.
     double queueFactor = 2.5;
     bool refuseDoomed = true; ///< Refuses calls whose deadline is nearer than the likely service time.
-    /// Refuses root requests at once whose turn would come too late, while their callers still have time to return.
+    /// Refuses calls at once whose turn would come too late. Their callers may try elsewhere, and what waits for them
+    /// further up is freed.
     bool refuseHopeless = true;
 };
 
--- a/servers/admission/admissionentry.cpp
+++ b/servers/admission/admissionentry.cpp
@@ -18,8 +18,7 @@
         .withKind(context.kind())
         .withRootKind(context.rootKind())
         .withKeptShare(context.keptShare())
-        .withDeadline(context.deadline())
-        .withIsRoot(context.depth() == 0);
+        .withDeadline(context.deadline());
 }
 
 } // namespace fescuepond
--- a/servers/admission/admissionentry.h
+++ b/servers/admission/admissionentry.h
@@ -36,9 +36,6 @@
     FESCUEPOND_FIELD(std::string, rootKind, withRootKind);
     FESCUEPOND_FIELD(double, keptShare, withKeptShare); ///< Declared for the root kind, 0 to 1.
     FESCUEPOND_FIELD(TimePoint, deadline, withDeadline);
-    FESCUEPOND_FIELD(bool,
-                     isRoot,
-                     withIsRoot); ///< No work has been done for it yet, and nothing waits for it further up.
 
 public:
     EntryId id() const
--- a/servers/admission/admissionqueue.cpp
+++ b/servers/admission/admissionqueue.cpp
@@ -121,7 +121,7 @@
         const Duration left = waiting.m_leaveAt - now;
         const double taken = static_cast<double>(left.count()) / static_cast<double>(interval.count());
         const bool isKept = m_rules.keepShares && waiting.m_entry.keptShare() > 0;
-        if (waiting.m_entry.isRoot() && !isKept && ahead + arrivals.projected(moreImportant, left, now) > taken) {
+        if (!isKept && ahead + arrivals.projected(moreImportant, left, now) > taken) {
             hopeless.push_back(waiting.m_entry);
         } else {
             ++ahead;
--- a/servers/admission/admissionqueue.h
+++ b/servers/admission/admissionqueue.h
@@ -43,10 +43,9 @@
     bool remove(EntryId id);
     /// Removes the entries whose time to leave has come.
     std::vector<AdmissionEntry> removeDue(TimePoint now);
-    /// Removes the root requests that won't be taken before their time to leave: a slot becomes free each `interval`,
-    /// and more important calls go on coming as in `arrivals`. Other calls stay while there is any hope: with them all
-    /// that was done for their root would be lost. So do kinds with a kept share, since they are not taken in this
-    /// order.
+    /// Removes the entries that won't be taken before their time to leave: a slot becomes free each `interval`, and
+    /// more important calls go on coming as in `arrivals`. Kinds with a kept share stay, since they are not taken in
+    /// this order.
     std::vector<AdmissionEntry> removeHopeless(const ArrivalSample &arrivals, TimePoint now, Duration interval);
     std::optional<TimePoint> nextLeaving() const;
 
--- a/tests/servers/admission/admissioncontrollertest.cpp
+++ b/tests/servers/admission/admissioncontrollertest.cpp
@@ -23,8 +23,7 @@
         .withOrder(ShedOrder().withRank(rank).withRootHash(id).withEntryId(id))
         .withKind("kind")
         .withRootKind("service/kind")
-        .withDeadline(start + untilDeadline)
-        .withIsRoot(true);
+        .withDeadline(start + untilDeadline);
 }
 
 AdmissionController controllerWith(double slots)
