--- a/core/pipeline/callsinflight.cpp
+++ b/core/pipeline/callsinflight.cpp
@@ -31,21 +31,19 @@
 void CallsInFlight::add(const CallContext &context)
 {
     m_table.locked([&](Table &table) {
-        Entry entry{context};
-        entry.m_changed = ++table.m_changes;
-        table.m_calls.insert_or_assign(context.callId(), entry);
+        table.insert_or_assign(context.callId(), Entry{context});
     });
 }
 
 CallOutcome CallsInFlight::remove(const CallId &callId, const CallOutcome &outcome)
 {
     return m_table.locked([&](Table &table) {
-        const auto found = table.m_calls.find(callId);
-        if (found == table.m_calls.end()) {
+        const auto found = table.find(callId);
+        if (found == table.end()) {
             return outcome.withUnusedAllowance(0);
         }
         const Entry entry = found->second;
-        table.m_calls.erase(found);
+        table.erase(found);
         const bool isFailedBelow = entry.m_hasFailedChild && isServerError(outcome);
         const CallOutcome ended = isFailedBelow ? outcome.withReason(Reason::FailedBelow) : outcome;
         return ended.withUnusedAllowance(entry.m_context.retryAllowance()).withPathLimit(entry.m_roomBelow);
@@ -55,8 +53,8 @@
 std::optional<CallContext> CallsInFlight::find(const CallId &callId) const
 {
     return m_table.locked([&](const Table &table) -> std::optional<CallContext> {
-        const auto found = table.m_calls.find(callId);
-        return found == table.m_calls.end() ? std::nullopt : std::optional(found->second.m_context);
+        const auto found = table.find(callId);
+        return found == table.end() ? std::nullopt : std::optional(found->second.m_context);
     });
 }
 
@@ -65,7 +63,7 @@
     return m_table.locked([&](const Table &table) {
         DeadlineMatch match;
         Duration least = DeadlineTolerance;
-        for (const auto &[callId, entry] : table.m_calls) {
+        for (const auto &[callId, entry] : table) {
             const Duration later = entry.m_context.deadline() - deadline;
             match.mayBeChild = match.mayBeChild || later >= -DeadlineTolerance;
             if (std::chrono::abs(later) <= least) {
@@ -77,33 +75,13 @@
     });
 }
 
-std::optional<CallContext> CallsInFlight::likelyParent(const std::set<std::string> &kinds, TimePoint deadline) const
-{
-    return m_table.locked([&](const Table &table) -> std::optional<CallContext> {
-        const Entry *likeliest = nullptr;
-        for (const auto &[callId, entry] : table.m_calls) {
-            const bool fits =
-                kinds.contains(entry.m_context.kind()) && entry.m_context.deadline() >= deadline - DeadlineTolerance;
-            const auto place = [](const Entry &candidate) {
-                return std::pair(candidate.m_children, candidate.m_changed);
-            };
-            if (fits && (likeliest == nullptr || place(entry) < place(*likeliest))) {
-                likeliest = &entry;
-            }
-        }
-        return likeliest == nullptr ? std::nullopt : std::optional(likeliest->m_context);
-    });
-}
-
-int CallsInFlight::childBegins(const CallId &callId)
+int CallsInFlight::takeAllowance(const CallId &callId)
 {
     return m_table.locked([&](Table &table) {
-        const auto found = table.m_calls.find(callId);
-        if (found == table.m_calls.end()) {
+        const auto found = table.find(callId);
+        if (found == table.end()) {
             return 0;
         }
-        ++found->second.m_children;
-        found->second.m_changed = ++table.m_changes;
         CallContext &context = found->second.m_context;
         // Half, rounded up: a chain passes its last retry down to the end, and siblings called at once get some too.
         const int taken = (context.retryAllowance() + 1) / 2;
@@ -115,12 +93,10 @@
 void CallsInFlight::childEnded(const CallId &callId, const CallOutcome &outcome)
 {
     m_table.locked([&](Table &table) {
-        const auto found = table.m_calls.find(callId);
-        if (found == table.m_calls.end()) {
+        const auto found = table.find(callId);
+        if (found == table.end()) {
             return;
         }
-        --found->second.m_children;
-        found->second.m_changed = ++table.m_changes;
         CallContext &context = found->second.m_context;
         context = context.withRetryAllowance(context.retryAllowance() + outcome.unusedAllowance());
         found->second.m_hasFailedChild = found->second.m_hasFailedChild || !isSuccess(outcome);
@@ -131,7 +107,7 @@
 std::size_t CallsInFlight::size() const
 {
     return m_table.locked([](const Table &table) {
-        return table.m_calls.size();
+        return table.size();
     });
 }
 
--- a/core/pipeline/callsinflight.h
+++ b/core/pipeline/callsinflight.h
@@ -9,10 +9,7 @@
 #include "core/values/call.h"
 
 #include <cstddef>
-#include <cstdint>
 #include <optional>
-#include <set>
-#include <string>
 #include <unordered_map>
 
 namespace fescuepond
@@ -39,13 +36,8 @@
     /// The context of the call, or nothing when it doesn't run here.
     std::optional<CallContext> find(const CallId &callId) const;
     DeadlineMatch findByDeadline(TimePoint deadline) const;
-    /// Of the calls of these kinds that expire at `deadline` or later, the one that most likely makes a call now: a
-    /// backend server that makes its calls in turn waits for the one before, so it is the one with the fewest calls of
-    /// its own, and of those the one that has been so for longest.
-    std::optional<CallContext> likelyParent(const std::set<std::string> &kinds, TimePoint deadline) const;
-    /// A child call is made: takes the part of the call's retry allowance that it gets and returns it. childEnded()
-    /// follows.
-    int childBegins(const CallId &callId);
+    /// Takes the part of the call's retry allowance that one child call gets and returns it.
+    int takeAllowance(const CallId &callId);
     /// A child call ended: its unused retries come back, and what it told of the room on its path is kept. Ignored when
     /// the call itself has ended.
     void childEnded(const CallId &callId, const CallOutcome &outcome);
@@ -56,13 +48,8 @@
         CallContext m_context; ///< Its retry allowance is what is left after the children took theirs.
         bool m_hasFailedChild = false;
         double m_roomBelow = 0; ///< Least room on a path below that an answer told of; 0: none told.
-        int m_children = 0; ///< Child calls that have not ended.
-        std::uint64_t m_changed = 0; ///< Place of the last change of m_children among all changes.
-    };
-    struct Table {
-        std::unordered_map<CallId, Entry> m_calls;
-        std::uint64_t m_changes = 0;
     };
+    using Table = std::unordered_map<CallId, Entry>;
     SharedTable<Table> m_table{LockRank::CallsInFlight};
 };
 
--- a/modules/local/localplugin.cpp
+++ b/modules/local/localplugin.cpp
@@ -85,7 +85,7 @@
             respond(toResponse(CallOutcome::notRun(Reason::Cancelled, "nobody waits for this call's parent any more")));
             return;
         }
-        const int allowance = m_calls->childBegins(*parentId);
+        const int allowance = m_calls->takeAllowance(*parentId);
         const KeyName key = keyOfChild(*parent, call, ownKey(request));
         call = call.withContext(childOf(*parent).withKey(key.toString()).withRetryAllowance(allowance));
         m_pipeline->submit(call, [this, respond, parentId](const CallOutcome &outcome) {
--- a/modules/parentage/parentageplugin.cpp
+++ b/modules/parentage/parentageplugin.cpp
@@ -1,8 +1,7 @@
 // Finds the call that the backend server makes another call for, where its calls don't name it.
 //
 // The deadline is the only trace: a call expires with its parent. By itself it would take many clients' requests for
-// calls of the backend server when many calls run, so only kinds that clients don't send are looked up. A call with a
-// shorter limit of its own is given to the likeliest of the calls that were seen to make such calls.
+// calls of the backend server when many calls run, so only kinds that clients don't send are looked up.
 
 #include "core/kernel/kernel.h"
 #include "core/kernel/sharedtable.h"
@@ -35,23 +34,12 @@
         if (route == nullptr || deadline == TimePoint()) {
             return std::nullopt;
         }
-        const std::string &kind = route->kind().name();
         const DeadlineMatch match = m_calls->findByDeadline(deadline);
-        const auto parents = m_kinds.locked([&](CallerKinds &kinds) -> std::optional<std::set<std::string>> {
-            kinds.arrived(kind, match.mayBeChild);
-            if (!kinds.isFromBackend(kind)) {
-                return std::nullopt;
-            }
-            if (match.nearest) {
-                kinds.matched(kind, match.nearest->kind());
-            }
-            return kinds.parentsOf(kind);
+        const bool isFromBackend = m_kinds.locked([&](CallerKinds &kinds) {
+            kinds.arrived(route->kind().name(), match.mayBeChild);
+            return kinds.isFromBackend(route->kind().name());
         });
-        if (!parents || match.nearest) {
-            return parents ? match.nearest : std::nullopt;
-        }
-        // The call has a shorter limit of its own than what is left to its parent.
-        return m_calls->likelyParent(*parents, deadline);
+        return isFromBackend ? match.nearest : std::nullopt;
     }
 
     bool isFromBackend(const std::string &kind) const override
--- a/servers/parentage/callerkinds.cpp
+++ b/servers/parentage/callerkinds.cpp
@@ -13,8 +13,6 @@
 constexpr double MostClients = 0.1;
 constexpr double MostCounted = 512; ///< Calls, after which both counts are halved.
 constexpr double ForgottenPart = 0.5;
-/// Of a kind's matches. Fewer come about by chance, with another call that has the same deadline.
-constexpr double LeastParentPart = 0.15;
 } // namespace
 
 void CallerKinds::arrived(const std::string &kind, bool mayBeChild)
@@ -25,35 +23,9 @@
     if (counts.m_calls >= MostCounted) {
         counts.m_calls *= ForgottenPart;
         counts.m_clients *= ForgottenPart;
-        counts.m_matches *= ForgottenPart;
-        for (auto &[parent, matches] : counts.m_parents) {
-            matches *= ForgottenPart;
-        }
     }
 }
 
-void CallerKinds::matched(const std::string &kind, const std::string &parentKind)
-{
-    Counts &counts = m_kinds[kind];
-    ++counts.m_matches;
-    ++counts.m_parents[parentKind];
-}
-
-std::set<std::string> CallerKinds::parentsOf(const std::string &kind) const
-{
-    std::set<std::string> parents;
-    const auto found = m_kinds.find(kind);
-    if (found == m_kinds.end()) {
-        return parents;
-    }
-    for (const auto &[parent, matches] : found->second.m_parents) {
-        if (matches >= LeastParentPart * found->second.m_matches) {
-            parents.insert(parent);
-        }
-    }
-    return parents;
-}
-
 bool CallerKinds::isFromBackend(const std::string &kind) const
 {
     const auto found = m_kinds.find(kind);
--- a/servers/parentage/callerkinds.h
+++ b/servers/parentage/callerkinds.h
@@ -7,7 +7,6 @@
 #pragma once
 
 #include <map>
-#include <set>
 #include <string>
 
 namespace fescuepond
@@ -18,19 +17,13 @@
 public:
     /// A call of `kind` has arrived. `mayBeChild`: a call runs here that expires with it or later.
     void arrived(const std::string &kind, bool mayBeChild);
-    /// A call of `kind` was found to be made for one of `parentKind`.
-    void matched(const std::string &kind, const std::string &parentKind);
     /// Whether the backend server makes the calls of this kind; false while too few have come.
     bool isFromBackend(const std::string &kind) const;
-    /// The kinds of calls that make calls of `kind`.
-    std::set<std::string> parentsOf(const std::string &kind) const;
 
 private:
     struct Counts {
         double m_calls = 0;
         double m_clients = 0; ///< Those that can't be children.
-        double m_matches = 0;
-        std::map<std::string, double> m_parents; ///< Matches by the parent's kind.
     };
     std::map<std::string, Counts> m_kinds;
 };
--- a/tests/core/pipeline/callsinflighttest.cpp
+++ b/tests/core/pipeline/callsinflighttest.cpp
@@ -42,37 +42,6 @@
     EXPECT_TRUE(match.mayBeChild);
 }
 
-// Three calls make three calls each, in turn; each child is given to the call that makes it.
-TEST(CallsInFlight, CallsMadeInTurnAreGivenToTheCallThatMakesThem)
-{
-    CallsInFlight calls;
-    std::vector<CallContext> parents;
-    for (int i = 0; i < 3; ++i) {
-        parents.push_back(callWith(deadline + milliseconds(100 * i)).withKind("list"));
-        calls.add(parents.back());
-        calls.add(callWith(deadline).withKind("book"));
-    }
-    const std::set<std::string> kinds = {"list"};
-    for (int round = 0; round < 3; ++round) {
-        for (const CallContext &parent : parents) {
-            const auto found = calls.likelyParent(kinds, deadline - milliseconds(300));
-            ASSERT_TRUE(found);
-            EXPECT_EQ(found->callId(), parent.callId()) << round;
-            calls.childBegins(found->callId());
-        }
-        for (const CallContext &parent : parents) {
-            calls.childEnded(parent.callId(), CallOutcome().withState(CallState::Answered).withStatus(200));
-        }
-    }
-    // All wait for a child: the first that began to.
-    for (const CallContext &parent : parents) {
-        calls.childBegins(parent.callId());
-    }
-    EXPECT_EQ(calls.likelyParent(kinds, deadline)->callId(), parents[0].callId());
-    EXPECT_FALSE(calls.likelyParent({"other"}, deadline));
-    EXPECT_FALSE(calls.likelyParent(kinds, deadline + std::chrono::seconds(1)));
-}
-
 TEST(CallsInFlight, ALaterDeadlineIsNoChilds)
 {
     CallsInFlight calls;
--- a/tests/servers/parentage/callerkindstest.cpp
+++ b/tests/servers/parentage/callerkindstest.cpp
@@ -38,15 +38,4 @@
     EXPECT_TRUE(kinds.isFromBackend("count"));
 }
 
-TEST(CallerKinds, ParentsAreTheKindsThatMatchOften)
-{
-    CallerKinds kinds;
-    for (int i = 0; i < 100; ++i) {
-        kinds.arrived("count", true);
-        kinds.matched("count", i % 20 == 0 ? "by-chance" : i % 3 == 0 ? "first" : "second");
-    }
-    EXPECT_EQ(kinds.parentsOf("count"), (std::set<std::string>{"first", "second"}));
-    EXPECT_TRUE(kinds.parentsOf("other").empty());
-}
-
 } // namespace fescuepond
--- a/tests/servers/retry/retryboundtest.cpp
+++ b/tests/servers/retry/retryboundtest.cpp
@@ -71,7 +71,7 @@
         bool isChildFailed = false;
         const int children = level < m_depth ? m_fanOut : 0;
         for (int i = 0; i < children; ++i) {
-            const CallOutcome child = call(level + 1, m_table.childBegins(id));
+            const CallOutcome child = call(level + 1, m_table.takeAllowance(id));
             m_table.childEnded(id, child);
             isChildFailed = isChildFailed || child.status() != 200;
         }
