--- a/servers/admission/admissioncontroller.cpp
+++ b/servers/admission/admissioncontroller.cpp
@@ -36,14 +36,12 @@
     if (leaveAt <= now) {
         return {AdmissionDecision().withId(entry.id()).withRefusal(Reason::DeadlineExceeded)};
     }
-    m_arrivals.add(entry.order(), now);
     AdmissionDecisions decisions;
     refuseDue(decisions, now);
     if (const auto refused = m_queue.push(entry, leaveAt, capacity(), m_limit->limit())) {
         decisions.push_back(AdmissionDecision().withId(refused->id()).withRefusal(Reason::Overload));
     }
     takeFree(decisions);
-    refuseHopeless(decisions, now);
     return decisions;
 }
 
@@ -78,17 +76,6 @@
     }
 }
 
-void AdmissionController::refuseHopeless(AdmissionDecisions &decisions, TimePoint now)
-{
-    if (!m_rules.refuseHopeless || m_queue.queued() == 0) {
-        return;
-    }
-    const Duration interval = m_drain.leastInterval(m_limit->limit());
-    for (const AdmissionEntry &entry : m_queue.removeHopeless(m_arrivals, now, interval)) {
-        decisions.push_back(AdmissionDecision().withId(entry.id()).withRefusal(Reason::Overload));
-    }
-}
-
 Duration AdmissionController::drainTime() const
 {
     return m_drain.interval(m_limit->limit()) * static_cast<std::int64_t>(m_queue.queued());
--- a/servers/admission/admissioncontroller.h
+++ b/servers/admission/admissioncontroller.h
@@ -19,9 +19,6 @@
     /// refusal of one call here loses all that its request has done before.
     double queueFactor = 2.5;
     bool refuseDoomed = true; ///< Refuses calls whose deadline is nearer than the likely service time.
-    /// Refuses calls at once whose turn would come too late. Their callers may try elsewhere, and what waits for them
-    /// further up is freed.
-    bool refuseHopeless = true;
 };
 
 /// Every submission gets exactly one decision: at once, or from a later function.
@@ -77,12 +74,10 @@
     TimePoint latestStart(const AdmissionEntry &entry) const;
     void takeFree(AdmissionDecisions &decisions);
     void refuseDue(AdmissionDecisions &decisions, TimePoint now);
-    void refuseHopeless(AdmissionDecisions &decisions, TimePoint now);
 
     const AdmissionRules m_rules;
     std::unique_ptr<LimitStrategy> m_limit;
     AdmissionQueue m_queue;
-    ArrivalSample m_arrivals;
     ServiceTimes m_times;
     DrainEstimate m_drain; ///< Over all kinds.
 };
--- a/servers/admission/admissionqueue.cpp
+++ b/servers/admission/admissionqueue.cpp
@@ -103,36 +103,6 @@
     return due;
 }
 
-std::vector<AdmissionEntry>
-AdmissionQueue::removeHopeless(const ArrivalSample &arrivals, TimePoint now, Duration interval)
-{
-    std::vector<AdmissionEntry> hopeless;
-    if (interval <= Duration::zero()) {
-        return hopeless;
-    }
-    double ahead = 0;
-    std::size_t moreImportant = 0; // Of the arrivals.
-    auto arrival = arrivals.orders().begin();
-    for (const auto &[order, waiting] : m_waiting) {
-        while (arrival != arrivals.orders().end() && *arrival < order) {
-            ++arrival;
-            ++moreImportant;
-        }
-        const Duration left = waiting.m_leaveAt - now;
-        const double taken = static_cast<double>(left.count()) / static_cast<double>(interval.count());
-        const bool isKept = m_rules.keepShares && waiting.m_entry.keptShare() > 0;
-        if (!isKept && ahead + arrivals.projected(moreImportant, left, now) > taken) {
-            hopeless.push_back(waiting.m_entry);
-        } else {
-            ++ahead;
-        }
-    }
-    for (const AdmissionEntry &entry : hopeless) {
-        remove(entry.id());
-    }
-    return hopeless;
-}
-
 std::optional<TimePoint> AdmissionQueue::nextLeaving() const
 {
     return m_leaving.empty() ? std::nullopt : std::optional(m_leaving.begin()->first);
--- a/servers/admission/admissionqueue.h
+++ b/servers/admission/admissionqueue.h
@@ -6,7 +6,6 @@
 #pragma once
 
 #include "servers/admission/admissionentry.h"
-#include "servers/admission/arrivalsample.h"
 
 #include <cstddef>
 #include <map>
@@ -43,10 +42,6 @@
     bool remove(EntryId id);
     /// Removes the entries whose time to leave has come.
     std::vector<AdmissionEntry> removeDue(TimePoint now);
-    /// Removes the entries that won't be taken before their time to leave: a slot becomes free each `interval`, and
-    /// more important calls go on coming as in `arrivals`. Kinds with a kept share stay, since they are not taken in
-    /// this order.
-    std::vector<AdmissionEntry> removeHopeless(const ArrivalSample &arrivals, TimePoint now, Duration interval);
     std::optional<TimePoint> nextLeaving() const;
 
     std::size_t queued() const
--- a/servers/admission/drainestimate.cpp
+++ b/servers/admission/drainestimate.cpp
@@ -10,8 +10,6 @@
 namespace
 {
 constexpr int AveragedCalls = 32;
-/// Of the estimate: only what is late by more than its error counts as late.
-constexpr double SurePart = 0.7;
 } // namespace
 
 void DrainEstimate::add(Duration time)
@@ -25,9 +23,4 @@
     return std::chrono::duration_cast<Duration>(m_meanTime / std::max(1.0, slots));
 }
 
-Duration DrainEstimate::leastInterval(double slots) const
-{
-    return std::chrono::duration_cast<Duration>(interval(slots) * SurePart);
-}
-
 } // namespace fescuepond
--- a/servers/admission/drainestimate.h
+++ b/servers/admission/drainestimate.h
@@ -17,8 +17,6 @@
     void add(Duration time);
     /// Between two calls that end while all of `slots` are taken; zero: not known yet.
     Duration interval(double slots) const;
-    /// The least that the interval may be, for all that the estimate may be wrong by.
-    Duration leastInterval(double slots) const;
 
 private:
     Duration m_meanTime{}; ///< Moving average; zero: no call has ended yet.
--- a/servers/pathlimit/pathlimiter.cpp
+++ b/servers/pathlimit/pathlimiter.cpp
@@ -62,7 +62,6 @@
     if (leaveAt <= now) {
         return {AdmissionDecision().withId(entry.id()).withRefusal(Reason::DeadlineExceeded)};
     }
-    path.m_arrivals.add(entry.order(), now);
     AdmissionDecisions decisions;
     refuseDue(path, decisions, now);
     const double places = std::max(FewestPlaces, PlacesForEachCall * path.m_window.size());
@@ -71,7 +70,6 @@
         decisions.push_back(AdmissionDecision().withId(refused->id()).withRefusal(Reason::Overload));
     }
     takeFree(path, decisions);
-    refuseHopeless(path, decisions, now);
     return decisions;
 }
 
@@ -156,17 +154,6 @@
     }
 }
 
-void PathLimiter::refuseHopeless(Path &path, AdmissionDecisions &decisions, TimePoint now) const
-{
-    if (!m_rules.refuseHopeless || path.m_queue.queued() == 0) {
-        return;
-    }
-    const Duration interval = path.m_drain.leastInterval(path.m_window.size());
-    for (const AdmissionEntry &entry : path.m_queue.removeHopeless(path.m_arrivals, now, interval)) {
-        decisions.push_back(AdmissionDecision().withId(entry.id()).withRefusal(Reason::Overload));
-    }
-}
-
 void PathLimiter::takeFree(Path &path, AdmissionDecisions &decisions)
 {
     while (const auto entry = path.m_queue.take(std::max(LeastWindow, path.m_window.size()))) {
--- a/servers/pathlimit/pathlimiter.h
+++ b/servers/pathlimit/pathlimiter.h
@@ -54,7 +54,6 @@
 struct PathRules {
     QueueRules queue;
     bool refuseDoomed = true;
-    bool refuseHopeless = true; ///< See AdmissionRules.
 };
 
 /// The windows and queues of all paths that start here. Every submission gets exactly one decision.
@@ -85,14 +84,12 @@
         }
         PathWindow m_window;
         AdmissionQueue m_queue;
-        ArrivalSample m_arrivals;
         DurationHistogram m_times;
         DrainEstimate m_drain;
     };
 
     Path &pathOf(const PathKey &path);
     static void refuseDue(Path &path, AdmissionDecisions &decisions, TimePoint now);
-    void refuseHopeless(Path &path, AdmissionDecisions &decisions, TimePoint now) const;
     static void takeFree(Path &path, AdmissionDecisions &decisions);
 
     const PathRules m_rules;
--- a/tests/servers/admission/admissioncontrollertest.cpp
+++ b/tests/servers/admission/admissioncontrollertest.cpp
@@ -31,72 +31,8 @@
     return {std::make_unique<FixedLimit>(slots), AdmissionRules()};
 }
 
-/// What the callers of one target get in ten seconds of load.
-struct LoadResult {
-    int served = 0;
-    int refused = 0;
-    Duration refusalTime{}; ///< Of all refused calls together.
-
-    Duration meanRefusalTime() const
-    {
-        return refusalTime / std::max(1, refused);
-    }
-};
-
-/// Calls arrive evenly, half as many again as the target can run, and all wait as long for their answer.
-LoadResult playOverload(bool refuseHopeless)
-{
-    constexpr int Calls = 7500;
-    constexpr auto Pause = std::chrono::microseconds(1333);
-    constexpr auto CallTime = milliseconds(40);
-    constexpr auto Patience = milliseconds(150);
-    AdmissionRules rules;
-    rules.refuseHopeless = refuseHopeless;
-    AdmissionController controller(std::make_unique<FixedLimit>(20), rules);
-    std::map<EntryId, TimePoint> arrived;
-    std::multimap<TimePoint, EntryId> running;
-    LoadResult result;
-    const auto take = [&](const AdmissionDecisions &decisions, TimePoint now) {
-        for (const AdmissionDecision &decision : decisions) {
-            if (decision.runs()) {
-                running.emplace(now + CallTime, decision.id());
-            } else {
-                ++result.refused;
-                result.refusalTime += now - arrived.at(decision.id());
-            }
-        }
-    };
-    TimePoint now = start;
-    for (EntryId id = 1; id <= Calls; ++id) {
-        now += Pause;
-        while (!running.empty() && running.begin()->first <= now) {
-            const auto [end, ended] = *running.begin();
-            running.erase(running.begin());
-            ++result.served;
-            take(controller.finished(ended, RunSample().withTotal(CallTime), end), end);
-        }
-        take(controller.expire(now), now);
-        arrived.emplace(id, now);
-        // The order is that of a hash, not of arrival.
-        const AdmissionEntry entry = entryOf(id, 0, now - start + Patience);
-        take(controller.submit(entry.withOrder(entry.order().withRootHash(id * 0x9E3779B97F4A7C15ULL)), now), now);
-    }
-    return result;
-}
-
 } // namespace
 
-// Load: half as many calls again as the target can run, for ten seconds.
-TEST(AdmissionController, WhatCantBeginInTimeIsRefusedEarlyAndAsManyAreServed)
-{
-    const LoadResult late = playOverload(false);
-    const LoadResult early = playOverload(true);
-    EXPECT_GE(early.served, late.served * 99 / 100);
-    EXPECT_LT(early.meanRefusalTime(), late.meanRefusalTime() / 2)
-        << std::chrono::duration<double>(early.meanRefusalTime()).count() << " s against "
-        << std::chrono::duration<double>(late.meanRefusalTime()).count() << " s";
-}
-
 TEST(AdmissionController, TellsHowLongWhatWaitsWillTake)
 {
     AdmissionController controller = controllerWith(2);
