Tell chance from descent when a deadline matches

Change: a kind is the backend server's only if its calls also match a running call's deadline far more often than the density of deadlines around it would bring.

--- a/core/pipeline/callsinflight.cpp
+++ b/core/pipeline/callsinflight.cpp
@@ -3,6 +3,7 @@
 #include "core/pipeline/callsinflight.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace fescuepond
 {
@@ -12,6 +13,8 @@
 
 /// A deadline is rounded down to milliseconds twice, and a message between two processes of one VM takes as long.
 constexpr Duration DeadlineTolerance = std::chrono::microseconds(2500);
+/// Within this distance the deadlines of other calls are counted, to tell how dense they lie.
+constexpr Duration DensityReach = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -63,14 +66,20 @@
     return m_table.locked([&](const Table &table) {
         DeadlineMatch match;
         Duration least = DeadlineTolerance;
+        double around = 0;
         for (const auto &[callId, entry] : table) {
             const Duration later = entry.m_context.deadline() - deadline;
             match.mayBeChild = match.mayBeChild || later >= -DeadlineTolerance;
-            if (std::chrono::abs(later) <= least) {
+            const Duration distance = std::chrono::abs(later);
+            around += distance > DeadlineTolerance && distance <= DensityReach ? 1 : 0;
+            if (distance <= least) {
                 match.nearest = entry.m_context;
-                least = std::chrono::abs(later);
+                least = distance;
             }
         }
+        const double expected =
+            around * std::chrono::duration<double>(DeadlineTolerance) / (DensityReach - DeadlineTolerance);
+        match.chance = 1 - std::exp(-expected);
         return match;
     });
 }
--- a/core/pipeline/callsinflight.h
+++ b/core/pipeline/callsinflight.h
@@ -25,6 +25,8 @@
     std::optional<CallContext> nearest;
     /// A call runs that has the same deadline or a later one.
     bool mayBeChild = false;
+    /// How probable it is that a call is near enough by chance, judged by those with deadlines around it.
+    double chance = 0;
 };
 
 class CallsInFlight
--- a/modules/parentage/parentageplugin.cpp
+++ b/modules/parentage/parentageplugin.cpp
@@ -36,7 +36,7 @@
         }
         const DeadlineMatch match = m_calls->findByDeadline(deadline);
         const bool isFromBackend = m_kinds.locked([&](CallerKinds &kinds) {
-            kinds.arrived(route->kind().name(), match.mayBeChild);
+            kinds.arrived(route->kind().name(), {match.mayBeChild, match.nearest.has_value(), match.chance});
             return kinds.isFromBackend(route->kind().name());
         });
         return isFromBackend ? match.nearest : std::nullopt;
--- a/servers/parentage/callerkinds.h
+++ b/servers/parentage/callerkinds.h
@@ -1,8 +1,9 @@
 // Which kinds of calls the backend server beside a node makes, and which only clients send.
 //
 // Where clients and the backend server use one address and calls don't name their parent, only the deadline tells them
-// apart: a call that the backend server makes expires with the call that it is made for, or earlier. A request that
-// would outlive all calls that run here was sent by a client, and so were the others of its kind.
+// apart. A call that the backend server makes expires with the call that it is made for, or earlier if it has a shorter
+// limit of its own. So a kind is the backend server's when its calls hardly ever outlive all that runs here, and when
+// they expire together with one of those far more often than chance would have it.
 
 #pragma once
 
@@ -12,11 +13,18 @@
 namespace fescuepond
 {
 
+/// How the deadline of a call lies to those of the calls that run when it arrives.
+struct DeadlineTrace {
+    bool mayBeChild = false; ///< A call runs that expires with it or later.
+    bool isMatched = false; ///< A call runs that expires at the same moment.
+    double chance = 0; ///< How probable it is that one does so by chance.
+};
+
 class CallerKinds
 {
 public:
-    /// A call of `kind` has arrived. `mayBeChild`: a call runs here that expires with it or later.
-    void arrived(const std::string &kind, bool mayBeChild);
+    /// A call of `kind` has arrived.
+    void arrived(const std::string &kind, const DeadlineTrace &trace);
     /// Whether the backend server makes the calls of this kind; false while too few have come.
     bool isFromBackend(const std::string &kind) const;
 
@@ -24,6 +32,8 @@
     struct Counts {
         double m_calls = 0;
         double m_clients = 0; ///< Those that can't be children.
+        double m_matches = 0; ///< Those that expire together with a call that runs.
+        double m_expected = 0; ///< Matches that chance would bring.
     };
     std::map<std::string, Counts> m_kinds;
 };
--- a/tests/core/pipeline/callsinflighttest.cpp
+++ b/tests/core/pipeline/callsinflighttest.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
+
 namespace fescuepond
 {
 
@@ -42,6 +44,17 @@
     EXPECT_TRUE(match.mayBeChild);
 }
 
+TEST(CallsInFlight, TellsHowProbableAMatchByChanceIs)
+{
+    CallsInFlight calls;
+    // One each 5 ms, as wide as the window in which a deadline counts as the same.
+    for (int i = 0; i < 200; ++i) {
+        calls.add(callWith(deadline + milliseconds(5 * i)));
+    }
+    EXPECT_NEAR(calls.findByDeadline(deadline + milliseconds(502)).chance, 1 - std::exp(-1), 0.06);
+    EXPECT_EQ(calls.findByDeadline(deadline + std::chrono::seconds(5)).chance, 0);
+}
+
 TEST(CallsInFlight, ALaterDeadlineIsNoChilds)
 {
     CallsInFlight calls;
