--- a/modules/pathlimit/pathlimitplugin.cpp
+++ b/modules/pathlimit/pathlimitplugin.cpp
@@ -9,6 +9,8 @@
 #include "core/pipeline/callpipeline.h"
 #include "servers/pathlimit/pathlimiter.h"
 
+#include <fmt/format.h>
+
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -143,7 +145,7 @@
             .with("kind", context.kind())
             .with("rank", context.rank())
             .with("reason", toString(decided.refusal))
-            .with("window", window);
+            .with("window", fmt::format("{:.1f}", window));
         decided.entering.done(CallOutcome::notRun(decided.refusal, detailOf(decided.refusal))
                                   .withUnusedAllowance(context.retryAllowance())
                                   .withRetryAfter(std::min(drainTime, LongestRetryAfter)));
--- a/servers/routing/targetload.cpp
+++ b/servers/routing/targetload.cpp
@@ -27,14 +27,14 @@
 constexpr int MostDoublings = 5;
 
 /// Weight of the newest call in the moving average of failing calls.
-constexpr double FailingWeight = 0.1;
+constexpr double FailingWeight = 0.06;
 /// A failing part counts for so long after the last call; then some calls find out whether it still holds.
 constexpr Duration FailingLife = std::chrono::seconds(2);
 /// Failing parts that differ by less are taken as equal: they are averages of few calls.
-constexpr double FailingMargin = 0.1;
+constexpr double FailingMargin = 0.2;
 /// Power of the served part by which the utilisation is divided. With it, a target that fails half of its calls is used
 /// only when the others are more than ten times as full.
-constexpr double FailingPower = 6;
+constexpr double FailingPower = 8;
 
 struct VerdictRow {
     CallState state;
