Wait until a paused process has stopped

Cause: kill() returns before the process has stopped. The signal takes effect when one of its threads is scheduled, and on a busy machine its event loop may answer a call first. The tests now wait for the stop (waitid).

--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -6,6 +6,7 @@
 #include <spawn.h>
 #include <sys/wait.h>
 
+#include <cerrno>
 #include <csignal>
 #include <fstream>
 #include <sstream>
@@ -62,6 +63,14 @@
     }
 }
 
+void Process::pause() const
+{
+    signal(SIGSTOP);
+    siginfo_t state{};
+    // The state is left to be read again, since wait() asks for the end of the same process.
+    while (::waitid(P_PID, static_cast<id_t>(m_id), &state, WSTOPPED | WEXITED | WNOWAIT) != 0 && errno == EINTR) { }
+}
+
 std::optional<int> Process::wait(std::chrono::milliseconds limit)
 {
     const auto end = std::chrono::steady_clock::now() + limit;
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -26,6 +26,9 @@
         return m_id;
     }
     void signal(int number) const;
+    /// Stops the process with SIGSTOP and waits until none of its threads runs any more: the signal takes effect only
+    /// once one of them was scheduled, which takes a while on a busy machine.
+    void pause() const;
     /// The exit code, or nothing when it has not ended after `limit`. A process that was killed gives 128 + signal.
     std::optional<int> wait(std::chrono::milliseconds limit);
     std::string output() const;
--- a/tests/system/atmostoncetest.cpp
+++ b/tests/system/atmostoncetest.cpp
@@ -277,7 +277,7 @@
     const std::string used = freshTicket(*m_nodes[0]);
     const std::string unused = freshTicket(*m_nodes[0]);
     ASSERT_EQ(send(*m_nodes[0], withTicket(used)).outcome(), "answered");
-    m_nodes[0]->process->signal(SIGSTOP);
+    m_nodes[0]->process->pause();
     EXPECT_EQ(send(*m_nodes[1], withTicket(used)).outcome(), "outcome-unknown");
     EXPECT_EQ(send(*m_nodes[2], withTicket(unused)).outcome(), "outcome-unknown");
     EXPECT_EQ(beginsByBody({m_nodes.begin(), m_nodes.end()})[unused], 0);
--- a/tests/system/membershiptest.cpp
+++ b/tests/system/membershiptest.cpp
@@ -121,7 +121,7 @@
 
     FleetNode &paused = *targets.nodes[1];
     const SteadyTime pausedAt = std::chrono::steady_clock::now();
-    paused.process->signal(SIGSTOP);
+    paused.process->pause();
     EXPECT_TRUE(eventually(seconds(30), [&] {
         return countOf(*targets.nodes[0], "alive") == 3;
     }));
--- a/tests/system/platformfailuretest.cpp
+++ b/tests/system/platformfailuretest.cpp
@@ -45,7 +45,7 @@
     const FleetNode &node =
         fleet.addNode({.name = "yard-a", .service = "yard", .settings = {"platform_timeout_ms: 20000"}});
     ASSERT_TRUE(fleet.waitUntilReady(1));
-    fleet.platformProcess().signal(SIGSTOP);
+    fleet.platformProcess().pause();
     // Long enough for calls to be under way that will have no answer.
     std::this_thread::sleep_for(std::chrono::milliseconds(1500));
     node.process->signal(SIGTERM);
