--- a/servers/retry/retrypolicy.cpp
+++ b/servers/retry/retrypolicy.cpp
@@ -15,8 +15,8 @@
 /// A request is not sent to a third backend server after it took two with it.
 constexpr int MostCrashes = 2;
 
-/// A failure that another target may not show. Overload is not among them: a retry would add to it. A backend server
-/// that refuses although its node keeps to its slots is at fault itself, and its equals may have room.
+/// A failure that another target may not show. Refusals for want of room, by a node or by the backend server itself,
+/// are not among them: a retry would add to the load.
 struct RetryableFailure {
     CallState state;
     Reason reason;
@@ -27,7 +27,6 @@
     RetryableFailure{CallState::NotRun, Reason::ConnectionLost, false},
     RetryableFailure{CallState::NotRun, Reason::BackendUnreachable, false},
     RetryableFailure{CallState::NotRun, Reason::Leaving, false},
-    RetryableFailure{CallState::NotRun, Reason::BackendBusy, false},
     RetryableFailure{CallState::OutcomeUnknown, Reason::ConnectionLost, true},
     RetryableFailure{CallState::OutcomeUnknown, Reason::BackendLost, true},
     RetryableFailure{CallState::OutcomeUnknown, Reason::AnswerLost, true},
