--- /dev/null
+++ b/tests/servers/settlement/atmostoncemodeltest.cpp
@@ -0,0 +1,329 @@
+// At most once, as a model of whole calls in virtual time: the real decisions of sender and target, while messages are
+// late or lost, and targets are killed, frozen and started again.
+
+#include "servers/retry/retrypolicy.h"
+#include "servers/settlement/attempttable.h"
+#include "servers/settlement/settlementpolicy.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace fescuepond
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr int Calls = 300; ///< Of one run, spread over ten seconds.
+constexpr std::size_t Targets = 3;
+constexpr int MostRetries = 2; ///< The allowance of a call.
+constexpr Duration CallDeadline = milliseconds(1500);
+/// Of all messages. Some come after everything that waits for them has given up.
+constexpr double LostPart = 0.08;
+constexpr double LatePart = 0.1;
+constexpr Duration LongestDelay = milliseconds(2500);
+
+/// Events in virtual time.
+class Timeline
+{
+public:
+    TimePoint now() const
+    {
+        return m_now;
+    }
+    void after(Duration delay, std::function<void()> event)
+    {
+        m_events.emplace(m_now + delay, std::move(event));
+    }
+    void run()
+    {
+        while (!m_events.empty()) {
+            const auto next = m_events.extract(m_events.begin());
+            m_now = std::max(m_now, next.key());
+            next.mapped()();
+        }
+    }
+
+private:
+    TimePoint m_now{std::chrono::hours(1)};
+    std::multimap<TimePoint, std::function<void()>> m_events;
+};
+
+struct Target {
+    int life = 0;
+    TimePoint frozenUntil{};
+    std::unique_ptr<AttemptTable> table = std::make_unique<AttemptTable>();
+};
+
+/// What the test knows of a call.
+struct Truth {
+    int runs = 0;
+    std::optional<CallOutcome> told; ///< What its caller was told.
+};
+
+/// A call between its first attempt and its end, at its sender.
+struct SentCall {
+    std::size_t number;
+    CallContext context;
+    RetryAllowance allowance{MostRetries};
+    std::size_t target = 0;
+    int life = 0; ///< Of the target when the attempt was sent.
+    TimePoint sentAt{};
+    int failures = 0;
+    int attempt = 0; ///< Events of earlier attempts are void.
+};
+
+using SentCallPtr = std::shared_ptr<SentCall>;
+
+class Fleet
+{
+public:
+    explicit Fleet(unsigned seed)
+        : m_random(seed)
+    {
+    }
+
+    void play()
+    {
+        for (int i = 0; i < Calls; ++i) {
+            m_time.after(anyDelay(std::chrono::seconds(10)), [this, i] {
+                const auto call = std::make_shared<SentCall>();
+                call->number = static_cast<std::size_t>(i);
+                call->context = CallContext().withDeadline(m_time.now() + CallDeadline).withIdempotent(false);
+                sendTo(call, anyTarget());
+            });
+        }
+        for (int i = 0; i < 25; ++i) {
+            m_time.after(anyDelay(std::chrono::seconds(11)), [this] {
+                disturb(m_targets[anyTarget()]);
+            });
+        }
+        m_time.run();
+    }
+
+    const std::array<Truth, Calls> &truths() const
+    {
+        return m_truths;
+    }
+
+private:
+    Duration anyDelay(Duration longest)
+    {
+        return std::chrono::duration_cast<Duration>(longest * m_fraction(m_random));
+    }
+    std::size_t anyTarget()
+    {
+        return m_random() % Targets;
+    }
+
+    void disturb(Target &target)
+    {
+        if (m_random() % 2 == 0) {
+            // Killed and started again: what ran at its backend server goes on, all else is forgotten.
+            ++target.life;
+            target.table = std::make_unique<AttemptTable>();
+            target.frozenUntil = {};
+        } else {
+            target.frozenUntil = m_time.now() + anyDelay(std::chrono::seconds(2));
+        }
+    }
+
+    /// Brings a message to a life of a target, unless it is lost. A frozen target takes it when it wakes.
+    void deliver(std::size_t target, int life, std::function<void(Target &)> message)
+    {
+        if (m_fraction(m_random) < LostPart) {
+            return;
+        }
+        const bool isLate = m_fraction(m_random) < LatePart;
+        m_time.after(anyDelay(isLate ? LongestDelay : Duration(milliseconds(10))),
+                     [this, target, life, message = std::move(message)] {
+                         arrive(target, life, message);
+                     });
+    }
+    void arrive(std::size_t index, int life, const std::function<void(Target &)> &message)
+    {
+        Target &target = m_targets[index];
+        if (target.life != life) {
+            return; // The connection died with the process.
+        }
+        if (target.frozenUntil > m_time.now()) {
+            m_time.after(target.frozenUntil - m_time.now(), [this, index, life, message] {
+                arrive(index, life, message);
+            });
+            return;
+        }
+        message(target);
+    }
+
+    void sendTo(const SentCallPtr &call, std::size_t target)
+    {
+        ++call->attempt;
+        call->target = target;
+        call->life = m_targets[target].life;
+        call->sentAt = m_time.now();
+        call->failures = 0;
+        call->allowance = call->allowance.afterSending();
+        call->context = call->context.withAttemptId(AttemptId(++m_lastId, 1));
+        deliver(target, call->life, [this, call, context = call->context, number = call->attempt](Target &here) {
+            atTarget(here, call, context, number);
+        });
+        // The connection is found to be broken, whether or not anything is wrong with the call.
+        m_time.after(milliseconds(200) + anyDelay(milliseconds(600)), [this, call, number = call->attempt] {
+            if (isOpen(call, number)) {
+                settle(call, number);
+            }
+        });
+        m_time.after(std::max(Duration::zero(), call->context.deadline() - m_time.now()),
+                     [this, call, number = call->attempt] {
+                         ended(call, number, CallOutcome::unknown(Reason::DeadlineExceeded, ""));
+                     });
+    }
+
+    void atTarget(Target &target, const SentCallPtr &call, const CallContext &context, int number)
+    {
+        // Deadlines are known late here, never early.
+        const TimePoint deadline = context.deadline() + anyDelay(ClockErrorLimit);
+        const ArrivalDecision decision = target.table->arrive(context.attemptId(), deadline, m_time.now());
+        if (decision.arrival() == Arrival::Refuse) {
+            reply(call, number, decision.outcome());
+        }
+        if (decision.arrival() != Arrival::Run) {
+            return;
+        }
+        const auto index = static_cast<std::size_t>(&target - m_targets.data());
+        const int life = target.life;
+        m_time.after(anyDelay(milliseconds(300)), [this, index, life, call, context, number] {
+            arrive(index, life, [this, index, life, call, context, number](Target &here) {
+                if (!here.table->begin(context.attemptId())) {
+                    here.table->finish(context.attemptId(), CallOutcome::notRun(Reason::Cancelled, ""), m_time.now());
+                    return;
+                }
+                ++m_truths[call->number].runs;
+                m_time.after(anyDelay(milliseconds(400)), [this, index, life, call, context, number] {
+                    arrive(index, life, [this, call, context, number](Target &later) {
+                        const CallOutcome answer = CallOutcome().withState(CallState::Answered).withStatus(200);
+                        later.table->finish(context.attemptId(), answer, m_time.now());
+                        reply(call, number, answer);
+                    });
+                });
+            });
+        });
+    }
+
+    void reply(const SentCallPtr &call, int number, const CallOutcome &outcome)
+    {
+        if (m_fraction(m_random) < LostPart) {
+            return;
+        }
+        m_time.after(anyDelay(milliseconds(10)), [this, call, number, outcome] {
+            ended(call, number, outcome);
+        });
+    }
+
+    /// The sender asks what became of an attempt.
+    void settle(const SentCallPtr &call, int number)
+    {
+        const Target &target = m_targets[call->target];
+        if (target.life != call->life) {
+            ended(call, number, CallOutcome::unknown(Reason::ConnectionLost, ""));
+            return;
+        }
+        deliver(call->target, call->life, [this, call, number, context = call->context](Target &here) {
+            const TimePoint deadline = context.deadline() + anyDelay(ClockErrorLimit);
+            const AttemptReport report = here.table->settle(context.attemptId(), deadline, m_time.now());
+            const auto outcome = outcomeOf(report, context);
+            m_time.after(anyDelay(milliseconds(10)), [this, call, number, outcome] {
+                if (outcome) {
+                    ended(call, number, *outcome);
+                } else if (isOpen(call, number)) {
+                    askAgain(call, number);
+                }
+            });
+        });
+        // The question or its answer may be lost.
+        m_time.after(milliseconds(100), [this, call, number] {
+            if (isOpen(call, number)) {
+                askAgain(call, number);
+            }
+        });
+    }
+    void askAgain(const SentCallPtr &call, int number)
+    {
+        ++call->failures;
+        const auto pause = pauseBeforeAskingAgain(call->context, call->failures, m_time.now());
+        if (!pause) {
+            ended(call, number, CallOutcome::unknown(Reason::ConnectionLost, ""));
+            return;
+        }
+        m_time.after(*pause, [this, call, number] {
+            if (isOpen(call, number)) {
+                settle(call, number);
+            }
+        });
+    }
+
+    bool isOpen(const SentCallPtr &call, int number) const
+    {
+        return call->attempt == number && !m_truths[call->number].told;
+    }
+
+    /// An attempt has ended for its sender, which moves it, repeats it or tells its caller.
+    void ended(const SentCallPtr &call, int number, const CallOutcome &outcome)
+    {
+        if (!isOpen(call, number)) {
+            return;
+        }
+        const bool isNotRun = outcome.state() == CallState::NotRun;
+        call->allowance = call->allowance.afterEnding(isNotRun ? call->allowance.given() : outcome.unusedAllowance());
+        const auto attempt = FailedAttempt()
+                                 .withOutcome(outcome)
+                                 .withIdempotent(false)
+                                 .withAllowance(call->allowance)
+                                 .withTook(m_time.now() - call->sentAt)
+                                 .withRemaining(call->context.deadline() - m_time.now());
+        if (decideRetry(attempt, true) == RetryVerdict::Retry) {
+            sendTo(call, (call->target + 1) % Targets);
+            return;
+        }
+        m_truths[call->number].told = outcome;
+    }
+
+    Timeline m_time;
+    std::mt19937 m_random;
+    std::uniform_real_distribution<double> m_fraction;
+    std::array<Target, Targets> m_targets;
+    std::array<Truth, Calls> m_truths;
+    std::uint64_t m_lastId = 0;
+};
+
+} // namespace
+
+TEST(AtMostOnceModel, NoCallRunsTwiceAndNoneThatWasToldNotRunEverRuns)
+{
+    std::map<CallState, int> told;
+    for (unsigned seed = 1; seed <= 200; ++seed) {
+        Fleet fleet(seed);
+        fleet.play();
+        for (const Truth &truth : fleet.truths()) {
+            ASSERT_TRUE(truth.told) << "a call was never answered, seed " << seed;
+            ASSERT_LE(truth.runs, 1) << "seed " << seed;
+            ASSERT_TRUE(truth.told->state() != CallState::NotRun || truth.runs == 0) << "seed " << seed;
+            ASSERT_TRUE(truth.told->state() != CallState::Answered || truth.runs == 1) << "seed " << seed;
+            ++told[truth.told->state()];
+        }
+    }
+    // All three ends are met, or the model would show nothing.
+    EXPECT_GT(told[CallState::Answered], 10'000);
+    EXPECT_GT(told[CallState::NotRun], 50);
+    EXPECT_GT(told[CallState::OutcomeUnknown], 1'000);
+}
+
+} // namespace fescuepond
