--- a/core/settings/settingformat.cpp
+++ b/core/settings/settingformat.cpp
@@ -36,12 +36,12 @@
     SettingRule{"platform_address", SettingFormat::RemoteAddress},
     SettingRule{"seed_peers", SettingFormat::RemoteAddress},
     SettingRule{"backend_slots", SettingFormat::Number, 1, 100'000},
-    SettingRule{"retry_ratio", SettingFormat::Ratio},
+    SettingRule{"retry_ratio", SettingFormat::Fraction, 0, 1},
     SettingRule{"retry_slack", SettingFormat::Number, 0, 1'000'000},
-    SettingRule{"retry_window_s", SettingFormat::Seconds, 1, 3600},
-    SettingRule{"backend_drain_s", SettingFormat::Seconds, 0, 3600},
-    SettingRule{"backend_report_interval_s", SettingFormat::Seconds, 0, 3600},
-    SettingRule{"stop_limit_s", SettingFormat::Seconds, 0, 3600},
+    SettingRule{"retry_window_s", SettingFormat::Fraction, 1, 3600},
+    SettingRule{"backend_drain_s", SettingFormat::Fraction, 0, 3600},
+    SettingRule{"backend_report_interval_s", SettingFormat::Fraction, 0, 3600},
+    SettingRule{"stop_limit_s", SettingFormat::Fraction, 0, 3600},
     SettingRule{"log_lines_per_second", SettingFormat::Number, 0, 1'000'000},
     SettingRule{"http_threads", SettingFormat::Number, 2, 10'000},
     SettingRule{"backend_threads", SettingFormat::Number, 1, 100'000},
@@ -102,12 +102,14 @@
     return isInRange ? "" : fmt::format("must lie between {} and {}", rule.least, rule.most);
 }
 
-std::string fractionFault(const std::string &text, double least, double most)
+std::string fractionFault(const SettingRule &rule, const std::string &text)
 {
     double value = -1;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
     const bool isWhole = error == std::errc() && end == text.data() + text.size();
-    return isWhole && value >= least && value <= most ? "" : fmt::format("must lie between {} and {}", least, most);
+    const bool isInRange =
+        isWhole && value >= static_cast<double>(rule.least) && value <= static_cast<double>(rule.most);
+    return isInRange ? "" : fmt::format("must lie between {} and {}", rule.least, rule.most);
 }
 
 } // namespace
@@ -157,10 +159,8 @@
         return endpointFault(rule, text);
     case SettingFormat::Number:
         return numberFault(rule, text);
-    case SettingFormat::Ratio:
-        return fractionFault(text, 0, 1);
-    case SettingFormat::Seconds:
-        return fractionFault(text, static_cast<double>(rule.least), static_cast<double>(rule.most));
+    case SettingFormat::Fraction:
+        return fractionFault(rule, text);
     case SettingFormat::Plain:
         return {};
     }
--- a/core/settings/settingformat.h
+++ b/core/settings/settingformat.h
@@ -17,8 +17,7 @@
     LoopbackAddress, ///< A listen address that only this VM reaches.
     RemoteAddress, ///< IP:port, also each of a list.
     Number,
-    Ratio, ///< From 0 to 1.
-    Seconds, ///< With fractions.
+    Fraction, ///< A number with fractions.
     Plain, ///< Anything.
 };
 
--- a/modules/admission/admissionplugin.cpp
+++ b/modules/admission/admissionplugin.cpp
@@ -7,13 +7,12 @@
 #include "core/kernel/kernel.h"
 #include "core/kernel/sharedtable.h"
 #include "core/pipeline/interfaces.h"
+#include "modules/admission/waitingcalls.h"
 #include "servers/admission/admissioncontroller.h"
 
 #include <algorithm>
 #include <memory>
 #include <optional>
-#include <unordered_map>
-#include <vector>
 
 namespace fescuepond
 {
@@ -21,33 +20,15 @@
 namespace
 {
 
-/// A call that waits for a slot.
-struct WaitingCall {
-    CallRequest call;
-    Next next;
-    Done done;
-    AdmissionEntry entry;
-    TimePoint submittedAt;
-};
-
 struct AdmissionTable {
     explicit AdmissionTable(double slots)
         : controller(std::make_unique<AdaptiveLimit>(slots), AdmissionRules())
     {
     }
     AdmissionController controller;
-    std::unordered_map<EntryId, WaitingCall> waiting; ///< Exactly the entries that wait in the controller.
-    EntryId nextId = 1;
-    TimePoint timerAt = TimePoint::max(); ///< When a timer for the next deadline is due.
+    WaitingCalls waiting;
 };
 
-/// A decision with the call that it is about, for use without the lock.
-struct DecidedCall {
-    WaitingCall waiting;
-    Reason refusal;
-};
-using DecidedCalls = std::vector<DecidedCall>;
-
 /// What a target tells of itself with each outcome.
 struct TargetLoad {
     double limit;
@@ -108,9 +89,7 @@
         const double slots = m_backend->slots();
         const DecidedCalls decided = m_table->locked([&](AdmissionTable &table) {
             table.controller.setSlots(slots);
-            const EntryId id = table.nextId++;
-            const AdmissionEntry entry = makeEntry(id, call.context());
-            table.waiting.emplace(id, WaitingCall{call, next, std::move(done), entry, now});
+            const AdmissionEntry entry = table.waiting.add(call, next, std::move(done), now);
             return collect(table, table.controller.submit(entry, now));
         });
         apply(decided);
@@ -130,16 +109,10 @@
     /// Takes the decided calls out of the table, and sees to the timer.
     DecidedCalls collect(AdmissionTable &table, const AdmissionDecisions &decisions)
     {
-        DecidedCalls decided;
-        for (const AdmissionDecision &decision : decisions) {
-            const auto found = table.waiting.find(decision.id());
-            decided.push_back({std::move(found->second), decision.refusal()});
-            table.waiting.erase(found);
-        }
-        const auto next = table.controller.nextExpiry();
-        if (next && *next < table.timerAt) {
-            table.timerAt = *next;
-            m_kernel->timers().once(*next, [this] {
+        DecidedCalls decided = table.waiting.take(decisions);
+        const auto due = table.controller.nextExpiry();
+        if (table.waiting.needsTimer(due)) {
+            m_kernel->timers().once(*due, [this] {
                 expire();
             });
         }
@@ -149,7 +122,7 @@
     void expire()
     {
         apply(m_table->locked([this](AdmissionTable &table) {
-            table.timerAt = TimePoint::max();
+            table.waiting.timerFired();
             return collect(table, table.controller.expire(m_kernel->clock().now()));
         }));
     }
--- a/modules/pathlimit/pathlimitplugin.cpp
+++ b/modules/pathlimit/pathlimitplugin.cpp
@@ -7,14 +7,13 @@
 #include "core/kernel/kernel.h"
 #include "core/kernel/sharedtable.h"
 #include "core/pipeline/callpipeline.h"
+#include "modules/admission/waitingcalls.h"
 #include "servers/pathlimit/pathlimiter.h"
 
 #include <fmt/format.h>
 
 #include <memory>
 #include <optional>
-#include <unordered_map>
-#include <vector>
 
 namespace fescuepond
 {
@@ -22,27 +21,10 @@
 namespace
 {
 
-/// A root request that waits to be let in.
-struct EnteringCall {
-    CallRequest call;
-    Next next;
-    Done done;
-    EntryId id;
-};
-
 struct PathTable {
     PathLimiter limiter{PathRules()};
-    std::unordered_map<EntryId, EnteringCall> waiting; ///< Exactly the entries that wait in the limiter.
-    EntryId nextId = 1;
-    TimePoint timerAt = TimePoint::max(); ///< When a timer for the next deadline is due.
-};
-
-/// A decision with the call that it is about, for use without the lock.
-struct DecidedCall {
-    EnteringCall entering;
-    Reason refusal;
+    WaitingCalls waiting;
 };
-using DecidedCalls = std::vector<DecidedCall>;
 
 PathKey pathOf(const CallRequest &call)
 {
@@ -82,11 +64,10 @@
             next(call, std::move(done));
             return;
         }
+        const TimePoint now = m_kernel->clock().now();
         const DecidedCalls decided = m_table.locked([&](PathTable &table) {
-            const EntryId id = table.nextId++;
-            table.waiting.emplace(id, EnteringCall{call, next, std::move(done), id});
-            const AdmissionEntry entry = makeEntry(id, call.context());
-            return collect(table, table.limiter.submit(pathOf(call), entry, m_kernel->clock().now()));
+            const AdmissionEntry entry = table.waiting.add(call, next, std::move(done), now);
+            return collect(table, table.limiter.submit(pathOf(call), entry, now));
         });
         apply(decided);
     }
@@ -95,16 +76,10 @@
     /// Takes the decided calls out of the table, and sees to the timer.
     DecidedCalls collect(PathTable &table, const AdmissionDecisions &decisions)
     {
-        DecidedCalls decided;
-        for (const AdmissionDecision &decision : decisions) {
-            const auto found = table.waiting.find(decision.id());
-            decided.push_back({std::move(found->second), decision.refusal()});
-            table.waiting.erase(found);
-        }
-        const auto next = table.limiter.nextExpiry();
-        if (next && *next < table.timerAt) {
-            table.timerAt = *next;
-            m_kernel->timers().once(*next, [this] {
+        DecidedCalls decided = table.waiting.take(decisions);
+        const auto due = table.limiter.nextExpiry();
+        if (table.waiting.needsTimer(due)) {
+            m_kernel->timers().once(*due, [this] {
                 expire();
             });
         }
@@ -114,7 +89,7 @@
     void expire()
     {
         apply(m_table.locked([this](PathTable &table) {
-            table.timerAt = TimePoint::max();
+            table.waiting.timerFired();
             return collect(table, table.limiter.expire(m_kernel->clock().now()));
         }));
     }
@@ -123,7 +98,7 @@
     {
         for (const DecidedCall &call : decided) {
             if (call.refusal == Reason::None) {
-                letIn(call.entering);
+                letIn(call.waiting);
             } else {
                 refuse(call);
             }
@@ -132,11 +107,11 @@
 
     void refuse(const DecidedCall &decided)
     {
-        const CallContext &context = decided.entering.call.context();
+        const CallContext &context = decided.waiting.call.context();
         m_kernel->metrics().count("fescuepond_path_refused_total",
                                   {{"kind", context.rootKind()}, {"reason", toString(decided.refusal)}});
         const auto [window, drainTime] = m_table.locked([&](const PathTable &table) {
-            const PathKey path = pathOf(decided.entering.call);
+            const PathKey path = pathOf(decided.waiting.call);
             return std::pair(table.limiter.windowOf(path), table.limiter.drainTime(path));
         });
         Event("path_refused")
@@ -146,29 +121,29 @@
             .with("rank", context.rank())
             .with("reason", toString(decided.refusal))
             .with("window", fmt::format("{:.1f}", window));
-        decided.entering.done(CallOutcome::notRun(decided.refusal, detailOf(decided.refusal))
-                                  .withUnusedAllowance(context.retryAllowance())
-                                  .withRetryAfter(std::min(drainTime, LongestRetryAfter)));
+        decided.waiting.done(CallOutcome::notRun(decided.refusal, detailOf(decided.refusal))
+                                 .withUnusedAllowance(context.retryAllowance())
+                                 .withRetryAfter(std::min(drainTime, LongestRetryAfter)));
     }
 
-    void letIn(const EnteringCall &entering)
+    void letIn(const WaitingCall &waiting)
     {
         const TimePoint begin = m_kernel->clock().now();
-        entering.next(entering.call, [this, entering, begin](const CallOutcome &outcome) {
-            finished(entering, begin, outcome);
+        waiting.next(waiting.call, [this, waiting, begin](const CallOutcome &outcome) {
+            finished(waiting, begin, outcome);
         });
     }
 
-    void finished(const EnteringCall &entering, TimePoint begin, const CallOutcome &outcome)
+    void finished(const WaitingCall &waiting, TimePoint begin, const CallOutcome &outcome)
     {
         const TimePoint now = m_kernel->clock().now();
         const auto taken = outcome.state() == CallState::Answered ? std::optional(now - begin) : std::nullopt;
         const DecidedCalls decided = m_table.locked([&](PathTable &table) {
-            const PathKey path = pathOf(entering.call);
-            return collect(table, table.limiter.finished(path, entering.id, outcome.pathLimit(), taken, now));
+            const PathKey path = pathOf(waiting.call);
+            return collect(table, table.limiter.finished(path, waiting.entry.id(), outcome.pathLimit(), taken, now));
         });
         apply(decided);
-        entering.done(outcome);
+        waiting.done(outcome);
     }
 
     Kernel *m_kernel = nullptr;
--- a/modules/registration/registrationplugin.cpp
+++ b/modules/registration/registrationplugin.cpp
@@ -64,24 +64,37 @@
 
     bool mayArrive() const override
     {
-        return !m_makesReports || read().mayArrive(m_kernel->clock().now());
+        return !m_makesReports || m_table.locked([now = m_kernel->clock().now()](const Table &table) {
+            return table.m_register.mayArrive(now);
+        });
     }
     bool mayBegin() const override
     {
-        return !m_makesReports || read().mayBegin(m_kernel->clock().now());
+        return !m_makesReports || m_table.locked([now = m_kernel->clock().now()](const Table &table) {
+            return table.m_register.mayBegin(now);
+        });
     }
     std::string instance() const override
     {
-        return read().report().instance();
+        return m_table.locked([](const Table &table) {
+            return table.m_register.report().instance();
+        });
     }
     std::uint32_t slots() const override
     {
-        const std::uint32_t reported = read().report().slots();
+        const std::uint32_t reported = m_table.locked([](const Table &table) {
+            return table.m_register.report().slots();
+        });
         return reported > 0 ? reported : static_cast<std::uint32_t>(m_kernel->settings().backendSlots());
     }
     BackendState state() const override
     {
-        return m_makesReports ? read().state(m_kernel->clock().now()) : BackendState::Ready;
+        if (!m_makesReports) {
+            return BackendState::Ready;
+        }
+        return m_table.locked([now = m_kernel->clock().now()](const Table &table) {
+            return table.m_register.state(now);
+        });
     }
 
 private:
@@ -91,13 +104,6 @@
         std::string m_toldInstance;
     };
 
-    BackendRegister read() const
-    {
-        return m_table.locked([](const Table &table) {
-            return table.m_register;
-        });
-    }
-
     template<typename Decide>
     void take(const std::string &instance, std::uint64_t sequence, const Decide &decide)
     {
--- a/servers/admission/admissioncontroller.cpp
+++ b/servers/admission/admissioncontroller.cpp
@@ -78,7 +78,7 @@
 
 Duration AdmissionController::drainTime() const
 {
-    return m_drain.interval(m_limit->limit()) * static_cast<std::int64_t>(m_queue.queued());
+    return m_drain.timeFor(m_queue.queued(), m_limit->limit());
 }
 
 void AdmissionController::takeFree(AdmissionDecisions &decisions)
--- a/servers/admission/drainestimate.cpp
+++ b/servers/admission/drainestimate.cpp
@@ -3,6 +3,7 @@
 #include "servers/admission/drainestimate.h"
 
 #include <algorithm>
+#include <cstdint>
 
 namespace fescuepond
 {
@@ -18,9 +19,10 @@
     m_meanTime = isFirst ? time : m_meanTime + (time - m_meanTime) / AveragedCalls;
 }
 
-Duration DrainEstimate::interval(double slots) const
+Duration DrainEstimate::timeFor(std::size_t waiting, double slots) const
 {
-    return std::chrono::duration_cast<Duration>(m_meanTime / std::max(1.0, slots));
+    const auto interval = std::chrono::duration_cast<Duration>(m_meanTime / std::max(1.0, slots));
+    return interval * static_cast<std::int64_t>(waiting);
 }
 
 } // namespace fescuepond
--- a/servers/admission/drainestimate.h
+++ b/servers/admission/drainestimate.h
@@ -4,6 +4,8 @@
 
 #include "core/kernel/clock.h"
 
+#include <cstddef>
+
 namespace fescuepond
 {
 
@@ -15,8 +17,8 @@
 public:
     /// A call that held a slot for `time` has ended.
     void add(Duration time);
-    /// Between two calls that end while all of `slots` are taken; zero: not known yet.
-    Duration interval(double slots) const;
+    /// How long it takes until `waiting` calls have each got one of `slots`; zero: not known yet.
+    Duration timeFor(std::size_t waiting, double slots) const;
 
 private:
     Duration m_meanTime{}; ///< Moving average; zero: no call has ended yet.
--- a/servers/explanation/story.cpp
+++ b/servers/explanation/story.cpp
@@ -2,6 +2,8 @@
 
 #include "servers/explanation/story.h"
 
+#include "core/values/call.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -14,37 +16,35 @@
 {
 
 struct ReasonSentence {
-    const char *reason;
+    Reason reason;
     const char *sentence;
 };
 
-/// The names are those of core/values/call.h, as they stand in the log.
 constexpr std::array Sentences = {
-    ReasonSentence{"none", "the backend server itself answered so"},
-    ReasonSentence{"bad-request", "the request is not valid"},
-    ReasonSentence{"unknown-service", "the configuration of this version doesn't declare the service"},
-    ReasonSentence{"unknown-kind", "the service declares no kind of call that fits"},
-    ReasonSentence{"unknown-route", "no route of this version of the configuration fits host and path"},
-    ReasonSentence{"no-configuration", "the node had no configuration yet"},
-    ReasonSentence{"no-target", "no node of the service was known that takes work"},
-    ReasonSentence{"overload", "there was no room: more important calls filled the queue"},
-    ReasonSentence{"deadline-exceeded", "the time ran out, or was too short to begin"},
-    ReasonSentence{"leaving", "the node or its backend server was leaving"},
-    ReasonSentence{"quarantined", "the request is suspected of crashing backend servers"},
-    ReasonSentence{"connection-lost", "the connection to the target's node failed"},
-    ReasonSentence{"backend-unreachable", "the backend server took no connection"},
-    ReasonSentence{"backend-lost", "the backend server was lost while it had the call"},
-    ReasonSentence{"answer-lost", "the backend server lives, but its answer was lost or not valid"},
-    ReasonSentence{"backend-busy", "the backend server refused the call itself"},
-    ReasonSentence{"key-too-old", "the key is older than the records of keys"},
-    ReasonSentence{"key-home-gone", "the node that kept the key's record is gone"},
-    ReasonSentence{"platform-unavailable", "the platform could not be reached"},
-    ReasonSentence{"cancelled", "the caller went away"},
-    ReasonSentence{"failed-below", "a call that the backend server made had failed"},
-    ReasonSentence{"internal", "a fault of this program"},
+    ReasonSentence{Reason::None, "the backend server itself answered so"},
+    ReasonSentence{Reason::BadRequest, "the request is not valid"},
+    ReasonSentence{Reason::UnknownService, "the configuration of this version doesn't declare the service"},
+    ReasonSentence{Reason::UnknownKind, "the service declares no kind of call that fits"},
+    ReasonSentence{Reason::UnknownRoute, "no route of this version of the configuration fits host and path"},
+    ReasonSentence{Reason::NoConfiguration, "the node had no configuration yet"},
+    ReasonSentence{Reason::NoTarget, "no node of the service was known that takes work"},
+    ReasonSentence{Reason::Overload, "there was no room: more important calls filled the queue"},
+    ReasonSentence{Reason::DeadlineExceeded, "the time ran out, or was too short to begin"},
+    ReasonSentence{Reason::Leaving, "the node or its backend server was leaving"},
+    ReasonSentence{Reason::Quarantined, "the request is suspected of crashing backend servers"},
+    ReasonSentence{Reason::ConnectionLost, "the connection to the target's node failed"},
+    ReasonSentence{Reason::BackendUnreachable, "the backend server took no connection"},
+    ReasonSentence{Reason::BackendLost, "the backend server was lost while it had the call"},
+    ReasonSentence{Reason::AnswerLost, "the backend server lives, but its answer was lost or not valid"},
+    ReasonSentence{Reason::BackendBusy, "the backend server refused the call itself"},
+    ReasonSentence{Reason::KeyTooOld, "the key is older than the records of keys"},
+    ReasonSentence{Reason::KeyHomeGone, "the node that kept the key's record is gone"},
+    ReasonSentence{Reason::PlatformUnavailable, "the platform could not be reached"},
+    ReasonSentence{Reason::Cancelled, "the caller went away"},
+    ReasonSentence{Reason::FailedBelow, "a call that the backend server made had failed"},
+    ReasonSentence{Reason::Internal, "a fault of this program"},
 };
 
-constexpr const char *FailedBelow = "failed-below";
 /// Events that tell how a request or a part of it ended.
 constexpr std::array Endings = {"request_ended",
                                 "request_unclassified",
@@ -52,7 +52,6 @@
                                 "admission_refused",
                                 "path_refused",
                                 "backend_call_failed"};
-constexpr int FirstServerError = 500;
 
 std::int64_t number(const LogLine &line, const std::string &key)
 {
@@ -67,10 +66,15 @@
     const bool isEnding = std::any_of(Endings.begin(), Endings.end(), [event = line.event()](const char *ending) {
         return event == ending;
     });
-    const bool isAnswered = line.field("state") == "answered";
+    const bool isAnswered = line.field("state") == toString(CallState::Answered);
     return isEnding && (!isAnswered || number(line, "status") >= FirstServerError);
 }
 
+bool isFailedBelow(const LogLine &line)
+{
+    return line.field("reason") == toString(Reason::FailedBelow);
+}
+
 bool isEnd(const LogLine &line, const std::string &id)
 {
     const bool isOfRequest = line.event() == "request_ended" || line.event() == "request_unclassified";
@@ -111,7 +115,7 @@
 {
     LogLines causes;
     for (const LogLine &parent : own) {
-        if (parent.event() != "backend_call_failed" || parent.field("reason") != FailedBelow) {
+        if (parent.event() != "backend_call_failed" || !isFailedBelow(parent)) {
             continue;
         }
         const LogLine *last = nullptr;
@@ -133,7 +137,7 @@
 {
     std::optional<std::size_t> deciding;
     for (std::size_t i = 0; i < lines.size(); ++i) {
-        const bool isCause = isFailure(lines[i]) && lines[i].field("reason") != FailedBelow;
+        const bool isCause = isFailure(lines[i]) && !isFailedBelow(lines[i]);
         // Several lines tell of one failure, the one nearest to it first.
         const bool isSame = deciding && lines[*deciding].field("reason") == lines[i].field("reason");
         if (isCause && !isSame) {
@@ -147,7 +151,7 @@
 {
     const std::string reason = line.field("reason");
     const auto found = std::find_if(Sentences.begin(), Sentences.end(), [&](const ReasonSentence &row) {
-        return reason == row.reason;
+        return reason == toString(row.reason);
     });
     return found == Sentences.end() ? "unknown reason '" + reason + "'" : found->sentence;
 }
--- a/servers/pathlimit/pathlimiter.cpp
+++ b/servers/pathlimit/pathlimiter.cpp
@@ -120,7 +120,7 @@
         return Duration::zero();
     }
     const Path &known = found->second;
-    return known.m_drain.interval(known.m_window.size()) * static_cast<std::int64_t>(known.m_queue.queued());
+    return known.m_drain.timeFor(known.m_queue.queued(), known.m_window.size());
 }
 
 double PathLimiter::windowOf(const PathKey &path) const
