Keep one copy of what tests wait with, of a changed text and of the stranger's scene

Found in a last reading: eventually() stood in two tests and as waitUntil() in a third, replaced() in two, and the two tests of strangers were the same but for a name.

--- a/tests/platform/desiredstatetest.cpp
+++ b/tests/platform/desiredstatetest.cpp
@@ -2,6 +2,8 @@
 
 #include "platform/configuration/desiredstate.h"
 
+#include "tests/support/text.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -43,13 +45,6 @@
     return result;
 }
 
-std::string replaced(const std::string &from, const std::string &to)
-{
-    std::string text = whole;
-    text.replace(text.find(from), from.size(), to);
-    return text;
-}
-
 } // namespace
 
 TEST(DesiredState, RoutesBecomeTheProductsOwn)
@@ -87,7 +82,7 @@
         {"\"columns\":[\"name\",\"host\"", "\"columns\":[\"name\",\"hast\""},
     };
     for (const auto &[from, to] : faults) {
-        const Read result = read(replaced(from, to));
+        const Read result = read(test::replaced(whole, from, to));
         EXPECT_NE(result.findings, "") << from << " -> " << to;
         EXPECT_EQ(result.configuration, Configuration()) << from << " -> " << to;
     }
--- a/tests/platform/fleetenvironmenttest.cpp
+++ b/tests/platform/fleetenvironmenttest.cpp
@@ -1,6 +1,7 @@
 // The whole path in the platform's environment, with a real node, the store's stand-in and a target in this process.
 
 #include "core/pipeline/objectstore.h"
+#include "tests/support/eventually.h"
 #include "tests/support/fleet.h"
 #include "tests/support/process.h"
 
@@ -42,18 +43,6 @@
 ["r-read","a.example","/read/","safe",2,1,1,null,2,"yard"],["r-book","a.example","/book/","unsafe",2,1,0,null,1,"yard"]]},
 "services":{"columns":["name"],"rows":[["yard"]]},"limits":{}})";
 
-bool eventually(const std::function<bool()> &condition)
-{
-    const auto end = std::chrono::steady_clock::now() + LongestWait;
-    while (std::chrono::steady_clock::now() < end) {
-        if (condition()) {
-            return true;
-        }
-        std::this_thread::sleep_for(milliseconds(20));
-    }
-    return false;
-}
-
 /// A target as the platform's pages describe it. Keeps the headers of the latest request.
 class Target
 {
@@ -175,7 +164,7 @@
         m_entry = addressOf("entry");
         m_ready = addressOf("readiness");
         m_control = addressOf("registration");
-        EXPECT_TRUE(eventually([this] {
+        EXPECT_TRUE(eventually(LongestWait, [this] {
             return sendHttp(m_ready, {.path = "/ready"}).status == 200;
         }));
     }
@@ -290,7 +279,7 @@
     call.headers = {{"Fescuepond-Attempt-Id", "a1"}, {"Fescuepond-Deadline-Ms", "20000"}};
     call.timeout = milliseconds(400);
     EXPECT_EQ(sendHttp(m_entry, call).status, 0);
-    EXPECT_TRUE(eventually([this] {
+    EXPECT_TRUE(eventually(LongestWait, [this] {
         return m_target.m_wasLeft.load();
     }));
 }
@@ -312,7 +301,7 @@
 {
     report(1, "ready");
     m_node->signal(SIGTERM);
-    EXPECT_TRUE(eventually([this] {
+    EXPECT_TRUE(eventually(LongestWait, [this] {
         return sendHttp(m_ready, {.path = "/ready"}).status != 200;
     }));
     EXPECT_EQ(m_node->wait(LongestWait), std::optional<int>(0));
--- a/tests/platform/targetreporttest.cpp
+++ b/tests/platform/targetreporttest.cpp
@@ -2,6 +2,8 @@
 
 #include "platform/control/targetreport.h"
 
+#include "tests/support/text.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -29,13 +31,6 @@
     return result;
 }
 
-std::string replaced(const std::string &from, const std::string &to)
-{
-    std::string text = whole;
-    text.replace(text.find(from), from.size(), to);
-    return text;
-}
-
 } // namespace
 
 TEST(TargetReport, IsDecodedFieldByField)
@@ -49,7 +44,7 @@
     EXPECT_EQ(report->slots(), 49);
     EXPECT_EQ(report->state(), BackendState::Ready);
     EXPECT_EQ(report->coldFor(), std::chrono::milliseconds(1500));
-    EXPECT_EQ(read(replaced("ready", "draining"))->state(), BackendState::Draining);
+    EXPECT_EQ(read(test::replaced(whole, "ready", "draining"))->state(), BackendState::Draining);
 }
 
 TEST(TargetReport, AFieldThatIsMissingOrOfAnotherTypeNamesNoBackendServer)
@@ -69,7 +64,7 @@
         {"{", "["},
     };
     for (const auto &[from, to] : faults) {
-        EXPECT_FALSE(read(replaced(from, to))) << from << " -> " << to;
+        EXPECT_FALSE(read(test::replaced(whole, from, to))) << from << " -> " << to;
     }
 }
 
--- a/tests/system/configurationtest.cpp
+++ b/tests/system/configurationtest.cpp
@@ -1,5 +1,6 @@
 // Publishing and spreading of the configuration, with real processes and a platform that fails.
 
+#include "tests/support/eventually.h"
 #include "tests/support/fleet.h"
 
 #include <gtest/gtest.h>
@@ -57,18 +58,6 @@
     return at == std::string::npos ? 0 : std::stoi(body.substr(at + key.size()));
 }
 
-bool waitUntil(const std::function<bool()> &condition)
-{
-    const auto end = std::chrono::steady_clock::now() + InForceTimeout;
-    while (std::chrono::steady_clock::now() < end) {
-        if (condition()) {
-            return true;
-        }
-        std::this_thread::sleep_for(std::chrono::milliseconds(50));
-    }
-    return false;
-}
-
 } // namespace
 
 TEST(Publishing, OfRacingOperatorsExactlyOneWinsAndTheOthersLearnOfItsChange)
@@ -157,7 +146,7 @@
     fleet.setPlatformMode("down=1");
     const FleetNode &second =
         fleet.addNode({.name = "yard-b", .service = "yard", .settings = {"seed_peers: [\"" + first.peer + "\"]"}});
-    EXPECT_TRUE(waitUntil([&] {
+    EXPECT_TRUE(eventually(InForceTimeout, [&] {
         return versionOf(second) == 1;
     }));
 }
@@ -179,18 +168,18 @@
                                          .platform = cutOff}));
     }
     // Objects of the nodes raise the platform's counter too: only the order of versions is known.
-    ASSERT_TRUE(waitUntil([&] {
+    ASSERT_TRUE(eventually(InForceTimeout, [&] {
         return versionOf(first) > 0;
     }));
     const int before = versionOf(first);
     ASSERT_EQ(fleet.publish({declaration("yard", 2000)}), 0);
-    ASSERT_TRUE(waitUntil([&] {
+    ASSERT_TRUE(eventually(InForceTimeout, [&] {
         return versionOf(first) > before;
     }));
     fleet.platformProcess().signal(SIGKILL);
     const int after = versionOf(first);
     for (const FleetNode *other : others) {
-        EXPECT_TRUE(waitUntil([&] {
+        EXPECT_TRUE(eventually(InForceTimeout, [&] {
             return versionOf(*other) == after;
         })) << other->options.name;
     }
--- a/tests/system/membershiptest.cpp
+++ b/tests/system/membershiptest.cpp
@@ -1,6 +1,7 @@
 // Members that fail, pause, restart, or meet no platform, as real processes.
 
 #include "tests/support/callers.h"
+#include "tests/support/eventually.h"
 #include "tests/support/fleet.h"
 
 #include <gtest/gtest.h>
@@ -25,7 +26,6 @@
 kinds:
   - {name: stock, method: GET, path: /stock/*, rank: 5, idempotent: true, deadline_ms: 1000, retries: 0}
 )";
-constexpr milliseconds PollInterval(50);
 
 HttpCall stockRequest()
 {
@@ -46,18 +46,6 @@
     return found == std::string::npos ? 0 : static_cast<std::size_t>(std::stod(text.substr(found + key.size())));
 }
 
-bool eventually(milliseconds limit, const std::function<bool()> &condition)
-{
-    const SteadyTime end = std::chrono::steady_clock::now() + limit;
-    while (!condition()) {
-        if (std::chrono::steady_clock::now() > end) {
-            return false;
-        }
-        std::this_thread::sleep_for(PollInterval);
-    }
-    return true;
-}
-
 long msSince(SteadyTime time)
 {
     return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - time).count();
--- a/tests/system/strangertest.cpp
+++ b/tests/system/strangertest.cpp
@@ -16,10 +16,9 @@
         + "\nkinds:\n  - {name: read, method: GET, path: /*, rank: 5, idempotent: true, deadline_ms: 3000}\n";
 }
 
-} // namespace
-
-// Each fleet has a platform of its own. A node of the second one takes the address of the first one's only target.
-TEST(Stranger, CallForAnotherServiceIsNotRun)
+/// A node of another fleet takes the address of the only target of `yard`, whose callers still know it. Each fleet has
+/// a platform of its own.
+void expectStrangerRunsNothing(const std::string &name, const std::string &service)
 {
     Fleet fleet;
     ASSERT_EQ(fleet.publish({declarationOf("desk"), declarationOf("yard")}), 0);
@@ -30,34 +29,26 @@
     yard.process.reset();
 
     Fleet others;
-    ASSERT_EQ(others.publish({declarationOf("quarry")}), 0);
-    FleetNode &quarry = others.addNode({.name = "quarry-a", .service = "quarry", .peerAddress = address});
-    ASSERT_EQ(quarry.peer, address);
+    ASSERT_EQ(others.publish({declarationOf(service)}), 0);
+    FleetNode &stranger = others.addNode({.name = name, .service = service, .peerAddress = address});
+    ASSERT_EQ(stranger.peer, address);
 
     const HttpReply reply = sendHttp(desk.front, {.path = "/stock", .host = "yard"});
     EXPECT_EQ(reply.outcome(), "not-run") << reply.body;
-    EXPECT_TRUE(quarry.journalLines("begin").empty());
+    EXPECT_TRUE(stranger.journalLines("begin").empty());
+}
+
+} // namespace
+
+TEST(Stranger, CallForAnotherServiceIsNotRun)
+{
+    expectStrangerRunsNothing("quarry-a", "quarry");
 }
 
 // The other fleet's node even has the name and the service of the one that is gone.
 TEST(Stranger, CallForAnEarlierLifeIsNotRunByANodeThatLooksTheSame)
 {
-    Fleet fleet;
-    ASSERT_EQ(fleet.publish({declarationOf("desk"), declarationOf("yard")}), 0);
-    const FleetNode &desk = fleet.addNode({.name = "desk-a", .service = "desk"});
-    FleetNode &yard = fleet.addNode({.name = "yard-a", .service = "yard"});
-    ASSERT_TRUE(fleet.waitUntilReady(2));
-    const std::string address = yard.peer;
-    yard.process.reset();
-
-    Fleet others;
-    ASSERT_EQ(others.publish({declarationOf("yard")}), 0);
-    FleetNode &stranger = others.addNode({.name = "yard-a", .service = "yard", .peerAddress = address});
-    ASSERT_EQ(stranger.peer, address);
-
-    const HttpReply reply = sendHttp(desk.front, {.path = "/stock", .host = "yard"});
-    EXPECT_EQ(reply.outcome(), "not-run") << reply.body;
-    EXPECT_TRUE(stranger.journalLines("begin").empty());
+    expectStrangerRunsNothing("yard-a", "yard");
 }
 
 } // namespace fescuepond::test
