Log what tells apart why a request is sent on late

The logs didn't show whether a caller had left when its request was read, how long the clock exchange of a connection took, or how long a call was under way. Three events do: caller_disconnected, peer_connected, call_delayed. No change of logic.

--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -245,7 +245,11 @@
         }
         removeFromPollSet(socket);
         const bool isLikelyHalfClose = m_kernel.clock().now() - request->m_since < HalfCloseWindow;
-        if (!isLikelyHalfClose && isClosedByCaller(socket)) {
+        if (!isClosedByCaller(socket)) {
+            return true;
+        }
+        logAbandoned(*request, isLikelyHalfClose);
+        if (!isLikelyHalfClose) {
             m_kernel.metrics().count("fescuepond_requests_abandoned_total", {{"listener", m_name}});
             m_kernel.pool().post(Lane::Decision, [self = shared_from_this(), requestId = request->m_requestId] {
                 self->m_disconnectHandler(requestId);
@@ -254,6 +258,17 @@
         return true;
     }
 
+    void logAbandoned(const WatchedRequest &request, bool isIgnored) const
+    {
+        using std::chrono::milliseconds;
+        Event("caller_disconnected")
+            .with("listener", m_name)
+            .with("request", request.m_requestId.toString())
+            .with("after_ms",
+                  std::chrono::duration_cast<milliseconds>(m_kernel.clock().now() - request.m_since).count())
+            .with("ignored", isIgnored);
+    }
+
     void removeFromPollSet(const Poco::Net::Socket &socket)
     {
         try {
--- a/modules/peer/peerclock.cpp
+++ b/modules/peer/peerclock.cpp
@@ -43,6 +43,12 @@
     return std::min(fromWire(deadline, now), byRemoteClock);
 }
 
+Duration transmissionDelay(const WireDeadline &deadline, const PeerClock &clock, TimePoint now)
+{
+    const std::int64_t sentNs = difference(deadline.senderClockNs(), deadline.remainingNs());
+    return now - (clock.receivedAt() + clamped(difference(sentNs, clock.remoteNs())));
+}
+
 TimePoint fromWire(const WireDeadline &deadline, TimePoint now)
 {
     return now + clamped(deadline.remainingNs());
--- a/modules/peer/peerclock.h
+++ b/modules/peer/peerclock.h
@@ -40,4 +40,7 @@
 /// The same without knowledge of the remote clock: too late by the transmission delay of this message.
 TimePoint fromWire(const WireDeadline &deadline, TimePoint now);
 
+/// How long ago the message with this deadline was sent, as far as the relation of the clocks is right.
+Duration transmissionDelay(const WireDeadline &deadline, const PeerClock &clock, TimePoint now);
+
 } // namespace fescuepond
--- a/modules/peer/peerconnection.h
+++ b/modules/peer/peerconnection.h
@@ -5,6 +5,7 @@
 
 #pragma once
 
+#include "core/kernel/clock.h"
 #include "core/values/id.h"
 #include "modules/peer/peer.capnp.h"
 
@@ -46,6 +47,16 @@
         m_incarnation = incarnation;
     }
 
+    /// Time from sending hello until its reply.
+    Duration helloDuration() const
+    {
+        return m_helloDuration;
+    }
+    void setHelloDuration(Duration duration)
+    {
+        m_helloDuration = duration;
+    }
+
     /// Whether new requests may use the connection. On an unusable one, pending requests may still complete.
     bool isUsable() const
     {
@@ -90,6 +101,7 @@
     wire::Peer::Client m_peer;
 
     Incarnation m_incarnation;
+    Duration m_helloDuration{};
     bool m_isUsable = true;
     std::size_t m_pendingRequests = 0;
     kj::TimePoint m_lastReceived;
--- a/modules/peer/peerconnections.cpp
+++ b/modules/peer/peerconnections.cpp
@@ -2,6 +2,7 @@
 
 #include "modules/peer/peerconnections.h"
 
+#include "core/kernel/eventlog.h"
 #include "modules/peer/peerclock.h"
 #include "modules/peer/wireencoding.h"
 #include "servers/settlement/attempttable.h"
@@ -85,19 +86,25 @@
             if (Entry *entry = find(address, generation)) {
                 entry->m_connection = connection.get();
             }
+            using std::chrono::milliseconds;
+            Event("peer_connected", EventSeverity::Routine)
+                .with("address", address)
+                .with("hello_ms", std::chrono::duration_cast<milliseconds>(connection->helloDuration()).count());
             return connection;
         });
 }
 
 kj::Promise<kj::Own<PeerConnection>> PeerConnections::exchangeHello(kj::Own<PeerConnection> connection)
 {
+    const TimePoint sentAt = m_identity.clock.now();
     auto request = connection->peer().helloRequest();
     request.setVersion(wire::PROTOCOL_VERSION);
     request.setName(m_identity.name);
-    request.setClockNs(toWireClock(m_identity.clock.now()));
-    return request.send().then([connection = kj::mv(connection)](auto response) mutable {
+    request.setClockNs(toWireClock(sentAt));
+    return request.send().then([this, sentAt, connection = kj::mv(connection)](auto response) mutable {
         KJ_REQUIRE(response.getVersion() == wire::PROTOCOL_VERSION, "the peer uses a different protocol version");
         connection->setIncarnation(decodeId<Incarnation>(response.getIncarnation()));
+        connection->setHelloDuration(m_identity.clock.now() - sentAt);
         return kj::mv(connection);
     });
 }
--- a/modules/peer/peerserver.cpp
+++ b/modules/peer/peerserver.cpp
@@ -17,6 +17,9 @@
 namespace
 {
 
+/// Calls that took longer to arrive are logged.
+constexpr Duration LoggedDelay = std::chrono::milliseconds(250);
+
 /// A copyable fulfiller, as std::function requires copyable captures.
 template<typename T>
 std::shared_ptr<kj::Own<kj::CrossThreadPromiseFulfiller<T>>>
@@ -65,11 +68,31 @@
     return *m_clock;
 }
 
+void PeerServer::logIfDelayed(wire::Call::Reader message, TimePoint now) const
+{
+    const WireDeadline deadline = decode(message.getDeadline());
+    const Duration delay = transmissionDelay(deadline, clockOfPeer(), now);
+    if (delay < LoggedDelay) {
+        return;
+    }
+    using std::chrono::milliseconds;
+    const auto toMs = [](Duration duration) {
+        return std::chrono::duration_cast<milliseconds>(duration).count();
+    };
+    Event("call_delayed")
+        .with("attempt", message.getCallerAttempt().cStr())
+        .with("delay_ms", toMs(delay))
+        .with("remaining_ms", toMs(Duration(deadline.remainingNs())))
+        .with("connection_age_ms", toMs(now - clockOfPeer().receivedAt()));
+}
+
 kj::Promise<void> PeerServer::call(CallContext context)
 {
     const auto message = context.getParams().getCall();
     const auto attemptId = decodeId<AttemptId>(message.getAttemptId());
-    const auto call = decode(message, clockOfPeer(), m_services.kernel.clock().now());
+    const TimePoint now = m_services.kernel.clock().now();
+    const auto call = decode(message, clockOfPeer(), now);
+    logIfDelayed(message, now);
     if (!call) {
         auto results = context.getResults();
         encode(CallOutcome::notRun(Reason::BadRequest, "the call's body does not match its digest"),
