--- a/tests/system/cancellationtest.cpp
+++ b/tests/system/cancellationtest.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <csignal>
 #include <future>
 #include <thread>
 
@@ -117,6 +118,18 @@
     EXPECT_EQ(first.get().outcome(), "answered");
 }
 
+TEST_F(Cancellation, RequestIsNotRunIfItsCallerLeftBeforeTheNodeReadIt)
+{
+    m_dispatch->process->pause();
+    {
+        Poco::Net::StreamSocket socket{Poco::Net::SocketAddress(m_dispatch->front)};
+        const std::string request = "GET /stock/late HTTP/1.1\r\nHost: yard\r\n\r\n";
+        socket.sendBytes(request.data(), static_cast<int>(request.size()));
+    }
+    m_dispatch->process->signal(SIGCONT);
+    EXPECT_EQ(executionCount("/stock/late"), 0);
+}
+
 TEST_F(Cancellation, NonIdempotentCallIsRunAfterItsCallerDisconnects)
 {
     auto first = occupyYard();
