Take the end of a caller's input for its disconnect, also before its request is read

Cause: a connection that ended within 100 ms after its request had been read was taken for one whose caller closes its sending side and still waits. The request was unwatched and never looked at again. The 100 ms count from the moment at which the node reads the request, so a node that is late with reading sends on requests whose callers left long before.

Class: a decision about time made from a value that nothing checks at the moment of the act.

Fix: the end of the input is a disconnect, whenever it comes; it is checked after the request was read, before the handler may send it on. Both can't be had: whether a caller still reads is known only when something is written to it. Proxies take the end of input for a disconnect as well. A caller that closes only its sending side gets a true answer: 503, not run.

--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -35,9 +35,6 @@
 constexpr Duration HandshakeCompletionTime = std::chrono::milliseconds(200);
 /// Time for the first request to arrive on the connections that were accepted last.
 constexpr Duration FirstRequestGrace = std::chrono::milliseconds(500);
-/// A caller that shuts down its sending side within this time of its request is taken for one that sends no further
-/// request and still waits for the response, not for one that has disconnected.
-constexpr Duration HalfCloseWindow = std::chrono::milliseconds(100);
 /// For how long the input of a caller is still read after its request was rejected.
 constexpr Duration DiscardDuration = std::chrono::milliseconds(500);
 constexpr long DiscardPollMicroseconds = 100'000;
@@ -85,11 +82,13 @@
     }
 }
 
-/// Whether the caller has closed the connection. Call only if the socket is readable.
+/// Whether the caller has closed the connection, or at least its sending side. Bytes that were received before and not
+/// yet read hide that.
 static bool isClosedByCaller(const Poco::Net::Socket &socket)
 {
     char byte = 0;
-    return ::recv(socket.impl()->sockfd(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) <= 0;
+    const auto count = ::recv(socket.impl()->sockfd(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
 using HttpConnectionPtr = std::shared_ptr<HttpConnection>;
@@ -244,13 +243,8 @@
             return false;
         }
         removeFromPollSet(socket);
-        const bool isLikelyHalfClose = m_kernel.clock().now() - request->m_since < HalfCloseWindow;
-        if (!isClosedByCaller(socket)) {
-            return true;
-        }
-        logAbandoned(*request, isLikelyHalfClose);
-        if (!isLikelyHalfClose) {
-            m_kernel.metrics().count("fescuepond_requests_abandoned_total", {{"listener", m_name}});
+        if (isClosedByCaller(socket)) {
+            recordDisconnect(*request);
             m_kernel.pool().post(Lane::Decision, [self = shared_from_this(), requestId = request->m_requestId] {
                 self->m_disconnectHandler(requestId);
             });
@@ -258,15 +252,15 @@
         return true;
     }
 
-    void logAbandoned(const WatchedRequest &request, bool isIgnored) const
+    void recordDisconnect(const WatchedRequest &request) const
     {
         using std::chrono::milliseconds;
+        m_kernel.metrics().count("fescuepond_requests_abandoned_total", {{"listener", m_name}});
         Event("caller_disconnected")
             .with("listener", m_name)
             .with("request", request.m_requestId.toString())
             .with("after_ms",
-                  std::chrono::duration_cast<milliseconds>(m_kernel.clock().now() - request.m_since).count())
-            .with("ignored", isIgnored);
+                  std::chrono::duration_cast<milliseconds>(m_kernel.clock().now() - request.m_since).count());
     }
 
     void removeFromPollSet(const Poco::Net::Socket &socket)
@@ -368,7 +362,13 @@
             --m_inFlight;
             return;
         }
-        watch(connection, request->requestId());
+        // A request may wait long to be read. Once its caller has left, the handler must not send it on.
+        if (m_disconnectHandler && isClosedByCaller(connection->stream())) {
+            recordDisconnect(WatchedRequest{request->requestId(), m_kernel.clock().now()});
+            m_disconnectHandler(request->requestId());
+        } else {
+            watch(connection, request->requestId());
+        }
         m_handler(*request, [self = shared_from_this(), connection](const HttpResponse &response) {
             self->m_kernel.pool().post(Lane::Http, [self, connection, response] {
                 self->write(connection, response);
