Count the time during which the machine is suspended

The platform's pages say that a machine may be suspended for seconds and that the steady clock doesn't count that time. Deadlines on such a clock are late by the length of the suspension, for requests that wait in the node and for those that arrive from other nodes; timers wait that much longer.

Fix: the clock of a node is CLOCK_BOOTTIME. Waits of the timer service can't use it, so they last 250 ms at most.

TimerThatBecameDueDuringASuspensionIsNotLateByTheLengthOfTheSuspension fails on the code before (the callback isn't called within 2 s). No test shows the clock itself: a process can't suspend its machine.

--- a/core/kernel/clock.h
+++ b/core/kernel/clock.h
@@ -20,13 +20,11 @@
     virtual TimePoint now() const = 0;
 };
 
+/// Also counts the time during which the machine is suspended, which std::chrono::steady_clock doesn't.
 class SteadyClock final : public Clock
 {
 public:
-    TimePoint now() const override
-    {
-        return std::chrono::steady_clock::now();
-    }
+    TimePoint now() const override;
 };
 
 /// A clock for tests, which changes only when it is advanced. It starts one hour after the epoch, so that subtracting a
--- a/core/kernel/timerservice.cpp
+++ b/core/kernel/timerservice.cpp
@@ -4,6 +4,7 @@
 
 #include "core/kernel/workerpool.h"
 
+#include <algorithm>
 #include <mutex>
 #include <optional>
 #include <vector>
@@ -11,6 +12,14 @@
 namespace fescuepond
 {
 
+namespace
+{
+
+/// A wait doesn't count the time during which the machine is suspended, so timers that are due then are this late.
+constexpr Duration MaxSleep = std::chrono::milliseconds(250);
+
+} // namespace
+
 TimerService::TimerService(const Clock &clock, WorkerPool *pool)
     : m_clock(clock)
     , m_pool(pool)
@@ -121,9 +130,9 @@
             m_wake.wait(lock);
             continue;
         }
-        const TimePoint next = m_queue.begin()->first;
-        if (next > m_clock.now()) {
-            m_wake.wait_until(lock, next);
+        const Duration untilNext = m_queue.begin()->first - m_clock.now();
+        if (untilNext > Duration::zero()) {
+            m_wake.wait_for(lock, std::min(untilNext, MaxSleep));
         }
     }
 }
--- a/tests/core/kernel/timerservicetest.cpp
+++ b/tests/core/kernel/timerservicetest.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <future>
+#include <thread>
 #include <vector>
 
 namespace fescuepond
@@ -47,6 +49,20 @@
     EXPECT_EQ(timers.runDue(), 0);
 }
 
+TEST(TimerService, TimerThatBecameDueDuringASuspensionIsNotLateByTheLengthOfTheSuspension)
+{
+    ManualClock clock;
+    TimerService timers(clock, nullptr);
+    std::promise<void> called;
+    timers.start();
+    timers.once(clock.now() + std::chrono::minutes(10), [&] {
+        called.set_value();
+    });
+    std::this_thread::sleep_for(milliseconds(100));
+    clock.advance(std::chrono::minutes(10));
+    EXPECT_EQ(called.get_future().wait_for(std::chrono::seconds(2)), std::future_status::ready);
+}
+
 TEST(TimerService, CallbackCanSubscribe)
 {
     ManualClock clock;
