Don't send a call whose caller left while its connection was opened

Callers saw: nothing; their requests ran after they had left (GONE).

Cause: a call waits for the connection to its target, up to 1 s. Its cancellation waited for the same connection and was sent behind it, where it lost the race with the call; the deadline was checked before the wait only.

Class: a decision about time made from a value that nothing checks at the moment of the act.

Fix: a cancellation of a call that isn't sent yet stays at the sender, and both it and the deadline are checked when the connection is there, immediately before the call is sent.

--- a/modules/peer/peersender.cpp
+++ b/modules/peer/peersender.cpp
@@ -62,6 +62,7 @@
         finish(done, outcomeAtDeadline(*pending));
         return;
     }
+    m_unsent.emplace(pending->call.context().attemptId(), pending);
     auto outcome = connect(pending->address)
                        .then([this, pending](kj::Own<PeerConnection> connection) {
                            return request(pending, kj::mv(connection));
@@ -73,9 +74,12 @@
                                .with("error", error.getDescription().cStr());
                            return settle(pending);
                        });
+    auto forget = kj::defer([this, attemptId = pending->call.context().attemptId()] {
+        m_unsent.erase(attemptId);
+    });
     m_loop.io()
         .provider->getTimer()
-        .timeoutAfter(toKj(remaining + DeadlineGrace), kj::mv(outcome))
+        .timeoutAfter(toKj(remaining + DeadlineGrace), outcome.attach(kj::mv(forget)))
         .then(
             [this, done](const CallOutcome &received) {
                 finish(done, received);
@@ -92,11 +96,25 @@
         });
 }
 
+std::optional<CallOutcome> PeerSender::rejectionBeforeSending(const PendingCall &pending) const
+{
+    if (pending.isCancelled) {
+        return CallOutcome::notRun(Reason::Cancelled, "the caller cancelled the call before it was sent")
+            .withUnusedAllowance(pending.call.context().retryAllowance());
+    }
+    const bool isTimeLeft = m_kernel.clock().now() < pending.call.context().deadline();
+    return isTimeLeft ? std::nullopt : std::optional(outcomeAtDeadline(pending));
+}
+
 kj::Promise<CallOutcome> PeerSender::request(const PendingCallPtr &pending, kj::Own<PeerConnection> connection)
 {
     if (connection->incarnation() != pending->targetIncarnation) {
         return KJ_EXCEPTION(DISCONNECTED, "another incarnation of a node uses the address");
     }
+    m_unsent.erase(pending->call.context().attemptId());
+    if (auto rejection = rejectionBeforeSending(*pending)) {
+        return *std::move(rejection);
+    }
     pending->sentToIncarnation = connection->incarnation();
     auto message = connection->peer().callRequest();
     encode(pending->call, m_kernel.clock().now(), connection->calleeClock(), message.initCall());
@@ -217,6 +235,13 @@
 
 void PeerSender::cancelOnLoop(const std::string &address, const AttemptId &attemptId, TimePoint deadline)
 {
+    const auto unsent = m_unsent.find(attemptId);
+    if (unsent != m_unsent.end()) {
+        if (const PendingCallPtr pending = unsent->second.lock()) {
+            pending->isCancelled = true;
+        }
+        return;
+    }
     connect(address)
         .then([this, attemptId, deadline](kj::Own<PeerConnection> connection) {
             auto message = connection->peer().cancelRequest();
--- a/modules/peer/peersender.h
+++ b/modules/peer/peersender.h
@@ -11,6 +11,7 @@
 
 #include <memory>
 #include <optional>
+#include <unordered_map>
 
 namespace fescuepond
 {
@@ -38,11 +39,14 @@
         Incarnation targetIncarnation; ///< The call is not sent to another incarnation at the same address.
         CallRequest call;
         std::optional<Incarnation> sentToIncarnation; ///< Empty until sending starts: the call can't have run.
+        bool isCancelled = false; ///< Set only before sending starts.
         int failures = 0; ///< Failed attempts to query the target for the call's status.
     };
     using PendingCallPtr = std::shared_ptr<PendingCall>;
 
     void sendOnLoop(const PendingCallPtr &pending, const Done &done);
+    /// Checked immediately before the call is sent: it may have waited for its connection.
+    std::optional<CallOutcome> rejectionBeforeSending(const PendingCall &pending) const;
     kj::Promise<CallOutcome> request(const PendingCallPtr &pending, kj::Own<PeerConnection> connection);
     kj::Promise<CallOutcome> settle(const PendingCallPtr &pending);
     kj::Promise<CallOutcome> requestReport(const PendingCallPtr &pending, kj::Own<PeerConnection> connection);
@@ -64,6 +68,8 @@
     EventLoop &m_loop;
     // Created and destroyed on the loop's thread.
     std::unique_ptr<PeerConnections> m_connections;
+    /// The calls that wait for their connection. Used only on the loop's thread.
+    std::unordered_map<AttemptId, std::weak_ptr<PendingCall>> m_unsent;
 };
 
 } // namespace fescuepond
--- a/tests/system/latecalltest.cpp
+++ b/tests/system/latecalltest.cpp
@@ -1,11 +1,13 @@
-// Calls that arrive at their target's node after their deadline. Guards against a node that passes them to its backend
-// server because the relation of the clocks on their connection was wrong.
+// Calls that are delayed on the way to their target's node. Guards against a node that passes them to its backend
+// server after their deadline, because the relation of the clocks on their connection was wrong, or after their caller
+// has left.
 
 #include "tests/support/fleet.h"
 #include "tests/support/relay.h"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <future>
 #include <thread>
 #include <vector>
@@ -30,50 +32,94 @@
 kinds:
   - {name: slots, method: GET, path: /slots/*, rank: 5, idempotent: true, deadline_ms: 4000, retries: 0}
 )";
+constexpr auto CallerTimeout = 250ms;
 constexpr int LateCalls = 15;
 
-} // namespace
-
-TEST(LateCall, IsNotRunAfterItsDeadlineIfTheHelloOfItsConnectionTookLong)
+/// Callers use the node of dispatch, which reaches the node of yard through a relay.
+class LateCall : public testing::Test
 {
-    Relay relay;
-    Fleet fleet;
-    ASSERT_EQ(fleet.publish({Yard, Dispatch}), 0);
-    FleetNode &yard = fleet.addNode(
-        {.name = "yard-a", .service = "yard", .settings = {"peer_advertised_address: " + relay.address()}});
-    relay.setTarget(yard.peer);
-    const FleetNode &entry = fleet.addNode({.name = "dispatch-a", .service = "dispatch"});
-    ASSERT_TRUE(fleet.waitUntilReady(2));
-    const auto read = [&](const std::string &path) {
-        return std::async(std::launch::async, [&entry, path] {
-            return sendHttp(entry.front, {.path = path, .host = "yard"});
+protected:
+    void SetUp() override
+    {
+        ASSERT_EQ(m_fleet.publish({Yard, Dispatch}), 0);
+        m_yard = &m_fleet.addNode(
+            {.name = "yard-a", .service = "yard", .settings = {"peer_advertised_address: " + m_relay.address()}});
+        m_relay.setTarget(m_yard->peer);
+        m_entry = &m_fleet.addNode({.name = "dispatch-a", .service = "dispatch"});
+        ASSERT_TRUE(m_fleet.waitUntilReady(2));
+    }
+
+    std::future<HttpReply> read(const std::string &path, std::chrono::milliseconds timeout = 10s) const
+    {
+        return std::async(std::launch::async, [this, path, timeout] {
+            return sendHttp(m_entry->front, {.path = path, .host = "yard", .timeout = timeout});
         });
-    };
+    }
+
+    /// Sends calls whose callers leave after CallerTimeout, and waits until they have.
+    void readAndLeave() const
+    {
+        std::vector<std::future<HttpReply>> replies;
+        for (int i = 0; i < LateCalls; ++i) {
+            replies.push_back(read("/ledger/late", CallerTimeout));
+        }
+        for (auto &reply : replies) {
+            EXPECT_EQ(reply.get().status, 0);
+        }
+        std::this_thread::sleep_for(200ms);
+    }
+
+    /// Waits until calls that arrived have begun, and counts those that were run with `path`.
+    std::size_t executionCount(const std::string &path) const
+    {
+        std::this_thread::sleep_for(1s);
+        const std::vector<std::string> lines = m_yard->journalLines("begin");
+        return static_cast<std::size_t>(std::count_if(lines.begin(), lines.end(), [&](const std::string &line) {
+            return line.find(path) != std::string::npos;
+        }));
+    }
 
-    relay.setStallsNewConnections(true);
-    relay.closeConnections();
+    Relay m_relay;
+    Fleet m_fleet;
+    FleetNode *m_yard = nullptr;
+    FleetNode *m_entry = nullptr;
+};
+
+} // namespace
+
+TEST_F(LateCall, IsNotRunAfterItsDeadlineIfTheHelloOfItsConnectionTookLong)
+{
+    m_relay.setStallsNewConnections(true);
+    m_relay.closeConnections();
     auto first = read("/ledger/first");
     std::this_thread::sleep_for(800ms);
-    relay.setStallsNewConnections(false);
-    relay.resume();
+    m_relay.setStallsNewConnections(false);
+    m_relay.resume();
     // It may have been sent on the connection that was closed.
     first.get();
     ASSERT_EQ(read("/ledger/second").get().outcome(), "answered");
 
-    relay.stall(Direction::ToTarget);
+    m_relay.stall(Direction::ToTarget);
     std::vector<std::future<HttpReply>> replies;
     for (int i = 0; i < LateCalls; ++i) {
         replies.push_back(read("/stock/late"));
     }
     std::this_thread::sleep_for(Deadline + 200ms);
-    relay.resume();
+    m_relay.resume();
     for (auto &reply : replies) {
         EXPECT_NE(reply.get().outcome(), "answered");
     }
-    std::this_thread::sleep_for(1s);
-    for (const std::string &line : yard.journalLines("begin")) {
-        EXPECT_EQ(line.find("/stock/late"), std::string::npos) << line;
-    }
+    EXPECT_EQ(executionCount("/stock/late"), 0);
+}
+
+TEST_F(LateCall, IsNotRunIfItsCallerLeftWhileTheConnectionToItsTargetWasOpened)
+{
+    m_relay.setStallsNewConnections(true);
+    m_relay.closeConnections();
+    readAndLeave();
+    m_relay.setStallsNewConnections(false);
+    m_relay.resume();
+    EXPECT_EQ(executionCount("/ledger/late"), 0);
 }
 
 } // namespace fescuepond::test
