Wait for the cancellation that was delayed together with a call

Callers saw: nothing; their requests ran after they had left (GONE).

Cause: if the connection between two nodes is late, or the target's node is, a call and its cancellation arrive together. The call was passed on at once, so that it was often at the backend server before the cancellation was handled.

Fix: the clocks of the nodes tell how long a call was under way. One that took over 250 ms waits for 50 ms more and until everything that has arrived is read; its cancellation then fences it.

--- a/modules/peer/peerlistener.cpp
+++ b/modules/peer/peerlistener.cpp
@@ -88,7 +88,8 @@
         --m_connectionCount;
     });
     keepAlive(*stream);
-    auto incoming = kj::heap<IncomingConnection>(kj::mv(stream), m_maxMessageBytes, kj::heap<PeerServer>(m_services));
+    auto incoming =
+        kj::heap<IncomingConnection>(kj::mv(stream), m_maxMessageBytes, kj::heap<PeerServer>(m_services, m_timer));
     auto disconnected = incoming->m_network.onDisconnect();
     auto noHello = m_timer.afterDelay(HelloTimeout).then([&server = incoming->m_server]() -> kj::Promise<void> {
         if (server.hasReceivedHello()) {
--- a/modules/peer/peerserver.cpp
+++ b/modules/peer/peerserver.cpp
@@ -17,8 +17,10 @@
 namespace
 {
 
-/// Calls that took longer to arrive are logged.
-constexpr Duration LoggedDelay = std::chrono::milliseconds(250);
+/// Calls that took longer to arrive are logged, and wait for CancellationGrace.
+constexpr Duration MaxUsualDelay = std::chrono::milliseconds(250);
+/// Time for the messages that were delayed together with a call to arrive: its cancellation may be among them.
+constexpr kj::Duration CancellationGrace = 50 * kj::MILLISECONDS;
 
 /// A copyable fulfiller, as std::function requires copyable captures.
 template<typename T>
@@ -40,8 +42,9 @@
 
 } // namespace
 
-PeerServer::PeerServer(const PeerServices &services)
+PeerServer::PeerServer(const PeerServices &services, kj::Timer &timer)
     : m_services(services)
+    , m_timer(timer)
 {
 }
 
@@ -69,13 +72,8 @@
     return *m_clock;
 }
 
-void PeerServer::logIfDelayed(wire::Call::Reader message, TimePoint now) const
+void PeerServer::logDelay(wire::Call::Reader message, Duration delay, TimePoint now) const
 {
-    const WireDeadline deadline = decode(message.getDeadline());
-    const Duration delay = transmissionDelay(deadline, clockOfPeer(), now);
-    if (delay < LoggedDelay) {
-        return;
-    }
     using std::chrono::milliseconds;
     const auto toMs = [](Duration duration) {
         return std::chrono::duration_cast<milliseconds>(duration).count();
@@ -83,7 +81,7 @@
     Event("call_delayed")
         .with("attempt", message.getCallerAttempt().cStr())
         .with("delay_ms", toMs(delay))
-        .with("remaining_ms", toMs(Duration(deadline.remainingNs())))
+        .with("remaining_ms", toMs(Duration(message.getDeadline().getRemainingNs())))
         .with("connection_age_ms", toMs(now - clockOfPeer().receivedAt()));
 }
 
@@ -93,7 +91,6 @@
     const auto attemptId = decodeId<AttemptId>(message.getAttemptId());
     const TimePoint now = m_services.kernel.clock().now();
     const auto call = decode(message, clockOfPeer(), now);
-    logIfDelayed(message, now);
     if (!call) {
         auto results = context.getResults();
         encode(CallOutcome::notRun(Reason::BadRequest, "the call's body does not match its digest"),
@@ -101,13 +98,27 @@
         encode(attemptId, results.initAttemptId());
         return kj::READY_NOW;
     }
-    auto pair = kj::newPromiseAndCrossThreadFulfiller<CallOutcome>();
-    m_services.kernel.pool().post(
-        Lane::Decision, [&pipeline = m_services.pipeline, call = *call, fulfiller = shared(kj::mv(pair.fulfiller))] {
-            pipeline.submit(call, [fulfiller](const CallOutcome &outcome) {
-                (*fulfiller)->fulfill(CallOutcome(outcome));
-            });
+    const Duration delay = transmissionDelay(decode(message.getDeadline()), clockOfPeer(), now);
+    if (delay < MaxUsualDelay) {
+        return submit(*call, attemptId, context);
+    }
+    logDelay(message, delay, now);
+    return m_timer.afterDelay(CancellationGrace).then([this, call = *call, attemptId, context]() mutable {
+        return kj::evalLast([this, call = std::move(call), attemptId, context]() mutable {
+            return submit(call, attemptId, context);
         });
+    });
+}
+
+kj::Promise<void> PeerServer::submit(const CallRequest &call, const AttemptId &attemptId, CallContext context)
+{
+    auto pair = kj::newPromiseAndCrossThreadFulfiller<CallOutcome>();
+    m_services.kernel.pool().post(Lane::Decision,
+                                  [&pipeline = m_services.pipeline, call, fulfiller = shared(kj::mv(pair.fulfiller))] {
+                                      pipeline.submit(call, [fulfiller](const CallOutcome &outcome) {
+                                          (*fulfiller)->fulfill(CallOutcome(outcome));
+                                      });
+                                  });
     return pair.promise.then([context, attemptId](const CallOutcome &outcome) mutable {
         auto results = context.getResults();
         encode(outcome, results.initOutcome());
--- a/modules/peer/peerserver.h
+++ b/modules/peer/peerserver.h
@@ -6,6 +6,8 @@
 #include "modules/peer/peer.capnp.h"
 #include "modules/peer/peerclock.h"
 
+#include <kj/timer.h>
+
 #include <map>
 #include <optional>
 
@@ -30,7 +32,7 @@
 class PeerServer final : public wire::Peer::Server
 {
 public:
-    explicit PeerServer(const PeerServices &services);
+    PeerServer(const PeerServices &services, kj::Timer &timer);
 
     /// Whether the other end has sent hello with this protocol version.
     bool hasReceivedHello() const
@@ -48,9 +50,12 @@
 private:
     /// Throws if the other end hasn't sent hello with this protocol version.
     const CallerClock &clockOfPeer() const;
-    void logIfDelayed(wire::Call::Reader message, TimePoint now) const;
+    void logDelay(wire::Call::Reader message, Duration delay, TimePoint now) const;
+    /// Passes the call to the target pipeline and sends the reply.
+    kj::Promise<void> submit(const CallRequest &call, const AttemptId &attemptId, CallContext context);
 
     const PeerServices &m_services;
+    kj::Timer &m_timer;
     std::optional<CallerClock> m_clock; ///< Empty until a hello with this protocol version was received.
 };
 
--- a/tests/system/latecalltest.cpp
+++ b/tests/system/latecalltest.cpp
@@ -122,4 +122,13 @@
     EXPECT_EQ(executionCount("/ledger/late"), 0);
 }
 
+TEST_F(LateCall, IsNotRunIfItsCancellationArrivesTogetherWithIt)
+{
+    ASSERT_EQ(read("/ledger/first").get().outcome(), "answered");
+    m_relay.stall(Direction::ToTarget);
+    readAndLeave();
+    m_relay.resume();
+    EXPECT_EQ(executionCount("/ledger/late"), 0);
+}
+
 } // namespace fescuepond::test
