Don't send a call that was cancelled while its connection to the backend server was opened

Callers saw: nothing; their requests ran after they had left (GONE).

Cause: whether a call may start is checked before its worker opens a connection, which takes seconds if the backend server's queue of new connections is full. Only the connection of a call that was sent could be aborted, and only that of an idempotent one, so a cancellation in between had no effect.

Class: a decision about time made from a value that nothing checks at the moment of the act.

Fix: a call can be cancelled from the moment at which its worker takes it, and its cancellation and deadline are checked immediately before it is written. A call that may not run twice isn't aborted once it was sent, as before.

--- a/modules/backend/backendclient.cpp
+++ b/modules/backend/backendclient.cpp
@@ -57,8 +57,17 @@
 
 CallOutcome BackendClient::run(const CallRequest &call, const std::string &instance)
 {
-    if (call.context().deadline() <= now()) {
-        return CallOutcome::notRun(Reason::DeadlineExceeded, "the deadline passed before the call was run");
+    const AttemptId &attempt = call.context().attemptId();
+    registerExchange(attempt);
+    CallOutcome outcome = connectAndRun(call, instance);
+    unregisterExchange(attempt);
+    return outcome;
+}
+
+CallOutcome BackendClient::connectAndRun(const CallRequest &call, const std::string &instance)
+{
+    if (auto rejection = rejectionBeforeSending(call)) {
+        return *std::move(rejection);
     }
     ConnectionPtr idle = takeIdle(call);
     return idle ? runOnIdleConnection(call, instance, std::move(idle)) : runOnNewConnection(call, instance);
@@ -99,15 +108,17 @@
 
 CallOutcome BackendClient::exchange(const CallRequest &call, const std::string &instance, ConnectionPtr connection)
 {
+    if (auto rejection = rejectionBeforeSending(call)) {
+        returnToIdle(std::move(connection));
+        return *std::move(rejection);
+    }
     const TimePoint begin = now();
-    const AttemptId &attempt = call.context().attemptId();
     try {
         CallOutcome outcome = sendAndReceive(call, instance, *connection);
-        unregisterExchange(attempt);
         returnToIdle(std::move(connection));
         return outcome.withBackendWasReached(true);
     } catch (const Poco::Exception &error) {
-        const bool isAborted = unregisterExchange(attempt);
+        const bool isAborted = call.context().idempotent() && isExchangeAborted(call.context().attemptId());
         const std::string text = error.displayText();
         if (!isAborted) {
             // The cause of the failure, such as a network fault, may affect every connection that was open then.
@@ -126,7 +137,7 @@
     connection.stream().setReceiveTimeout(remaining);
     const DeadlineGuard guard(m_timers, deadline, connection.stream());
     if (call.context().idempotent()) {
-        registerExchange(call.context().attemptId(), guard.socket());
+        setExchangeSocket(call.context().attemptId(), guard.socket());
     }
     connection.send(call, m_dialect.requestHeaders(call, instance, now()));
     return connection.receive(call, m_dialect, m_maxBodyBytes);
@@ -167,18 +178,43 @@
     }
 }
 
-void BackendClient::registerExchange(const AttemptId &attempt, const std::shared_ptr<AbortableSocket> &socket)
+std::optional<CallOutcome> BackendClient::rejectionBeforeSending(const CallRequest &call)
+{
+    if (call.context().deadline() <= now()) {
+        return CallOutcome::notRun(Reason::DeadlineExceeded, "the deadline passed before the call was run");
+    }
+    if (isExchangeAborted(call.context().attemptId())) {
+        return CallOutcome::notRun(Reason::Cancelled, "the caller cancelled the call before it was sent");
+    }
+    return std::nullopt;
+}
+
+void BackendClient::registerExchange(const AttemptId &attempt)
+{
+    m_abortable.locked([&](AbortableExchanges &exchanges) {
+        exchanges.insert_or_assign(attempt, AbortableExchange{});
+    });
+}
+
+void BackendClient::setExchangeSocket(const AttemptId &attempt, const std::shared_ptr<AbortableSocket> &socket)
 {
     m_abortable.locked([&](AbortableExchanges &exchanges) {
-        exchanges.insert_or_assign(attempt, AbortableExchange{socket, false});
+        exchanges[attempt].socket = socket;
     });
 }
 
-bool BackendClient::unregisterExchange(const AttemptId &attempt)
+bool BackendClient::isExchangeAborted(const AttemptId &attempt)
 {
-    return m_abortable.locked([&](AbortableExchanges &exchanges) {
-        const auto node = exchanges.extract(attempt);
-        return !node.empty() && node.mapped().isAborted;
+    return m_abortable.locked([&](const AbortableExchanges &exchanges) {
+        const auto found = exchanges.find(attempt);
+        return found != exchanges.end() && found->second.isAborted;
+    });
+}
+
+void BackendClient::unregisterExchange(const AttemptId &attempt)
+{
+    m_abortable.locked([&](AbortableExchanges &exchanges) {
+        exchanges.erase(attempt);
     });
 }
 
--- a/modules/backend/backendclient.h
+++ b/modules/backend/backendclient.h
@@ -14,6 +14,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -30,8 +31,8 @@
     /// Sends `call` and waits for the complete response, until the call's deadline at most. `instance` identifies the
     /// backend server instance that the call is meant for; empty: any.
     CallOutcome run(const CallRequest &call, const std::string &instance);
-    /// Shuts down the connection of a running idempotent call, so that the backend server can stop working on it.
-    /// Does nothing for other calls.
+    /// Keeps a call that isn't sent yet from being sent, and shuts down the connection of an idempotent call that was
+    /// sent, so that the backend server can stop working on it.
     void abort(const AttemptId &attempt);
 
 private:
@@ -45,11 +46,12 @@
 
     /// An exchange that another thread may abort.
     struct AbortableExchange {
-        std::shared_ptr<AbortableSocket> socket;
+        std::shared_ptr<AbortableSocket> socket; ///< Null until the call is sent.
         bool isAborted = false;
     };
     using AbortableExchanges = std::unordered_map<AttemptId, AbortableExchange>;
 
+    CallOutcome connectAndRun(const CallRequest &call, const std::string &instance);
     CallOutcome runOnIdleConnection(const CallRequest &call, const std::string &instance, ConnectionPtr connection);
     CallOutcome runOnNewConnection(const CallRequest &call, const std::string &instance);
     CallOutcome exchange(const CallRequest &call, const std::string &instance, ConnectionPtr connection);
@@ -60,9 +62,13 @@
                                  const std::string &error);
     /// Whether the backend server still accepts connections. The connection opened for the check is kept for reuse.
     bool acceptsConnections(TimePoint deadline);
-    void registerExchange(const AttemptId &attempt, const std::shared_ptr<AbortableSocket> &socket);
-    /// Returns whether the exchange was aborted.
-    bool unregisterExchange(const AttemptId &attempt);
+    /// Checked immediately before the call is sent: its worker may have waited for a connection.
+    std::optional<CallOutcome> rejectionBeforeSending(const CallRequest &call);
+    void registerExchange(const AttemptId &attempt);
+    /// From now on, aborting the exchange shuts down `socket`.
+    void setExchangeSocket(const AttemptId &attempt, const std::shared_ptr<AbortableSocket> &socket);
+    void unregisterExchange(const AttemptId &attempt);
+    bool isExchangeAborted(const AttemptId &attempt);
     ConnectionPtr connect(TimePoint deadline) const;
     /// The most recently used idle connection, or null if none may be used for the call.
     ConnectionPtr takeIdle(const CallRequest &call);
@@ -80,7 +86,8 @@
     TimerService &m_timers;
     /// Least recently used first.
     SharedTable<std::vector<IdleConnection>> m_idle{LockRank::BackendConnections};
-    SharedTable<AbortableExchanges> m_abortable{LockRank::BackendConnections}; ///< Of idempotent calls.
+    /// Of the calls in run(). The exchange of a non-idempotent call has no socket: once sent, it isn't aborted.
+    SharedTable<AbortableExchanges> m_abortable{LockRank::BackendConnections};
 };
 
 } // namespace fescuepond
--- a/tests/modules/backend/backendclienttest.cpp
+++ b/tests/modules/backend/backendclienttest.cpp
@@ -197,6 +197,33 @@
     EXPECT_EQ(outcomeOfResponse("HTTP/1.1 204 No Content\r\n\r\n").status(), 204);
 }
 
+TEST_F(BackendClientTest, CallCancelledWhileItsConnectionIsOpenedIsNotSent)
+{
+    for (const bool isIdempotent : {true, false}) {
+        // The queue of new connections is full, so the call's connection is opened only after it was drained.
+        Poco::Net::ServerSocket server;
+        server.bind(Poco::Net::SocketAddress("127.0.0.1", 0));
+        server.listen(0);
+        const StreamSocket occupant(server.address());
+        const AttemptId attempt = AttemptId::random();
+        const CallRequest request = call(5s, isIdempotent);
+        BackendClient client(server.address().toString(), MaxBodyBytes, *m_dialect, m_timers);
+        auto outcome = std::async(std::launch::async, [&] {
+            return client.run(request.withContext(request.context().withAttemptId(attempt)), {});
+        });
+        std::this_thread::sleep_for(300ms);
+        client.abort(attempt);
+        std::this_thread::sleep_for(100ms);
+        server.acceptConnection();
+        StreamSocket accepted = server.acceptConnection();
+        const CallOutcome received = outcome.get();
+        EXPECT_EQ(received.state(), CallState::NotRun);
+        EXPECT_EQ(received.reason(), Reason::Cancelled);
+        EXPECT_FALSE(received.backendWasReached());
+        EXPECT_EQ(accepted.available(), 0);
+    }
+}
+
 TEST_F(BackendClientTest, BodiesMayContainEveryByteValue)
 {
     std::string bytes;
--- a/tests/system/frontrobustnesstest.cpp
+++ b/tests/system/frontrobustnesstest.cpp
@@ -134,8 +134,7 @@
     const std::string host = "Host: yard\r\n";
     EXPECT_EQ(statusLineFor("GET /stock/a HTTP/1.1\r\n" + host + "\r\n"), "HTTP/1.1 200 OK");
     // The end of the input counts as a disconnect; a caller that still reads gets a true answer, and nothing is run.
-    EXPECT_EQ(statusLineFor("GET /stock/ended HTTP/1.1\r\n" + host + "\r\n", true),
-              "HTTP/1.1 503 Service Unavailable");
+    EXPECT_EQ(statusLineFor("GET /stock/ended HTTP/1.1\r\n" + host + "\r\n", true), "HTTP/1.1 503 Service Unavailable");
     EXPECT_EQ(runCount(), 1);
     EXPECT_EQ(statusLineFor("POST /stock/chunked HTTP/1.1\r\n" + host
                             + "Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n3\r\nefg\r\n0\r\n\r\n"),
