Count a client's time from the arrival of its request

Callers saw: nothing; targets worked for them after they had left (GONE, and time that isn't left is handed on). FleetEnvironment.TimeThatARequestWaitsToBeReadIsNotGivenToTheTarget: a request with 1,500 ms left waits 0.8 s for a worker that reads it; before, its target was given 1,499 ms.

Cause: the deadline was computed when the request was handled, not when it arrived.

Fix: the listener notes when the first bytes of a request were there. The time that a request spends in the kernel's buffers while the process gets no processor time isn't seen; there, only its caller's disconnect shows it.

--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -350,12 +350,12 @@
     void postRead(const HttpConnectionPtr &connection)
     {
         ++m_inFlight;
-        m_kernel.pool().post(Lane::Http, [self = shared_from_this(), connection] {
-            self->readAndHandle(connection);
+        m_kernel.pool().post(Lane::Http, [self = shared_from_this(), connection, arrivedAt = m_kernel.clock().now()] {
+            self->readAndHandle(connection, arrivedAt);
         });
     }
 
-    void readAndHandle(const HttpConnectionPtr &connection)
+    void readAndHandle(const HttpConnectionPtr &connection, TimePoint arrivedAt)
     {
         const auto request = read(connection);
         if (!request) {
@@ -369,11 +369,12 @@
         } else {
             watch(connection, request->requestId());
         }
-        m_handler(*request, [self = shared_from_this(), connection](const HttpResponse &response) {
-            self->m_kernel.pool().post(Lane::Http, [self, connection, response] {
-                self->write(connection, response);
-            });
-        });
+        m_handler(request->withArrivedAt(arrivedAt),
+                  [self = shared_from_this(), connection](const HttpResponse &response) {
+                      self->m_kernel.pool().post(Lane::Http, [self, connection, response] {
+                          self->write(connection, response);
+                      });
+                  });
     }
 
     /// Reads one request. On an error, returns nothing; a malformed request also gets an error response.
--- a/modules/http/httpmessage.h
+++ b/modules/http/httpmessage.h
@@ -15,6 +15,8 @@
 class HttpRequest
 {
     FESCUEPOND_FIELD(AttemptId, requestId, withRequestId); ///< Unique; passed to HttpDisconnectHandler.
+    /// When its first bytes had arrived. What a header says of the caller's time counts from then on.
+    FESCUEPOND_FIELD(TimePoint, arrivedAt, withArrivedAt);
     FESCUEPOND_FIELD(std::string, method, withMethod);
     FESCUEPOND_FIELD(std::string, target, withTarget); ///< Path and query.
     FESCUEPOND_FIELD(std::string, host, withHost); ///< Without a port.
--- a/tests/platform/fleetenvironmenttest.cpp
+++ b/tests/platform/fleetenvironmenttest.cpp
@@ -7,6 +7,7 @@
 #include "tests/support/eventually.h"
 #include "tests/support/fleet.h"
 #include "tests/support/process.h"
+#include "tests/support/rawconnection.h"
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
@@ -24,6 +25,7 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <future>
 #include <mutex>
 #include <thread>
 
@@ -221,6 +223,25 @@
 
 } // namespace
 
+TEST_F(FleetEnvironment, TimeThatARequestWaitsToBeReadIsNotGivenToTheTarget)
+{
+    EXPECT_EQ(report(1, "ready").status, 200);
+    // Incomplete requests occupy all workers that read requests.
+    std::vector<std::unique_ptr<RawConnection>> slow;
+    for (int i = 0; i < 64; ++i) {
+        slow.push_back(std::make_unique<RawConnection>(m_entry));
+        slow.back()->send("GET /read/slow HTTP/1.1\r\n");
+    }
+    std::this_thread::sleep_for(milliseconds(100));
+    auto reply = std::async(std::launch::async, [this] {
+        return send("/read/x");
+    });
+    std::this_thread::sleep_for(milliseconds(800));
+    slow.clear();
+    EXPECT_EQ(reply.get().status, 200);
+    EXPECT_LE(std::stoi(m_target.header("Fescuepond-Deadline-Ms")), 700);
+}
+
 TEST_F(FleetEnvironment, ARequestReachesTheTargetOnceItHasReported)
 {
     EXPECT_EQ(send("/read/x").status, 503);
