--- a/core/pipeline/backenddialect.h
+++ b/core/pipeline/backenddialect.h
@@ -23,8 +23,8 @@
     virtual Headers requestHeaders(const CallRequest &call, const std::string &instance, TimePoint now) const = 0;
     /// Whether an answer with these headers belongs to `call`. If not, the client discards it and reads the next one.
     virtual bool isAnswerTo(const CallRequest &call, const Headers &headers) const = 0;
-    /// Converts a complete HTTP answer to the outcome that it stands for.
-    virtual CallOutcome interpret(const CallOutcome &answer) const = 0;
+    /// Converts a complete HTTP answer of `instance` to the outcome that it stands for, with the notice that it holds.
+    virtual CallOutcome interpret(const CallOutcome &answer, const std::string &instance) const = 0;
     /// Whether the calls that a backend server makes carry the identifier of the call that they are made for.
     virtual bool propagatesCallId() const = 0;
 };
--- a/core/pipeline/interfaces.h
+++ b/core/pipeline/interfaces.h
@@ -68,6 +68,7 @@
     /// Maximum number of concurrent calls.
     virtual std::uint32_t slots() const = 0;
     virtual BackendState state() const = 0;
+    virtual BackendNotice notice() const = 0;
 };
 
 /// Receives the reports of the backend server beside this node.
@@ -78,6 +79,10 @@
     virtual void report(const BackendReport &report) = 0;
     /// This instance of the backend server is about to stop.
     virtual void deregister(const std::string &instance) = 0;
+    /// An instance of the backend server has answered a call that was sent to it at `sentAt`.
+    virtual void answered(const std::string &instance, const BackendNotice &notice, TimePoint sentAt) = 0;
+    /// Another node knows this notice, perhaps from before this node started.
+    virtual void noticeReceived(const BackendNotice &notice) = 0;
 };
 
 /// Infers which running call a received call was made for, if the calls of the backend server don't name their parent.
--- a/core/values/call.h
+++ b/core/values/call.h
@@ -4,6 +4,7 @@
 
 #include "core/kernel/clock.h"
 #include "core/value.h"
+#include "core/values/backendnotice.h"
 #include "core/values/body.h"
 #include "core/values/declaration.h"
 #include "core/values/id.h"
@@ -46,6 +47,8 @@
     FESCUEPOND_FIELD(TimePoint, latencyObjective, withLatencyObjective);
     /// The target of the failed attempt that this one retries; none for a first attempt. Not sent to other nodes.
     FESCUEPOND_FIELD(Incarnation, failedTarget, withFailedTarget);
+    /// The latest notice of the target's backend server that this node knows.
+    FESCUEPOND_FIELD(BackendNotice, knownNotice, withKnownNotice);
 
 public:
     friend auto operator<=>(const CallContext &, const CallContext &) = default;
@@ -121,6 +124,8 @@
     FESCUEPOND_FIELD(bool, backendWasReached, withBackendWasReached);
     /// The target that the call was last sent to; none if it was not sent, or by another node. Not sent to other nodes.
     FESCUEPOND_FIELD(Incarnation, target, withTarget);
+    /// The latest notice of the target's backend server.
+    FESCUEPOND_FIELD(BackendNotice, notice, withNotice);
 
 public:
     static CallOutcome notRun(Reason reason, std::string detail);
--- a/modules/admission/admissionplugin.cpp
+++ b/modules/admission/admissionplugin.cpp
@@ -71,6 +71,7 @@
         m_table = std::make_unique<SharedTable<AdmissionTable>>(LockRank::Admission,
                                                                 static_cast<double>(kernel.settings().backendSlots()));
         m_backend = &kernel.require<BackendStatus>();
+        m_reports = &kernel.require<BackendReports>();
         kernel.require<TargetPipeline>().add(TargetStage::Admission, *this);
         addGauge("fescuepond_admission_limit", &AdmissionController::limit);
         addGauge("fescuepond_admission_running", &AdmissionController::running);
@@ -86,10 +87,15 @@
 
     void handle(const CallRequest &call, const Next &next, Done done) override
     {
+        if (!call.context().knownNotice().isEmpty()) {
+            m_reports->noticeReceived(call.context().knownNotice());
+        }
         const TimePoint now = m_kernel->clock().now();
         const double slots = m_backend->slots();
+        const double rate = m_backend->notice().rate();
         const DecidedCalls decided = m_table->locked([&](AdmissionTable &table) {
             table.controller.setSlots(slots);
+            table.controller.setRate(rate);
             const AdmissionEntry entry = table.waiting.add(call, next, std::move(done), now);
             return collect(table, table.controller.submit(entry, now));
         });
@@ -163,7 +169,7 @@
         const CallOutcome outcome = CallOutcome::notRun(decided.rejection, detailOf(decided.rejection))
                                         .withUnusedAllowance(context.retryAllowance())
                                         .withRetryAfter(std::min(drainTime, MaxRetryAfter));
-        waiting.done(withLoadReport(outcome, load, context.depth()));
+        waiting.done(withLoadReport(outcome, load, context.depth()).withNotice(m_backend->notice()));
     }
 
     void run(const WaitingCall &waiting)
@@ -181,18 +187,21 @@
     void finished(const WaitingCall &waiting, TimePoint startedAt, const CallOutcome &outcome)
     {
         const TimePoint now = m_kernel->clock().now();
+        const double rate = m_backend->notice().rate();
         const RunSample sample = RunSample().withServiceTime(now - startedAt).withIsFailed(isBackendFailure(outcome));
         std::optional<LoadReport> load;
         const DecidedCalls decided = m_table->locked([&](AdmissionTable &table) {
+            table.controller.setRate(rate);
             load = loadReportOf(table.controller, waiting.entry);
             return collect(table, table.controller.finished(waiting.entry.id(), sample, now));
         });
         apply(decided);
-        waiting.done(withLoadReport(outcome, *load, waiting.call.context().depth()));
+        waiting.done(withLoadReport(outcome, *load, waiting.call.context().depth()).withNotice(m_backend->notice()));
     }
 
     Kernel *m_kernel = nullptr;
     BackendStatus *m_backend = nullptr;
+    BackendReports *m_reports = nullptr;
     std::unique_ptr<SharedTable<AdmissionTable>> m_table;
 };
 
--- a/modules/backend/backendclient.cpp
+++ b/modules/backend/backendclient.cpp
@@ -140,7 +140,7 @@
         setExchangeSocket(call.context().attemptId(), guard.socket());
     }
     connection.send(call, m_dialect.requestHeaders(call, instance, now()));
-    return connection.receive(call, m_dialect, m_maxBodyBytes);
+    return connection.receive(call, instance, m_dialect, m_maxBodyBytes);
 }
 
 CallOutcome BackendClient::outcomeOfFailure(const CallRequest &call,
--- a/modules/backend/backendconnection.cpp
+++ b/modules/backend/backendconnection.cpp
@@ -102,13 +102,16 @@
     }
 }
 
-CallOutcome BackendConnection::receive(const CallRequest &call, const BackendDialect &dialect, std::size_t maxBodyBytes)
+CallOutcome BackendConnection::receive(const CallRequest &call,
+                                       const std::string &instance,
+                                       const BackendDialect &dialect,
+                                       std::size_t maxBodyBytes)
 {
     for (int dropped = 0; dropped <= MaxStrayResponses; ++dropped) {
         CallOutcome response = receiveOne(call, maxBodyBytes);
         if (dialect.isAnswerTo(call, response.headers())) {
             m_isReuseAllowed = m_isReuseAllowed && dropped == 0;
-            return dialect.interpret(response);
+            return dialect.interpret(response, instance);
         }
         Event("stray_answer_dropped")
             .with("attempt", call.context().callerAttempt())
--- a/modules/backend/backendconnection.h
+++ b/modules/backend/backendconnection.h
@@ -27,7 +27,10 @@
     void send(const CallRequest &call, const Headers &headers);
     /// Waits for the complete response. Throws a Poco::Exception if it is truncated, isn't HTTP or has a body of more
     /// than `maxBodyBytes`. Complete responses to other requests are skipped, MaxStrayResponses at most.
-    CallOutcome receive(const CallRequest &call, const BackendDialect &dialect, std::size_t maxBodyBytes);
+    CallOutcome receive(const CallRequest &call,
+                        const std::string &instance,
+                        const BackendDialect &dialect,
+                        std::size_t maxBodyBytes);
 
     /// Whether any byte of the latest request was written to the socket. If not, the backend server can't have run it.
     bool hasSent() const
--- a/modules/backend/backendplugin.cpp
+++ b/modules/backend/backendplugin.cpp
@@ -25,6 +25,7 @@
         m_calls = &kernel.require<CallsInFlight>();
         m_settlement = &kernel.require<AttemptSettlement>();
         m_status = &kernel.require<BackendStatus>();
+        m_reports = &kernel.require<BackendReports>();
         BOOST_LEAF_ASSIGN(m_dialect, makeStrategy<BackendDialect>(kernel.settings().environment()));
         m_client = std::make_unique<BackendClient>(
             kernel.settings().backendAddress(), kernel.settings().maxBodyBytes(), *m_dialect, kernel.timers());
@@ -59,7 +60,13 @@
             return CallOutcome::notRun(Reason::Leaving, "the backend server is leaving");
         }
         const TimePoint begin = m_kernel->clock().now();
-        CallOutcome outcome = m_client->run(call, m_status->instance());
+        const std::string instance = m_status->instance();
+        CallOutcome outcome = m_client->run(call, instance);
+        const bool hasAnswered = outcome.state() == CallState::Answered
+            || (outcome.state() == CallState::NotRun && outcome.backendWasReached());
+        if (hasAnswered) {
+            m_reports->answered(instance, outcome.notice(), begin);
+        }
         const Labels labels = {{"kind", call.context().kind()}, {"outcome", toString(outcome.state())}};
         m_kernel->metrics().observe("fescuepond_backend_seconds", labels, m_kernel->clock().now() - begin);
         return outcome;
@@ -86,6 +93,7 @@
     CallsInFlight *m_calls = nullptr;
     AttemptSettlement *m_settlement = nullptr;
     BackendStatus *m_status = nullptr;
+    BackendReports *m_reports = nullptr;
     std::unique_ptr<BackendDialect> m_dialect;
     std::unique_ptr<BackendClient> m_client;
 };
--- a/modules/backend/plaindialect.cpp
+++ b/modules/backend/plaindialect.cpp
@@ -24,7 +24,7 @@
     {
         return true;
     }
-    CallOutcome interpret(const CallOutcome &response) const override
+    CallOutcome interpret(const CallOutcome &response, const std::string &) const override
     {
         return response;
     }
--- a/modules/peer/peer.capnp
+++ b/modules/peer/peer.capnp
@@ -53,6 +53,7 @@
   callerAttempt @20 :Text;
   callerService @21 :Text;
   goalNs @22 :Int64;  # Remaining time until the latency objective when the call was sent; negative if missed.
+  notice @23 :Notice;  # The latest notice of the target's backend server that the caller knows.
 }
 
 struct Outcome {
@@ -69,6 +70,13 @@
   pathLimit @10 :Float64;  # CallOutcome::pathHeadroom.
   retryAfterMs @11 :Int64;
   backendWasReached @12 :Bool;
+  notice @13 :Notice;
+}
+
+# What a backend server says of itself in its answers: the calls a second that it takes from all nodes together (0: no
+# limit).
+struct Notice {
+  rate @0 :Float64;
 }
 
 interface Peer {
--- a/modules/peer/peer.capnp.h
+++ b/modules/peer/peer.capnp.h
@@ -25,6 +25,7 @@
 CAPNP_DECLARE_SCHEMA(df4f06e61f15fd92);
 CAPNP_DECLARE_SCHEMA(95366b2ac4fd728d);
 CAPNP_DECLARE_SCHEMA(ea3fa387287ff851);
+CAPNP_DECLARE_SCHEMA(d3f248177e0737cd);
 CAPNP_DECLARE_SCHEMA(847bf393bf225da9);
 CAPNP_DECLARE_SCHEMA(b0a69bc672142a37);
 CAPNP_DECLARE_SCHEMA(c1d217480ed66b86);
@@ -99,7 +100,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(95366b2ac4fd728d, 6, 15)
+    CAPNP_DECLARE_STRUCT_HEADER(95366b2ac4fd728d, 6, 16)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -114,7 +115,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ea3fa387287ff851, 6, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ea3fa387287ff851, 6, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Notice {
+  Notice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d3f248177e0737cd, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -668,6 +684,9 @@
 
   inline  ::int64_t getGoalNs() const;
 
+  inline bool hasNotice() const;
+  inline  ::fescuepond::wire::Notice::Reader getNotice() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -825,6 +844,13 @@
   inline  ::int64_t getGoalNs();
   inline void setGoalNs( ::int64_t value);
 
+  inline bool hasNotice();
+  inline  ::fescuepond::wire::Notice::Builder getNotice();
+  inline void setNotice( ::fescuepond::wire::Notice::Reader value);
+  inline  ::fescuepond::wire::Notice::Builder initNotice();
+  inline void adoptNotice(::capnp::Orphan< ::fescuepond::wire::Notice>&& value);
+  inline ::capnp::Orphan< ::fescuepond::wire::Notice> disownNotice();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -847,6 +873,7 @@
   inline  ::fescuepond::wire::Id::Pipeline getRootId();
   inline  ::fescuepond::wire::Id::Pipeline getAttemptId();
   inline  ::fescuepond::wire::Deadline::Pipeline getDeadline();
+  inline  ::fescuepond::wire::Notice::Pipeline getNotice();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -901,6 +928,9 @@
 
   inline bool getBackendWasReached() const;
 
+  inline bool hasNotice() const;
+  inline  ::fescuepond::wire::Notice::Reader getNotice() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -980,6 +1010,13 @@
   inline bool getBackendWasReached();
   inline void setBackendWasReached(bool value);
 
+  inline bool hasNotice();
+  inline  ::fescuepond::wire::Notice::Builder getNotice();
+  inline void setNotice( ::fescuepond::wire::Notice::Reader value);
+  inline  ::fescuepond::wire::Notice::Builder initNotice();
+  inline void adoptNotice(::capnp::Orphan< ::fescuepond::wire::Notice>&& value);
+  inline ::capnp::Orphan< ::fescuepond::wire::Notice> disownNotice();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -998,6 +1035,83 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::fescuepond::wire::Notice::Pipeline getNotice();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Notice::Reader {
+public:
+  typedef Notice Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline double getRate() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Notice::Builder {
+public:
+  typedef Notice Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline double getRate();
+  inline void setRate(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Notice::Pipeline {
+public:
+  typedef Notice Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2907,6 +3021,45 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Call::Reader::hasNotice() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS).isNull();
+}
+inline bool Call::Builder::hasNotice() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS).isNull();
+}
+inline  ::fescuepond::wire::Notice::Reader Call::Reader::getNotice() const {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::Notice>::get(_reader.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+inline  ::fescuepond::wire::Notice::Builder Call::Builder::getNotice() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::Notice>::get(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::fescuepond::wire::Notice::Pipeline Call::Pipeline::getNotice() {
+  return  ::fescuepond::wire::Notice::Pipeline(_typeless.getPointerField(15));
+}
+#endif  // !CAPNP_LITE
+inline void Call::Builder::setNotice( ::fescuepond::wire::Notice::Reader value) {
+  ::capnp::_::PointerHelpers< ::fescuepond::wire::Notice>::set(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS), value);
+}
+inline  ::fescuepond::wire::Notice::Builder Call::Builder::initNotice() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::Notice>::init(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+inline void Call::Builder::adoptNotice(
+    ::capnp::Orphan< ::fescuepond::wire::Notice>&& value) {
+  ::capnp::_::PointerHelpers< ::fescuepond::wire::Notice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::fescuepond::wire::Notice> Call::Builder::disownNotice() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::Notice>::disown(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+
 inline  ::uint8_t Outcome::Reader::getState() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3149,6 +3302,59 @@
       ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Outcome::Reader::hasNotice() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Outcome::Builder::hasNotice() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::fescuepond::wire::Notice::Reader Outcome::Reader::getNotice() const {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::Notice>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::fescuepond::wire::Notice::Builder Outcome::Builder::getNotice() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::Notice>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::fescuepond::wire::Notice::Pipeline Outcome::Pipeline::getNotice() {
+  return  ::fescuepond::wire::Notice::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void Outcome::Builder::setNotice( ::fescuepond::wire::Notice::Reader value) {
+  ::capnp::_::PointerHelpers< ::fescuepond::wire::Notice>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::fescuepond::wire::Notice::Builder Outcome::Builder::initNotice() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::Notice>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Outcome::Builder::adoptNotice(
+    ::capnp::Orphan< ::fescuepond::wire::Notice>&& value) {
+  ::capnp::_::PointerHelpers< ::fescuepond::wire::Notice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::fescuepond::wire::Notice> Outcome::Builder::disownNotice() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::Notice>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline double Notice::Reader::getRate() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double Notice::Builder::getRate() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Notice::Builder::setRate(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/modules/peer/wireencoding.cpp
+++ b/modules/peer/wireencoding.cpp
@@ -2,6 +2,8 @@
 
 #include "modules/peer/wireencoding.h"
 
+#include <algorithm>
+
 namespace fescuepond
 {
 
@@ -64,7 +66,8 @@
                                     .withCrashCount(reader.getCrashCount())
                                     .withCallerAttempt(reader.getCallerAttempt())
                                     .withCallerService(reader.getCallerService())
-                                    .withLatencyObjective(now + Duration(reader.getGoalNs()));
+                                    .withLatencyObjective(now + Duration(reader.getGoalNs()))
+                                    .withKnownNotice(decode(reader.getNotice()));
     return CallRequest()
         .withContext(context)
         .withHost(reader.getHost())
@@ -77,6 +80,18 @@
 
 } // namespace
 
+void encode(const BackendNotice &notice, wire::Notice::Builder builder)
+{
+    builder.setRate(notice.rate());
+}
+
+BackendNotice decode(wire::Notice::Reader reader)
+{
+    const double rate = reader.getRate();
+    // Any number may arrive, also none.
+    return BackendNotice().withRate(rate > 0 ? std::max(rate, MinNamedRate) : 0);
+}
+
 void encodeId(std::uint64_t high, std::uint64_t low, wire::Id::Builder builder)
 {
     builder.setHigh(high);
@@ -127,6 +142,9 @@
     builder.setCallerAttempt(context.callerAttempt());
     builder.setCallerService(context.callerService());
     builder.setGoalNs((context.latencyObjective() - now).count());
+    if (!context.knownNotice().isEmpty()) {
+        encode(context.knownNotice(), builder.initNotice());
+    }
 }
 
 std::optional<CallRequest> decode(wire::Call::Reader reader, const CallerClock &clock, TimePoint now)
@@ -154,6 +172,9 @@
     builder.setPathLimit(outcome.pathHeadroom());
     builder.setRetryAfterMs(std::chrono::duration_cast<std::chrono::milliseconds>(outcome.retryAfter()).count());
     builder.setBackendWasReached(outcome.backendWasReached());
+    if (!outcome.notice().isEmpty()) {
+        encode(outcome.notice(), builder.initNotice());
+    }
 }
 
 std::optional<CallOutcome> decode(wire::Outcome::Reader reader)
@@ -177,7 +198,8 @@
         .withTargetInFlight(reader.getTargetInFlight())
         .withPathHeadroom(reader.getPathLimit())
         .withRetryAfter(std::chrono::milliseconds(reader.getRetryAfterMs()))
-        .withBackendWasReached(reader.getBackendWasReached());
+        .withBackendWasReached(reader.getBackendWasReached())
+        .withNotice(decode(reader.getNotice()));
 }
 
 void encode(const AttemptReport &report, wire::Peer::SettleResults::Builder builder)
--- a/modules/peer/wireencoding.h
+++ b/modules/peer/wireencoding.h
@@ -26,6 +26,9 @@
 void encode(const WireDeadline &deadline, wire::Deadline::Builder builder);
 WireDeadline decode(wire::Deadline::Reader reader);
 
+void encode(const BackendNotice &notice, wire::Notice::Builder builder);
+BackendNotice decode(wire::Notice::Reader reader);
+
 /// `now` is used to encode the remaining time until the deadline and the latency objective.
 void encode(const CallRequest &call,
             TimePoint now,
--- a/modules/registration/registrationplugin.cpp
+++ b/modules/registration/registrationplugin.cpp
@@ -63,6 +63,28 @@
         });
     }
 
+    void answered(const std::string &instance, const BackendNotice &notice, TimePoint sentAt) override
+    {
+        const TimePoint now = m_kernel->clock().now();
+        applyNotice("answer", [&](const BackendTracker &known) {
+            return afterAnswer(known, instance, notice, sentAt, now);
+        });
+    }
+
+    void noticeReceived(const BackendNotice &notice) override
+    {
+        applyNotice("node", [&](const BackendTracker &known) {
+            return afterReceivedNotice(known, notice);
+        });
+    }
+
+    BackendNotice notice() const override
+    {
+        return m_table.locked([](const Table &table) {
+            return table.m_tracker.notice();
+        });
+    }
+
     bool acceptsCalls() const override
     {
         return !m_hasReports || m_table.locked([now = m_kernel->clock().now()](const Table &table) {
@@ -124,6 +146,20 @@
         publishState();
     }
 
+    template<typename Decide>
+    void applyNotice(const char *source, const Decide &decide)
+    {
+        const auto [before, after] = m_table.locked([&](Table &table) {
+            const BackendNotice known = table.m_tracker.notice();
+            table.m_tracker = decide(table.m_tracker);
+            return std::pair(known, table.m_tracker.notice());
+        });
+        if (before == after) {
+            return;
+        }
+        Event("backend_notice").with("source", source).with("rate", after.rate());
+    }
+
     void publishState()
     {
         const TimePoint now = m_kernel->clock().now();
--- a/modules/routing/routingplugin.cpp
+++ b/modules/routing/routingplugin.cpp
@@ -62,6 +62,12 @@
 private:
     /// By incarnation: a restarted target starts without failures.
     using Loads = std::unordered_map<Incarnation, TargetLoad>;
+    struct KnownNotice {
+        BackendNotice m_notice;
+        TimePoint m_receivedAt;
+    };
+    /// By the target's name, so that a notice outlasts a restart of the target's node.
+    using Notices = std::unordered_map<std::string, KnownNotice>;
 
     void route(const RoutedCallPtr &routed)
     {
@@ -74,7 +80,8 @@
             return;
         }
         routed->m_triedTargets.insert(target->incarnation());
-        const CallRequest call = routed->m_call.withContext(routed->m_call.context().withAttemptId(attempt));
+        const CallRequest call = routed->m_call.withContext(
+            routed->m_call.context().withAttemptId(attempt).withKnownNotice(knownNotice(*target)));
         m_sender->send(*target, call, [this, routed, target = *target](const CallOutcome &outcome) {
             completed(routed, target, outcome);
         });
@@ -109,6 +116,7 @@
     {
         const TimePoint now = m_kernel->clock().now();
         recordOutcome(target, outcome, now);
+        recordNotice(target, outcome, now);
         if (outcome.state() != CallState::Answered) {
             log(*routed, target, outcome);
         }
@@ -149,6 +157,29 @@
         });
     }
 
+    BackendNotice knownNotice(const Member &target) const
+    {
+        return m_notices.locked([&](const Notices &notices) {
+            const auto found = notices.find(target.name());
+            return found == notices.end() ? BackendNotice() : found->second.m_notice;
+        });
+    }
+
+    /// Outcomes in which the target's node told nothing of its load are no sign that a notice has ended.
+    void recordNotice(const Member &target, const CallOutcome &outcome, TimePoint now)
+    {
+        if (outcome.targetLimit() <= 0) {
+            return;
+        }
+        m_notices.locked([&](Notices &notices) {
+            if (outcome.notice().isEmpty()) {
+                notices.erase(target.name());
+            } else {
+                notices.insert_or_assign(target.name(), KnownNotice{outcome.notice(), now});
+            }
+        });
+    }
+
     void recordOutcome(const Member &target, const CallOutcome &outcome, TimePoint now)
     {
         const bool isNewlyEjected = m_loads.locked([&](Loads &loads) {
@@ -171,6 +202,11 @@
                 return entry.second.inFlight() == 0 && now - entry.second.lastUsedAt() > LoadMaxAge;
             });
         });
+        m_notices.locked([&](Notices &notices) {
+            std::erase_if(notices, [&](const auto &entry) {
+                return now - entry.second.m_receivedAt > LoadMaxAge;
+            });
+        });
     }
 
     Kernel *m_kernel = nullptr;
@@ -178,6 +214,7 @@
     CallSender *m_sender = nullptr;
     RouteOrigin m_origin;
     SharedTable<Loads> m_loads{LockRank::Routing};
+    SharedTable<Notices> m_notices{LockRank::Routing};
 };
 
 const auto registration = registerPlugin<RoutingPlugin>("routing", {"pipelines", "membership", "peer"});
--- a/scripts/layering.sh
+++ b/scripts/layering.sh
@@ -26,7 +26,7 @@
   fail "platform/ must not include main/ or tests/"
 fi
 # Names of headers, fields, kinds and paths of the platform's API.
-names='Fescuepond-(Attempt-Id|Deadline-Ms|Expect-Instance|Response-Signature|Caller-Service|Not-Executed|Server-Load|Instance-Id)'
+names='Fescuepond-(Attempt-Id|Deadline-Ms|Expect-Instance|Response-Signature|Caller-Service|Not-Executed|Server-Load|Instance-Id)|Server-(Limit|Leaving)'
 names="$names|path_prefix|traffic_split|max_attempts|timeout_s|aim_s|cold_left_s|heartbeat_addr|has_more|[?&]wait_ms|\"born\"|\"metadata\"|/objects/|/instances/"
 if grep -rnE "$names" core servers modules main benchmarks examples tests --include='*.cpp' --include='*.h' --include='*.capnp' \
   | grep -v '^tests/platform/'; then
--- a/servers/admission/admissioncontroller.cpp
+++ b/servers/admission/admissioncontroller.cpp
@@ -11,6 +11,8 @@
 namespace
 {
 constexpr double MinQueueCapacity = 4; ///< Calls.
+/// Calls that would wait longer for the rate are rejected at once, so that their callers can go elsewhere.
+constexpr std::chrono::duration<double> MaxRateQueueTime(1);
 }
 
 AdmissionController::AdmissionController(std::unique_ptr<LimitStrategy> limit, AdmissionRules rules)
@@ -22,8 +24,30 @@
 
 std::size_t AdmissionController::capacity() const
 {
-    return static_cast<std::size_t>(
-        std::max(MinQueueCapacity, std::ceil(m_rules.queueCapacityPerSlot * m_limit->limit())));
+    const double bySlots = std::max(MinQueueCapacity, std::ceil(m_rules.queueCapacityPerSlot * limit()));
+    if (m_rate.perSecond() <= 0) {
+        return static_cast<std::size_t>(bySlots);
+    }
+    const double byRate = std::ceil(m_rate.perSecond() * MaxRateQueueTime.count());
+    return static_cast<std::size_t>(std::clamp(byRate, 1.0, bySlots));
+}
+
+double AdmissionController::limit() const
+{
+    const double byStrategy = m_limit->limit();
+    if (m_rate.perSecond() <= 0 || m_drain.meanHoldTime() == Duration::zero()) {
+        return byStrategy;
+    }
+    // Little's law.
+    const double byRate = m_rate.perSecond() * std::chrono::duration<double>(m_drain.meanHoldTime()).count();
+    return std::clamp(byRate, 1.0, std::max(1.0, byStrategy));
+}
+
+std::optional<TimePoint> AdmissionController::nextExpiry() const
+{
+    const auto expiry = m_queue.nextExpiry();
+    const bool waitsForRate = expiry && m_rate.perSecond() > 0 && m_queue.hasFreeSlot(m_limit->limit());
+    return waitsForRate ? std::min(*expiry, m_rate.nextStart()) : expiry;
 }
 
 TimePoint AdmissionController::latestStart(const AdmissionEntry &entry) const
@@ -39,10 +63,12 @@
     }
     AdmissionDecisions decisions;
     rejectExpired(decisions, now);
-    if (const auto rejected = m_queue.push(entry, expiresAt, capacity(), m_limit->limit())) {
+    // With a rate, free slots don't let an entry start at once.
+    const double slots = m_rate.perSecond() > 0 ? 0 : limit();
+    if (const auto rejected = m_queue.push(entry, expiresAt, capacity(), slots)) {
         decisions.push_back(AdmissionDecision().withId(rejected->id()).withRejection(Reason::Overload));
     }
-    admitWaiting(decisions);
+    admitWaiting(decisions, now);
     return decisions;
 }
 
@@ -61,7 +87,7 @@
 {
     AdmissionDecisions decisions;
     rejectExpired(decisions, now);
-    admitWaiting(decisions);
+    admitWaiting(decisions, now);
     return decisions;
 }
 
@@ -79,12 +105,22 @@
 
 Duration AdmissionController::drainTime() const
 {
-    return m_drain.drainTime(m_queue.queued(), m_limit->limit());
+    const Duration bySlots = m_drain.drainTime(m_queue.queued(), m_limit->limit());
+    if (m_rate.perSecond() <= 0) {
+        return bySlots;
+    }
+    const std::chrono::duration<double> byRate(static_cast<double>(m_queue.queued()) / m_rate.perSecond());
+    return std::max(bySlots, std::chrono::duration_cast<Duration>(byRate));
 }
 
-void AdmissionController::admitWaiting(AdmissionDecisions &decisions)
+void AdmissionController::admitWaiting(AdmissionDecisions &decisions, TimePoint now)
 {
-    while (const auto entry = m_queue.admitNext(m_limit->limit())) {
+    while (m_rate.nextStart() <= now) {
+        const auto entry = m_queue.admitNext(m_limit->limit());
+        if (!entry) {
+            return;
+        }
+        m_rate = m_rate.afterStart(now);
         decisions.push_back(AdmissionDecision().withId(entry->id()));
     }
 }
--- a/servers/admission/admissioncontroller.h
+++ b/servers/admission/admissioncontroller.h
@@ -6,6 +6,7 @@
 #include "servers/admission/drainestimate.h"
 #include "servers/admission/limitstrategy.h"
 #include "servers/admission/servicetimes.h"
+#include "servers/admission/startrate.h"
 
 #include <memory>
 #include <optional>
@@ -35,20 +36,20 @@
     /// Removes a queued entry whose caller no longer waits; false if it isn't queued.
     bool cancel(EntryId id);
 
-    /// When expire() must be called next.
-    std::optional<TimePoint> nextExpiry() const
-    {
-        return m_queue.nextExpiry();
-    }
+    /// When expire() must be called next: when a queued call expires, or may start although no other one has finished.
+    std::optional<TimePoint> nextExpiry() const;
     /// Sets how many calls the backend server runs concurrently.
     void setSlots(double slots)
     {
         m_limit->setSlots(slots);
     }
-    double limit() const
+    /// Sets how many calls a second the backend server takes; 0: no limit.
+    void setRate(double perSecond)
     {
-        return m_limit->limit();
+        m_rate = m_rate.withPerSecond(perSecond);
     }
+    /// How many calls can run concurrently: the limit of the strategy, or the number that the rate allows.
+    double limit() const;
     std::size_t running() const
     {
         return m_queue.running();
@@ -60,7 +61,7 @@
     /// See AdmissionQueue::headroom().
     double headroom(const AdmissionEntry &entry) const
     {
-        return m_queue.headroom(entry, m_limit->limit());
+        return m_queue.headroom(entry, limit());
     }
     /// Estimated time until all calls that are queued now have started.
     Duration drainTime() const;
@@ -72,7 +73,7 @@
 private:
     std::size_t capacity() const;
     TimePoint latestStart(const AdmissionEntry &entry) const;
-    void admitWaiting(AdmissionDecisions &decisions);
+    void admitWaiting(AdmissionDecisions &decisions, TimePoint now);
     void rejectExpired(AdmissionDecisions &decisions, TimePoint now);
 
     const AdmissionRules m_rules;
@@ -80,6 +81,7 @@
     AdmissionQueue m_queue;
     ServiceTimes m_serviceTimes;
     DrainEstimate m_drain; ///< Over all kinds.
+    StartRate m_rate;
 };
 
 } // namespace fescuepond
--- a/servers/admission/admissionqueue.cpp
+++ b/servers/admission/admissionqueue.cpp
@@ -55,7 +55,7 @@
 
 std::optional<AdmissionEntry> AdmissionQueue::admitNext(double slots)
 {
-    if (m_waiting.empty() || static_cast<double>(m_running.size()) + 1 > slots) {
+    if (m_waiting.empty() || !hasFreeSlot(slots)) {
         return std::nullopt;
     }
     const ShedOrder *withinShare = firstWithinKeptShare(slots);
--- a/servers/admission/admissionqueue.h
+++ b/servers/admission/admissionqueue.h
@@ -37,6 +37,10 @@
     push(const AdmissionEntry &entry, TimePoint expiresAt, std::size_t capacity, double slots);
     /// Moves the most important queued entry to the running ones if a slot is free, and returns it.
     std::optional<AdmissionEntry> admitNext(double slots);
+    bool hasFreeSlot(double slots) const
+    {
+        return static_cast<double>(m_running.size()) + 1 <= slots;
+    }
     /// Releases the slot of a running entry.
     AdmissionEntry finish(EntryId id);
     /// Removes a queued entry; false if it isn't queued.
--- a/servers/admission/drainestimate.h
+++ b/servers/admission/drainestimate.h
@@ -19,6 +19,10 @@
     void add(Duration time);
     /// Estimated time until each of `waiting` calls has got one of `slots`; zero if there is no estimate yet.
     Duration drainTime(std::size_t waiting, double slots) const;
+    Duration meanHoldTime() const
+    {
+        return m_meanHoldTime;
+    }
 
 private:
     Duration m_meanHoldTime{}; ///< Moving average; zero until a call has completed.
--- a/servers/registration/backendtracker.cpp
+++ b/servers/registration/backendtracker.cpp
@@ -102,12 +102,45 @@
     if (isNew || !isSameInstance(report, known.report())) {
         next = next.withDrainingSince(TimePoint());
     }
+    // A rate that was received before the first report is kept.
+    if (isKnown && !isSameInstance(report, known.report())) {
+        next = next.withRate(0).withLastAnswerAt(TimePoint()).withRateNamedAt(TimePoint());
+    }
     if (report.state() == BackendState::Draining && next.drainingSince() == TimePoint()) {
         next = next.withDrainingSince(now);
     }
     return {next, ReportVerdict::Accepted};
 }
 
+BackendNotice BackendTracker::notice() const
+{
+    return BackendNotice().withRate(m_rate);
+}
+
+BackendTracker afterAnswer(const BackendTracker &known,
+                           const std::string &instance,
+                           const BackendNotice &notice,
+                           TimePoint sentAt,
+                           TimePoint now)
+{
+    if (instance != known.report().instance()) {
+        return known;
+    }
+    BackendTracker next = known.withLastAnswerAt(now);
+    if (notice.rate() > 0) {
+        next = next.withRate(notice.rate()).withRateNamedAt(now);
+    } else if (sentAt > known.rateNamedAt()) {
+        next = next.withRate(0);
+    }
+    return next;
+}
+
+BackendTracker afterReceivedNotice(const BackendTracker &known, const BackendNotice &notice)
+{
+    const bool isNew = notice.rate() > 0 && known.lastAnswerAt() == TimePoint();
+    return isNew ? known.withRate(notice.rate()) : known;
+}
+
 TrackerUpdate afterDeregistration(const BackendTracker &known, const std::string &instance, TimePoint now)
 {
     if (known.report().instance() != instance) {
--- a/servers/registration/backendtracker.h
+++ b/servers/registration/backendtracker.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include "core/values/backendnotice.h"
 #include "core/values/backendreport.h"
 
 #include <compare>
@@ -39,6 +40,10 @@
     FESCUEPOND_FIELD(BackendReport, report, withReport); ///< The latest accepted one.
     FESCUEPOND_FIELD(TimePoint, lastReportAt, withLastReportAt);
     FESCUEPOND_FIELD(TimePoint, drainingSince, withDrainingSince); ///< Of the latest instance; zero if not draining.
+    FESCUEPOND_FIELD(double, rate, withRate); ///< Calls a second that the latest instance takes; 0: no limit.
+    /// When the latest instance answered last; zero: not yet.
+    FESCUEPOND_FIELD(TimePoint, lastAnswerAt, withLastAnswerAt);
+    FESCUEPOND_FIELD(TimePoint, rateNamedAt, withRateNamedAt); ///< When an answer named the rate last.
 
 public:
     BackendState state(TimePoint now) const;
@@ -51,6 +56,8 @@
     bool acceptsCalls(TimePoint now) const;
     /// Whether a call may be passed to the backend server now.
     bool canStart(TimePoint now) const;
+    /// For the nodes that send calls to this one.
+    BackendNotice notice() const;
     friend auto operator<=>(const BackendTracker &, const BackendTracker &) = default;
 };
 
@@ -75,4 +82,15 @@
 /// `instance` is the known one.
 TrackerUpdate afterDeregistration(const BackendTracker &known, const std::string &instance, TimePoint now);
 
+/// An answer of an instance. A limit ends with the first answer without one to a call that was sent after the limit was
+/// named last: answers can overtake each other.
+BackendTracker afterAnswer(const BackendTracker &known,
+                           const std::string &instance,
+                           const BackendNotice &notice,
+                           TimePoint sentAt,
+                           TimePoint now);
+
+/// A notice that another node knows. It counts until the backend server has answered a call of this node.
+BackendTracker afterReceivedNotice(const BackendTracker &known, const BackendNotice &notice);
+
 } // namespace fescuepond
--- a/servers/routing/router.cpp
+++ b/servers/routing/router.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
+#include <limits>
 
 namespace fescuepond
 {
@@ -88,23 +90,47 @@
     double m_minFailureRatio = 1;
 };
 
+using Tier = std::vector<const RouteCandidate *>;
+
+/// Draws a random candidate and removes it. One that has named a rate is drawn less often than the others, in
+/// proportion to what it takes.
+const RouteCandidate *draw(Tier &tier, TimePoint now, std::uint32_t random)
+{
+    double highestLimit = 0;
+    for (const RouteCandidate *candidate : tier) {
+        highestLimit = std::max(highestLimit, limitAt(candidate->load(), now));
+    }
+    const auto weightOf = [&](const RouteCandidate *candidate) {
+        return candidate->load().hasNamedRate() ? limitAt(candidate->load(), now) / highestLimit : 1;
+    };
+    double total = 0;
+    for (const RouteCandidate *candidate : tier) {
+        total += weightOf(candidate);
+    }
+    double position = total * random / (static_cast<double>(std::numeric_limits<std::uint32_t>::max()) + 1);
+    auto drawn = tier.begin();
+    while (std::next(drawn) != tier.end() && position >= weightOf(*drawn)) {
+        position -= weightOf(*drawn);
+        ++drawn;
+    }
+    const RouteCandidate *candidate = *drawn;
+    tier.erase(drawn);
+    return candidate;
+}
+
 /// The less utilised of two random candidates; null if there is none.
-const RouteCandidate *chooseOfTwo(const std::vector<const RouteCandidate *> &tier,
-                                  const UtilisationComparison &comparison,
-                                  std::uint64_t random)
+const RouteCandidate *
+chooseOfTwo(Tier tier, const UtilisationComparison &comparison, TimePoint now, std::uint64_t random)
 {
     if (tier.empty()) {
         return nullptr;
     }
-    const std::size_t first = random % tier.size();
-    if (tier.size() == 1) {
-        return tier[first];
+    const RouteCandidate *first = draw(tier, now, static_cast<std::uint32_t>(random));
+    if (tier.empty()) {
+        return first;
     }
-    // Never the first one again.
-    const std::size_t step = 1 + (random >> HalfWordBits) % (tier.size() - 1);
-    const std::size_t second = (first + step) % tier.size();
-    const bool isFirstLess = comparison.utilisationOf(*tier[first]) <= comparison.utilisationOf(*tier[second]);
-    return isFirstLess ? tier[first] : tier[second];
+    const RouteCandidate *second = draw(tier, now, static_cast<std::uint32_t>(random >> HalfWordBits));
+    return comparison.utilisationOf(*first) <= comparison.utilisationOf(*second) ? first : second;
 }
 
 } // namespace
@@ -113,7 +139,7 @@
 chooseTarget(const RouteCandidates &candidates, const RouteOrigin &origin, TimePoint now, std::uint64_t random)
 {
     const RouteCandidates usable = withoutEjected(withoutSuspects(candidates), now);
-    std::array<std::vector<const RouteCandidate *>, OtherRegion + 1> tiers;
+    std::array<Tier, OtherRegion + 1> tiers;
     for (const RouteCandidate &candidate : usable) {
         invariant(acceptsWork(candidate.target()), "a member that leaves or is dead gets no call");
         tiers.at(distanceTo(candidate.target(), origin)).push_back(&candidate);
@@ -124,7 +150,7 @@
     for (std::size_t distance = OwnZone; distance <= OtherRegion; ++distance) {
         random *= TierMix;
         random ^= random >> HalfWordBits;
-        const RouteCandidate *candidate = chooseOfTwo(tiers.at(distance), comparison, random);
+        const RouteCandidate *candidate = chooseOfTwo(tiers.at(distance), comparison, now, random);
         if (candidate == nullptr) {
             continue;
         }
--- a/servers/routing/targetload.cpp
+++ b/servers/routing/targetload.cpp
@@ -18,6 +18,8 @@
 constexpr double DefaultLimit = 40;
 /// A reported limit expires, since a target with a low one may get no call whose outcome would report a higher one.
 constexpr Duration LimitMaxAge = std::chrono::seconds(5);
+/// One that follows from a named rate holds longer: the target still gets some calls, in proportion to it.
+constexpr Duration NamedLimitMaxAge = std::chrono::minutes(1);
 /// The reported number of calls in flight expires after this time.
 constexpr Duration ReportMaxAge = std::chrono::seconds(1);
 /// Suspicious outcomes in a row that eject a target.
@@ -103,6 +105,7 @@
     if (outcome.targetLimit() > 0) {
         completed = completed.withLimit(outcome.targetLimit())
                         .withReportedInFlight(outcome.targetInFlight())
+                        .withHasNamedRate(outcome.notice().rate() > 0)
                         .withReportedAt(now);
     }
     const HealthSignal signal = healthSignalOf(outcome);
@@ -124,12 +127,17 @@
     return completed;
 }
 
+double limitAt(const TargetLoad &load, TimePoint now)
+{
+    const Duration maxAge = load.hasNamedRate() ? NamedLimitMaxAge : LimitMaxAge;
+    return load.limit() > 0 && now - load.reportedAt() < maxAge ? load.limit() : DefaultLimit;
+}
+
 double utilisation(const TargetLoad &load, TimePoint now)
 {
     const bool isFresh = load.reportedInFlight() > 0 && now - load.reportedAt() < ReportMaxAge;
     const int inFlight = isFresh ? std::max(load.inFlight(), load.reportedInFlight()) : load.inFlight();
-    const bool hasLimit = load.limit() > 0 && now - load.reportedAt() < LimitMaxAge;
-    return (inFlight + 1) / (hasLimit ? load.limit() : DefaultLimit);
+    return (inFlight + 1) / limitAt(load, now);
 }
 
 double penalisedUtilisation(const TargetLoad &load, double minFailureRatio, TimePoint now)
--- a/servers/routing/targetload.h
+++ b/servers/routing/targetload.h
@@ -18,6 +18,8 @@
     /// Calls of all nodes at the target, as it last reported.
     FESCUEPOND_FIELD(int, reportedInFlight, withReportedInFlight);
     FESCUEPOND_FIELD(TimePoint, reportedAt, withReportedAt);
+    /// The limit follows from a rate that the target's backend server has named.
+    FESCUEPOND_FIELD(bool, hasNamedRate, withHasNamedRate);
     /// Outcomes in a row whose health signal was suspicious or failed.
     FESCUEPOND_FIELD(int, consecutiveFailures, withConsecutiveFailures);
     FESCUEPOND_FIELD(int, ejections, withEjections); ///< Since it last answered.
@@ -49,6 +51,8 @@
 /// The failure ratio; 0 if no call has updated it for FailureRatioMaxAge.
 double failureRatioAt(const TargetLoad &load, TimePoint now);
 
+/// The reported limit, or a usual one if none was reported lately.
+double limitAt(const TargetLoad &load, TimePoint now);
 /// (calls in flight + 1) / limit: above 1 the next call would be queued.
 double utilisation(const TargetLoad &load, TimePoint now);
 /// The utilisation by which targets are compared. It is raised for a target with a higher failure ratio than the best
--- a/tests/platform/fleetenvironmenttest.cpp
+++ b/tests/platform/fleetenvironmenttest.cpp
@@ -78,6 +78,8 @@
     std::atomic<bool> m_rejects = false; ///< Responds that it has not run the request.
     std::atomic<bool> m_omitsSignature = false; ///< Leaves the signature out of its responses.
     std::atomic<bool> m_holdsRequests = false; ///< Holds requests until their connection is closed, without responding.
+    std::atomic<const char *> m_noticeName = nullptr; ///< A header of its responses; null: none.
+    std::atomic<const char *> m_noticeValue = "";
     std::atomic<bool> m_wasDisconnected = false; ///< The node has closed the connection of a held request.
 
 private:
@@ -129,6 +131,9 @@
         }
         std::string body;
         Poco::StreamCopier::copyToString(request.stream(), body);
+        if (m_noticeName != nullptr) {
+            response.set(m_noticeName.load(), m_noticeValue.load());
+        }
         response.set("Fescuepond-Attempt-Id", header("fescuepond-attempt-id"));
         if (m_rejects) {
             response.setStatus("503");
@@ -282,6 +287,36 @@
     EXPECT_EQ(m_target.m_requests, before + 1);
 }
 
+TEST_F(FleetEnvironment, ATargetGetsNoMoreRequestsThanTheLimitThatItNames)
+{
+    EXPECT_EQ(report(1, "ready").status, 200);
+    m_target.m_noticeName = "Server-Limit";
+    m_target.m_noticeValue = "10";
+    EXPECT_EQ(send("/read/first").status, 200);
+    std::vector<std::future<HttpReply>> replies;
+    for (int i = 0; i < 100; ++i) {
+        replies.push_back(std::async(std::launch::async, [this] {
+            return send("/read/x");
+        }));
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    int refused = 0;
+    for (auto &reply : replies) {
+        refused += reply.get().status == 503 ? 1 : 0;
+    }
+    // 2 s of sending, and 1 s in which requests that are queued still start.
+    EXPECT_LE(m_target.m_requests, 1 + 10 * 3 + 3);
+    EXPECT_GE(m_target.m_requests, 20);
+    EXPECT_EQ(refused, 101 - m_target.m_requests);
+    m_target.m_noticeName = nullptr;
+    EXPECT_TRUE(eventually(MaxWait, [this] {
+        return send("/read/y").status == 200;
+    }));
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(send("/read/z").status, 200) << "the limit has ended";
+    }
+}
+
 TEST_F(FleetEnvironment, ATargetThatDeregistersGetsNoNewRequests)
 {
     report(1, "ready");
--- a/tests/platform/targetdialecttest.cpp
+++ b/tests/platform/targetdialecttest.cpp
@@ -54,25 +54,42 @@
     EXPECT_FALSE(m_dialect->requestHeaders(call, "", now).contains(platform::ExpectInstanceHeader));
 }
 
+TEST_F(TargetDialectTest, NoticesOfTheTargetAreReadFromAllItsAnswers)
+{
+    const auto noticeOf = [&](int status, Headers headers) {
+        headers.insert(m_signed.begin(), m_signed.end());
+        return m_dialect->interpret(answer(status, headers), "i-1").notice();
+    };
+    EXPECT_EQ(noticeOf(200, {}), BackendNotice());
+    EXPECT_EQ(noticeOf(200, {{"server-limit", "15.25"}}).rate(), 15.25);
+    EXPECT_EQ(noticeOf(503, {{"server-limit", "8"}, {"fescuepond-not-executed", "1"}}).rate(), 8);
+    EXPECT_EQ(noticeOf(500, {{"server-limit", "0"}}).rate(), MinNamedRate);
+    for (const char *unreadable : {"", "-1", "nan", "inf", "1e3", "1e999", "12,5", " 12", "12x"}) {
+        EXPECT_EQ(noticeOf(200, {{"server-limit", unreadable}}).rate(), 0) << unreadable;
+    }
+    EXPECT_EQ(m_dialect->interpret(answer(421, {{"server-limit", "8"}}), "i-1").notice(), BackendNotice());
+}
+
 TEST_F(TargetDialectTest, OnlyTheTargetsMarkerMeansThatACallWasNotRun)
 {
-    EXPECT_EQ(m_dialect->interpret(answer(503, {{"fescuepond-not-executed", "1"}})).reason(), Reason::BackendBusy);
-    EXPECT_EQ(m_dialect->interpret(answer(421, {})).reason(), Reason::Leaving);
-    EXPECT_EQ(m_dialect->interpret(answer(503, m_signed)).state(), CallState::Answered);
-    EXPECT_EQ(m_dialect->interpret(answer(500, m_signed)).state(), CallState::Answered);
+    EXPECT_EQ(m_dialect->interpret(answer(503, {{"fescuepond-not-executed", "1"}}), "i-1").reason(),
+              Reason::BackendBusy);
+    EXPECT_EQ(m_dialect->interpret(answer(421, {}), "i-1").reason(), Reason::Leaving);
+    EXPECT_EQ(m_dialect->interpret(answer(503, m_signed), "i-1").state(), CallState::Answered);
+    EXPECT_EQ(m_dialect->interpret(answer(500, m_signed), "i-1").state(), CallState::Answered);
 }
 
 TEST_F(TargetDialectTest, ASuccessNeedsSignatureAttemptIdAndNoContentEncoding)
 {
-    EXPECT_EQ(m_dialect->interpret(answer(200, m_signed)).state(), CallState::Answered);
+    EXPECT_EQ(m_dialect->interpret(answer(200, m_signed), "i-1").state(), CallState::Answered);
     for (const char *missing : {"fescuepond-response-signature", "fescuepond-attempt-id"}) {
         Headers headers = m_signed;
         headers.erase(missing);
-        EXPECT_EQ(m_dialect->interpret(answer(200, headers)).state(), CallState::OutcomeUnknown) << missing;
+        EXPECT_EQ(m_dialect->interpret(answer(200, headers), "i-1").state(), CallState::OutcomeUnknown) << missing;
     }
     Headers encoded = m_signed;
     encoded["content-encoding"] = "gzip";
-    EXPECT_EQ(m_dialect->interpret(answer(200, encoded)).state(), CallState::OutcomeUnknown);
+    EXPECT_EQ(m_dialect->interpret(answer(200, encoded), "i-1").state(), CallState::OutcomeUnknown);
 }
 
 TEST_F(TargetDialectTest, AnAnswerToAnotherRequestIsRecognisedByItsAttemptId)
--- a/tests/servers/admission/admissioncontrollertest.cpp
+++ b/tests/servers/admission/admissioncontrollertest.cpp
@@ -45,6 +45,54 @@
     EXPECT_EQ(controller.drainTime(), milliseconds(80)) << "four calls are queued, and two run in 40 ms";
 }
 
+TEST(AdmissionController, CallsStartAtTheNamedRateTheMostImportantFirstThoughSlotsAreFree)
+{
+    AdmissionController controller = controllerWith(50);
+    controller.setRate(10);
+    EntryId id = 1;
+    int admitted = 0;
+    for (; id <= 3; ++id) {
+        admitted += static_cast<int>(controller.submit(entryOf(id, 5, milliseconds(5000)), start).size());
+    }
+    EXPECT_EQ(admitted, 3) << "as many as the burst allows";
+    EXPECT_TRUE(controller.submit(entryOf(id++, 5, milliseconds(5000)), start).empty());
+    EXPECT_TRUE(controller.submit(entryOf(id++, 1, milliseconds(5000)), start).empty());
+    ASSERT_EQ(controller.nextExpiry(), start + milliseconds(100));
+    EXPECT_EQ(controller.expire(start + milliseconds(99)), AdmissionDecisions{});
+    EXPECT_EQ(controller.expire(start + milliseconds(100)), AdmissionDecisions{AdmissionDecision().withId(5)});
+    controller.setRate(0);
+    EXPECT_EQ(controller.expire(start + milliseconds(101)), AdmissionDecisions{AdmissionDecision().withId(4)});
+}
+
+TEST(AdmissionController, CallsThatWouldWaitLongForTheNamedRateAreRejectedAtOnce)
+{
+    AdmissionController controller = controllerWith(50);
+    controller.setRate(2);
+    AdmissionDecisions rejected;
+    for (EntryId id = 1; id <= 40; ++id) {
+        for (const AdmissionDecision &decision : controller.submit(entryOf(id, 0, milliseconds(9000)), start)) {
+            if (!decision.isAdmitted()) {
+                rejected.push_back(decision);
+            }
+        }
+    }
+    EXPECT_GE(rejected.size(), 36);
+    EXPECT_LE(controller.queued(), 3);
+    EXPECT_GE(controller.drainTime(), milliseconds(500));
+}
+
+TEST(AdmissionController, ReportsTheConcurrencyThatTheNamedRateAllows)
+{
+    AdmissionController controller = controllerWith(50);
+    controller.submit(entryOf(1, 0, milliseconds(1000)), start);
+    controller.finished(1, RunSample().withServiceTime(milliseconds(200)), start);
+    EXPECT_EQ(controller.limit(), 50);
+    controller.setRate(20);
+    EXPECT_EQ(controller.limit(), 4);
+    controller.setRate(1);
+    EXPECT_EQ(controller.limit(), 1);
+}
+
 TEST(AdmissionController, AdmitsUpToTheLimitAndTheMostImportantCallWhenOneFinishes)
 {
     AdmissionController controller = controllerWith(1);
--- a/tests/servers/registration/backendtrackertest.cpp
+++ b/tests/servers/registration/backendtrackertest.cpp
@@ -39,6 +39,32 @@
 
 } // namespace
 
+TEST(BackendTracker, NamedRateEndsWithTheFirstAnswerWithoutItToACallThatWasSentLater)
+{
+    const BackendNotice named = BackendNotice().withRate(12.5);
+    BackendTracker tracker = after(fresh, report("i-1", 1, 1, BackendState::Ready)).tracker;
+    tracker = afterAnswer(tracker, "i-1", named, Start, Start + milliseconds(100));
+    EXPECT_EQ(tracker.notice().rate(), 12.5);
+    tracker = afterAnswer(tracker, "i-1", BackendNotice(), Start + milliseconds(50), Start + milliseconds(110));
+    EXPECT_EQ(tracker.notice().rate(), 12.5) << "the answer was overtaken";
+    tracker = afterAnswer(tracker, "i-2", BackendNotice(), Start + milliseconds(150), Start + milliseconds(200));
+    EXPECT_EQ(tracker.notice().rate(), 12.5) << "the answer is another instance's";
+    tracker = afterAnswer(tracker, "i-1", BackendNotice(), Start + milliseconds(150), Start + milliseconds(200));
+    EXPECT_EQ(tracker.notice().rate(), 0);
+}
+
+TEST(BackendTracker, NodeThatRestartedKeepsToTheRateThatItsCallersKnow)
+{
+    const BackendNotice named = BackendNotice().withRate(8);
+    BackendTracker tracker = after(fresh, report("i-1", 1, 7, BackendState::Ready)).tracker;
+    tracker = afterReceivedNotice(tracker, named);
+    EXPECT_EQ(tracker.notice().rate(), 8);
+    tracker = afterAnswer(tracker, "i-1", BackendNotice(), Start + milliseconds(1), Start + milliseconds(100));
+    EXPECT_EQ(tracker.notice().rate(), 0);
+    tracker = afterReceivedNotice(tracker, named);
+    EXPECT_EQ(tracker.notice().rate(), 0) << "the backend server itself has answered without a limit since";
+}
+
 TEST(BackendTracker, NoCallIsAcceptedBeforeTheFirstReport)
 {
     const BackendTracker &none = fresh;
