Stop sending calls to a backend server that says in its answers that it leaves

FleetEnvironment.ATargetThatSaysThatItLeavesGetsNoNewRequests fails on the code before: a request is sent to the target 2 s after it has said so, and answered.

Cause: only a report or a deregistration was taken for leaving (DRAIN).

Class: state of a backend server that a node gets from one source only, though the backend server tells it in two.

Fix: an answer with the header starts draining as a report does, and later reports of that instance don't take it back. The notice travels with outcomes and calls like a named rate, so that a target's node that has restarted sends nothing to an instance that its callers know to leave. It names the instance's start time, since a later one may have its name.

--- a/core/values/backendnotice.h
+++ b/core/values/backendnotice.h
@@ -5,6 +5,8 @@
 #include "core/value.h"
 
 #include <compare>
+#include <cstdint>
+#include <string>
 
 namespace fescuepond
 {
@@ -18,11 +20,15 @@
 {
     /// Calls a second that the backend server takes from all nodes together; 0: it names no limit.
     FESCUEPOND_FIELD(double, rate, withRate);
+    /// The instance of the backend server that is about to leave; empty: none.
+    FESCUEPOND_FIELD(std::string, leavingInstance, withLeavingInstance);
+    /// When that instance started, since a later one may have its name; 0: not known.
+    FESCUEPOND_FIELD(std::uint64_t, leavingStartedAtMs, withLeavingStartedAtMs);
 
 public:
     bool isEmpty() const
     {
-        return m_rate <= 0;
+        return m_rate <= 0 && m_leavingInstance.empty();
     }
     friend auto operator<=>(const BackendNotice &, const BackendNotice &) = default;
 };
--- a/modules/peer/peer.capnp
+++ b/modules/peer/peer.capnp
@@ -74,9 +74,11 @@
 }
 
 # What a backend server says of itself in its answers: the calls a second that it takes from all nodes together (0: no
-# limit).
+# limit), and the name and start time of its instance if that is about to leave.
 struct Notice {
   rate @0 :Float64;
+  leavingInstance @1 :Text;
+  leavingStartedAtMs @2 :UInt64;
 }
 
 interface Peer {
--- a/modules/peer/peer.capnp.h
+++ b/modules/peer/peer.capnp.h
@@ -130,7 +130,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d3f248177e0737cd, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(d3f248177e0737cd, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1063,6 +1063,11 @@
 
   inline double getRate() const;
 
+  inline bool hasLeavingInstance() const;
+  inline  ::capnp::Text::Reader getLeavingInstance() const;
+
+  inline  ::uint64_t getLeavingStartedAtMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1094,6 +1099,16 @@
   inline double getRate();
   inline void setRate(double value);
 
+  inline bool hasLeavingInstance();
+  inline  ::capnp::Text::Builder getLeavingInstance();
+  inline void setLeavingInstance( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initLeavingInstance(unsigned int size);
+  inline void adoptLeavingInstance(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownLeavingInstance();
+
+  inline  ::uint64_t getLeavingStartedAtMs();
+  inline void setLeavingStartedAtMs( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3355,6 +3370,54 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Notice::Reader::hasLeavingInstance() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Notice::Builder::hasLeavingInstance() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Notice::Reader::getLeavingInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Notice::Builder::getLeavingInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Notice::Builder::setLeavingInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Notice::Builder::initLeavingInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Notice::Builder::adoptLeavingInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Notice::Builder::disownLeavingInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Notice::Reader::getLeavingStartedAtMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Notice::Builder::getLeavingStartedAtMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Notice::Builder::setLeavingStartedAtMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/modules/peer/wireencoding.cpp
+++ b/modules/peer/wireencoding.cpp
@@ -83,13 +83,18 @@
 void encode(const BackendNotice &notice, wire::Notice::Builder builder)
 {
     builder.setRate(notice.rate());
+    builder.setLeavingInstance(notice.leavingInstance());
+    builder.setLeavingStartedAtMs(notice.leavingStartedAtMs());
 }
 
 BackendNotice decode(wire::Notice::Reader reader)
 {
     const double rate = reader.getRate();
     // Any number may arrive, also none.
-    return BackendNotice().withRate(rate > 0 ? std::max(rate, MinNamedRate) : 0);
+    return BackendNotice()
+        .withRate(rate > 0 ? std::max(rate, MinNamedRate) : 0)
+        .withLeavingInstance(reader.getLeavingInstance())
+        .withLeavingStartedAtMs(reader.getLeavingStartedAtMs());
 }
 
 void encodeId(std::uint64_t high, std::uint64_t low, wire::Id::Builder builder)
--- a/modules/registration/registrationplugin.cpp
+++ b/modules/registration/registrationplugin.cpp
@@ -73,8 +73,9 @@
 
     void noticeReceived(const BackendNotice &notice) override
     {
+        const TimePoint now = m_kernel->clock().now();
         applyNotice("node", [&](const BackendTracker &known) {
-            return afterReceivedNotice(known, notice);
+            return afterReceivedNotice(known, notice, now);
         });
     }
 
@@ -157,7 +158,11 @@
         if (before == after) {
             return;
         }
-        Event("backend_notice").with("source", source).with("rate", after.rate());
+        Event("backend_notice")
+            .with("source", source)
+            .with("rate", after.rate())
+            .with("leaving", after.leavingInstance());
+        publishState();
     }
 
     void publishState()
--- a/servers/registration/backendtracker.cpp
+++ b/servers/registration/backendtracker.cpp
@@ -114,7 +114,11 @@
 
 BackendNotice BackendTracker::notice() const
 {
-    return BackendNotice().withRate(m_rate);
+    const auto notice = BackendNotice().withRate(m_rate);
+    if (m_drainingSince == TimePoint()) {
+        return notice;
+    }
+    return notice.withLeavingInstance(m_report.instance()).withLeavingStartedAtMs(m_report.startedAtMs());
 }
 
 BackendTracker afterAnswer(const BackendTracker &known,
@@ -132,13 +136,24 @@
     } else if (sentAt > known.rateNamedAt()) {
         next = next.withRate(0);
     }
-    return next;
+    const bool startsDraining = !notice.leavingInstance().empty() && next.drainingSince() == TimePoint();
+    return startsDraining ? next.withDrainingSince(now) : next;
 }
 
-BackendTracker afterReceivedNotice(const BackendTracker &known, const BackendNotice &notice)
+BackendTracker afterReceivedNotice(const BackendTracker &known, const BackendNotice &notice, TimePoint now)
 {
-    const bool isNew = notice.rate() > 0 && known.lastAnswerAt() == TimePoint();
-    return isNew ? known.withRate(notice.rate()) : known;
+    BackendTracker next = known;
+    if (notice.rate() > 0 && known.lastAnswerAt() == TimePoint()) {
+        next = next.withRate(notice.rate());
+    }
+    // Without its start time, the instance could be an earlier one of the same name.
+    const bool isLeaving = notice.leavingStartedAtMs() != 0
+        && notice.leavingStartedAtMs() == known.report().startedAtMs()
+        && notice.leavingInstance() == known.report().instance();
+    if (isLeaving && next.drainingSince() == TimePoint()) {
+        next = next.withDrainingSince(now - known.timeouts().drainLimit());
+    }
+    return next;
 }
 
 TrackerUpdate afterDeregistration(const BackendTracker &known, const std::string &instance, TimePoint now)
--- a/servers/registration/backendtracker.h
+++ b/servers/registration/backendtracker.h
@@ -83,14 +83,15 @@
 TrackerUpdate afterDeregistration(const BackendTracker &known, const std::string &instance, TimePoint now);
 
 /// An answer of an instance. A limit ends with the first answer without one to a call that was sent after the limit was
-/// named last: answers can overtake each other.
+/// named last: answers can overtake each other. An instance that is leaving starts draining as if it had reported so.
 BackendTracker afterAnswer(const BackendTracker &known,
                            const std::string &instance,
                            const BackendNotice &notice,
                            TimePoint sentAt,
                            TimePoint now);
 
-/// A notice that another node knows. It counts until the backend server has answered a call of this node.
-BackendTracker afterReceivedNotice(const BackendTracker &known, const BackendNotice &notice);
+/// A notice that another node knows. It counts until the backend server has answered a call of this node. An instance
+/// that is leaving gets no further call: it may have said so long ago.
+BackendTracker afterReceivedNotice(const BackendTracker &known, const BackendNotice &notice, TimePoint now);
 
 } // namespace fescuepond
--- a/tests/platform/fleetenvironmenttest.cpp
+++ b/tests/platform/fleetenvironmenttest.cpp
@@ -317,6 +317,20 @@
     }
 }
 
+TEST_F(FleetEnvironment, ATargetThatSaysThatItLeavesGetsNoNewRequests)
+{
+    EXPECT_EQ(report(1, "ready").status, 200);
+    m_target.m_noticeName = "Server-Leaving";
+    m_target.m_noticeValue = "1";
+    EXPECT_EQ(send("/read/x").status, 200);
+    // Its reports don't take that back.
+    EXPECT_EQ(report(2, "ready").status, 200);
+    std::this_thread::sleep_for(seconds(2));
+    const int before = m_target.m_requests;
+    EXPECT_EQ(send("/read/y").status, 503);
+    EXPECT_EQ(m_target.m_requests, before);
+}
+
 TEST_F(FleetEnvironment, ATargetThatDeregistersGetsNoNewRequests)
 {
     report(1, "ready");
--- a/tests/platform/targetdialecttest.cpp
+++ b/tests/platform/targetdialecttest.cpp
@@ -67,7 +67,9 @@
     for (const char *unreadable : {"", "-1", "nan", "inf", "1e3", "1e999", "12,5", " 12", "12x"}) {
         EXPECT_EQ(noticeOf(200, {{"server-limit", unreadable}}).rate(), 0) << unreadable;
     }
-    EXPECT_EQ(m_dialect->interpret(answer(421, {{"server-limit", "8"}}), "i-1").notice(), BackendNotice());
+    EXPECT_EQ(noticeOf(200, {{"server-leaving", "1"}}).leavingInstance(), "i-1");
+    EXPECT_EQ(noticeOf(200, {{"server-leaving", "0"}}).leavingInstance(), "");
+    EXPECT_EQ(m_dialect->interpret(answer(421, {{"server-leaving", "1"}}), "i-1").notice(), BackendNotice());
 }
 
 TEST_F(TargetDialectTest, OnlyTheTargetsMarkerMeansThatACallWasNotRun)
--- a/tests/servers/admission/namedratemodeltest.cpp
+++ b/tests/servers/admission/namedratemodeltest.cpp
@@ -186,7 +186,7 @@
             complete(call, CallOutcome::notRun(Reason::ConnectionLost, ""));
             return;
         }
-        target.tracker = afterReceivedNotice(target.tracker, call.knownNotice);
+        target.tracker = afterReceivedNotice(target.tracker, call.knownNotice, m_now);
         target.controller->setRate(target.tracker.notice().rate());
         const EntryId id = ++m_lastId;
         target.calls.emplace(id, call);
--- a/tests/servers/registration/backendtrackertest.cpp
+++ b/tests/servers/registration/backendtrackertest.cpp
@@ -57,14 +57,39 @@
 {
     const BackendNotice named = BackendNotice().withRate(8);
     BackendTracker tracker = after(fresh, report("i-1", 1, 7, BackendState::Ready)).tracker;
-    tracker = afterReceivedNotice(tracker, named);
+    tracker = afterReceivedNotice(tracker, named, Start);
     EXPECT_EQ(tracker.notice().rate(), 8);
     tracker = afterAnswer(tracker, "i-1", BackendNotice(), Start + milliseconds(1), Start + milliseconds(100));
     EXPECT_EQ(tracker.notice().rate(), 0);
-    tracker = afterReceivedNotice(tracker, named);
+    tracker = afterReceivedNotice(tracker, named, Start + milliseconds(200));
     EXPECT_EQ(tracker.notice().rate(), 0) << "the backend server itself has answered without a limit since";
 }
 
+TEST(BackendTracker, InstanceThatSaysInAnAnswerThatItLeavesIsDraining)
+{
+    BackendTracker tracker = after(fresh, report("i-1", 1, 1, BackendState::Ready)).tracker;
+    tracker = afterAnswer(tracker, "i-1", BackendNotice().withLeavingInstance("i-1"), Start, Start);
+    EXPECT_FALSE(tracker.isServing(Start));
+    EXPECT_TRUE(tracker.canStart(Start + milliseconds(100)));
+    EXPECT_FALSE(tracker.canStart(Start + std::chrono::seconds(2)));
+    EXPECT_EQ(tracker.notice().leavingInstance(), "i-1");
+    const BackendTracker replaced = after(tracker, report("i-2", 9, 1, BackendState::Ready)).tracker;
+    EXPECT_TRUE(replaced.isServing(Start));
+}
+
+TEST(BackendTracker, NodeThatRestartedSendsNothingToAnInstanceThatItsCallersKnowToLeave)
+{
+    BackendTracker tracker = after(fresh, report("i-1", 1, 1, BackendState::Ready)).tracker;
+    const BackendNotice notice = BackendNotice().withLeavingInstance("i-1").withLeavingStartedAtMs(1);
+    tracker = afterReceivedNotice(tracker, notice.withLeavingInstance("i-0"), Start);
+    EXPECT_TRUE(tracker.canStart(Start)) << "another instance";
+    tracker = afterReceivedNotice(tracker, notice.withLeavingStartedAtMs(0), Start);
+    tracker = afterReceivedNotice(tracker, notice.withLeavingStartedAtMs(7), Start);
+    EXPECT_TRUE(tracker.canStart(Start)) << "another start of an instance of this name";
+    tracker = afterReceivedNotice(tracker, notice, Start);
+    EXPECT_FALSE(tracker.canStart(Start));
+}
+
 TEST(BackendTracker, NoCallIsAcceptedBeforeTheFirstReport)
 {
     const BackendTracker &none = fresh;
