Let an odd entry of another writer cost that entry alone

Here, StoreMessages.OneOddItemOfAListOrAWatchCostsOnlyItself fails on the code before with a JSON exception: a list or a watch with one item that is nested over 128 deep, or has a number too large, could not be read at all, so that a node would find no other node and follow no configuration.

Cause: a list was parsed as one document; a record's address was not checked.

Class: input of another writer that is checked at the level of the message only.

Texts in records must be texts, and addresses must be an IP and a port.

--- a/modules/membership/memberencoding.cpp
+++ b/modules/membership/memberencoding.cpp
@@ -2,6 +2,8 @@
 
 #include "modules/membership/memberencoding.h"
 
+#include "core/settings/settingformat.h"
+
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
 
@@ -10,9 +12,25 @@
 namespace fescuepond
 {
 
+namespace
+{
+
+using Poco::JSON::Object;
+
+std::string textField(const Object::Ptr &object, const char *field)
+{
+    const Poco::Dynamic::Var value = object->get(field);
+    if (!value.isString()) {
+        throw Poco::DataFormatException(field, "not a string");
+    }
+    return value.convert<std::string>();
+}
+
+} // namespace
+
 std::string toJson(const Member &member)
 {
-    Poco::JSON::Object object;
+    Object object;
     object.set("name", member.name());
     object.set("started_at_ms", member.startedAtMs());
     object.set("incarnation", member.incarnation().toString());
@@ -33,22 +51,26 @@
 std::optional<Member> memberFromJson(const std::string &text)
 {
     try {
-        const auto object = Poco::JSON::Parser().parse(text).extract<Poco::JSON::Object::Ptr>();
-        const auto incarnation = Incarnation::parse(object->getValue<std::string>("incarnation"));
+        const auto object = Poco::JSON::Parser().parse(text).extract<Object::Ptr>();
+        const auto incarnation = Incarnation::parse(textField(object, "incarnation"));
         const int state = object->getValue<int>("state");
-        if (!incarnation || state < 0 || state > static_cast<int>(MemberState::Dead)) {
+        const auto peerAddress = textField(object, "peer_address");
+        const auto endpoint = parseEndpoint(peerAddress);
+        const bool isValid = incarnation && state >= 0 && state <= static_cast<int>(MemberState::Dead) && endpoint
+            && endpoint->port != 0;
+        if (!isValid) {
             return std::nullopt;
         }
         return Member()
-            .withName(object->getValue<std::string>("name"))
+            .withName(textField(object, "name"))
             .withStartedAtMs(object->getValue<Poco::UInt64>("started_at_ms"))
             .withIncarnation(*incarnation)
             .withSequence(object->getValue<Poco::UInt64>("sequence"))
             .withState(static_cast<MemberState>(state))
-            .withService(object->getValue<std::string>("service"))
-            .withZone(object->getValue<std::string>("zone"))
-            .withRegion(object->getValue<std::string>("region"))
-            .withPeerAddress(object->getValue<std::string>("peer_address"))
+            .withService(textField(object, "service"))
+            .withZone(textField(object, "zone"))
+            .withRegion(textField(object, "region"))
+            .withPeerAddress(peerAddress)
             .withConfigurationVersion(object->getValue<Poco::UInt64>("configuration_version"))
             .withIsServing(object->getValue<bool>("serving"))
             .withSlots(object->getValue<std::uint32_t>("slots"));
--- a/tests/platform/storemessagestest.cpp
+++ b/tests/platform/storemessagestest.cpp
@@ -38,6 +38,36 @@
     EXPECT_EQ(read.storeVersion, 530);
 }
 
+TEST(StoreMessages, OneOddItemOfAListOrAWatchCostsOnlyItself)
+{
+    const auto nested = [](int depth) {
+        return std::string(static_cast<std::size_t>(depth), '[') + std::string(static_cast<std::size_t>(depth), ']');
+    };
+    const std::vector<std::string> oddItems = {
+        nested(200),
+        nested(100'000),
+        R"({"metadata":{"name":"odd","revision":1},"spec":)" + nested(100'000) + "}",
+        R"({"metadata":{"name":"odd","revision":1e999},"spec":"v"})",
+        R"({"metadata":{"name":"odd","revision":-1},"spec":"v"})",
+        R"({"metadata":{"name":"odd","revision":123456789012345678901234567890},"spec":"v"})",
+        R"({"metadata":{"name":{},"revision":1},"spec":"v"})",
+        R"({"metadata":[],"spec":"v"})",
+        "null",
+        "7",
+        R"("text")",
+        "\x01\xff",
+    };
+    for (const std::string &odd : oddItems) {
+        const StorePage read = readStorePage(R"({"items":[)" + item + "," + odd + "," + item + R"(],"at":5})");
+        EXPECT_EQ(read.objects.size(), 2) << odd.substr(0, 100);
+        EXPECT_EQ(read.storeVersion, 5);
+        const std::string event = R"({"deleted":false,"object":)";
+        const StoreChanges changes = readStoreChanges(R"({"events":[)" + event + item + "}," + event + odd + "}," + odd
+                                                      + "," + event + item + R"(}],"at":5})");
+        EXPECT_EQ(changes.changes.size(), 2) << odd.substr(0, 100);
+    }
+}
+
 TEST(StoreMessages, ChangesCarryRemovalsAndTheStoreVersion)
 {
     const StoreChanges changes = readStoreChanges(changed);
