Give up a response without an end long before the deadline

BackendClientTest.ResponseWithoutAnEndIsGivenUpLongBeforeTheDeadline plays 14 kinds of bytes without end; on the code before, two of them were read until the deadline of 20 s: continued header lines (1.8 GB) and informational responses (466 MB), at full speed. The others were given up at once.

Cause: the header reader limits the length of a line and the number of fields, not the bytes; informational responses were skipped without a limit.

Fix: a header has at most 1 MiB, from callers too, and a response at most 8 informational ones before it.

--- a/modules/backend/backendconnection.cpp
+++ b/modules/backend/backendconnection.cpp
@@ -23,6 +23,8 @@
 
 /// Responses to other requests that are skipped before the connection is given up.
 constexpr int MaxStrayResponses = 3;
+/// Informational responses (1xx) before the one to a request.
+constexpr int MaxInformationalResponses = 8;
 
 std::string toText(const CallRequest &call, const Headers &headers)
 {
@@ -139,11 +141,14 @@
 HTTPResponse BackendConnection::receiveHeader()
 {
     HTTPResponse response;
-    do {
+    for (int count = 0; count <= MaxInformationalResponses; ++count) {
         response.clear();
         readHeader(response);
-    } while (isInformational(response));
-    return response;
+        if (!isInformational(response)) {
+            return response;
+        }
+    }
+    throw MessageException("the backend server sent only informational responses");
 }
 
 BackendConnection::BodyReader BackendConnection::bodyReaderFor(const std::string &method, const HTTPResponse &response)
--- a/modules/http/httpstream.cpp
+++ b/modules/http/httpstream.cpp
@@ -2,14 +2,14 @@
 
 #include "modules/http/httpstream.h"
 
-#include <Poco/Net/HTTPHeaderStream.h>
-
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
 #include <cerrno>
 #include <charconv>
+#include <istream>
+#include <streambuf>
 
 namespace fescuepond
 {
@@ -28,6 +28,8 @@
 
 constexpr std::size_t BufferBytes = 16'384;
 constexpr int EndOfStream = -1;
+/// A header that is longer ends the connection, however it is split into lines.
+constexpr std::size_t MaxHeaderBytes = 1024UL * 1024;
 
 [[noreturn]] void failTruncated()
 {
@@ -41,6 +43,35 @@
     }
 }
 
+/// Gives the bytes of a source to a stream, up to a limit.
+class LimitedBuffer final : public std::streambuf
+{
+public:
+    LimitedBuffer(ByteSource &source, std::size_t limit)
+        : m_source(source)
+        , m_left(limit)
+    {
+    }
+
+protected:
+    int_type underflow() override
+    {
+        const int byte = m_left > 0 ? m_source.next() : EndOfStream;
+        if (byte < 0) {
+            return traits_type::eof();
+        }
+        --m_left;
+        m_byte = static_cast<char>(byte);
+        setg(&m_byte, &m_byte, &m_byte + 1);
+        return traits_type::to_int_type(m_byte);
+    }
+
+private:
+    ByteSource &m_source;
+    std::size_t m_left;
+    char m_byte = 0;
+};
+
 } // namespace
 
 BodyTooLong::BodyTooLong()
@@ -50,7 +81,8 @@
 
 void HttpStream::readHeader(Poco::Net::HTTPMessage &message)
 {
-    Poco::Net::HTTPHeaderInputStream stream(*this);
+    LimitedBuffer buffer(*this, MaxHeaderBytes);
+    std::istream stream(&buffer);
     message.read(stream);
     // POCO treats the end of the stream as the end of the header.
     if (!stream.good()) {
--- a/tests/modules/backend/backendclienttest.cpp
+++ b/tests/modules/backend/backendclienttest.cpp
@@ -275,6 +275,48 @@
     }
 }
 
+TEST_F(BackendClientTest, ResponseWithoutAnEndIsGivenUpLongBeforeTheDeadline)
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::vector<std::pair<std::string, std::string>> answers = {
+        {"", "A"},
+        {"", std::string(1, '\0')},
+        {"", "\r\n"},
+        {"HTTP/1.1 200 ", "O"},
+        {ok, "a"},
+        {ok + "a: ", "b"},
+        {ok, "a: b\r\n"},
+        {ok, " \r\n"},
+        {ok + "a: b\r\n", " c\r\n"},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {ok + "\r\n", "body"},
+        {ok + "Transfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"},
+        {ok + "Transfer-Encoding: chunked\r\n\r\n", "1;"},
+        {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "a: b\r\n"},
+    };
+    for (const auto &[begin, repeated] : answers) {
+        std::atomic<std::size_t> sentBytes = 0;
+        std::string block;
+        while (block.size() < 10'000) {
+            block += repeated;
+        }
+        const auto sendWithoutEnd = [&, first = begin](StreamSocket &socket) {
+            sendBytes(first)(socket);
+            while (true) {
+                sendBytes(block)(socket);
+                sentBytes += block.size();
+            }
+        };
+        ScriptedServer server({sendWithoutEnd});
+        BackendClient client = clientOf(server);
+        const TimePoint start = m_clock.now();
+        const CallOutcome outcome = client.run(call(20s), {});
+        EXPECT_EQ(outcome.state(), CallState::OutcomeUnknown) << begin << repeated;
+        EXPECT_LT(m_clock.now() - start, 5s) << begin << repeated;
+        EXPECT_LT(sentBytes, 20'000'000) << begin << repeated;
+    }
+}
+
 TEST_F(BackendClientTest, IdleConnectionIsReusedForTheNextCall)
 {
     ScriptedServer server({sendBytes(firstResponse), sendBytes(secondResponse)});
