Close a connection on which the backend server rejected a call

It can happen here: BackendClientTest.RepeatedRejectionIsNeverTakenForTheResponseToAnotherCall fails on the code before, the second call ends as not run although the backend server got and answered it.

Cause: a rejection need not name its request, so a repeated one can't be told from that of the next call.

Fix: such a connection isn't used again, so no call waits on one that has carried a rejection.

--- a/modules/backend/backendconnection.cpp
+++ b/modules/backend/backendconnection.cpp
@@ -112,8 +112,11 @@
     for (int dropped = 0; dropped <= MaxStrayResponses; ++dropped) {
         CallOutcome response = receiveOne(call, maxBodyBytes);
         if (dialect.isAnswerTo(call, response.headers())) {
-            m_isReuseAllowed = m_isReuseAllowed && dropped == 0;
-            return dialect.interpret(response, instance);
+            CallOutcome outcome = dialect.interpret(response, instance);
+            // A faulty backend server may repeat a rejection, which would pass for the rejection of another call.
+            const bool isRejection = outcome.state() == CallState::NotRun;
+            m_isReuseAllowed = m_isReuseAllowed && dropped == 0 && !isRejection;
+            return outcome;
         }
         Event("stray_answer_dropped")
             .with("attempt", call.context().callerAttempt())
--- a/tests/modules/backend/backendclienttest.cpp
+++ b/tests/modules/backend/backendclienttest.cpp
@@ -140,6 +140,28 @@
     std::thread m_thread;
 };
 
+/// Takes 503 for the backend server's word that it has not run the call.
+class RejectionDialect final : public BackendDialect
+{
+public:
+    Headers requestHeaders(const CallRequest &call, const std::string &, TimePoint) const override
+    {
+        return call.headers();
+    }
+    bool isAnswerTo(const CallRequest &, const Headers &) const override
+    {
+        return true;
+    }
+    CallOutcome interpret(const CallOutcome &answer, const std::string &) const override
+    {
+        return answer.status() == 503 ? CallOutcome::notRun(Reason::BackendBusy, "") : answer;
+    }
+    bool propagatesCallId() const override
+    {
+        return false;
+    }
+};
+
 class BackendClientTest : public testing::Test
 {
 protected:
@@ -336,6 +358,27 @@
     EXPECT_EQ(server.connections(), 2);
 }
 
+TEST_F(BackendClientTest, RepeatedRejectionIsNeverTakenForTheResponseToAnotherCall)
+{
+    const std::string rejection = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+    std::optional<StreamSocket> rejectedOn;
+    const auto reject = [&](StreamSocket &socket) {
+        rejectedOn = socket;
+        sendBytes(rejection)(socket);
+    };
+    const auto run = [&](StreamSocket &socket) {
+        sendBytes(socket == *rejectedOn ? rejection + secondResponse : secondResponse)(socket);
+    };
+    ScriptedServer server({reject, run});
+    const RejectionDialect dialect;
+    BackendClient client(server.address(), MaxBodyBytes, dialect, m_timers);
+    EXPECT_EQ(client.run(call(), {}).state(), CallState::NotRun);
+    const CallOutcome second = client.run(call(), {});
+    EXPECT_EQ(second.state(), CallState::Answered);
+    EXPECT_EQ(second.body().bytes(), "second");
+    EXPECT_EQ(server.requests(), 2);
+}
+
 TEST_F(BackendClientTest, LateResponseToAnAbandonedCallIsNeverTakenForAnother)
 {
     const auto late = [](StreamSocket &socket) {
