Cancel what is sent to other nodes before their event loop ends

Cause, by the debugger: a pending hello was cancelled after its connection's network had ended. Requests in flight were detached, so they lived until the event loop itself was destroyed, and kept the connections that were being opened. Their cancellation sends a message, on a stream that was gone.

Fix: the sender owns its requests and drops them before the connections, while the loop runs.

--- a/modules/peer/peersender.cpp
+++ b/modules/peer/peersender.cpp
@@ -40,13 +40,27 @@
         m_loop.io(),
         PeerIdentity{
             settings.name(), m_kernel.clock(), maxMessageBytes(settings.maxBodyBytes(), settings.maxHeaderBytes())});
+    m_tasks = std::make_unique<kj::TaskSet>(*this);
 }
 
 void PeerSender::close()
 {
+    m_tasks.reset();
     m_connections.reset();
 }
 
+void PeerSender::addTask(kj::Promise<void> task)
+{
+    if (m_tasks) {
+        m_tasks->add(kj::mv(task));
+    }
+}
+
+void PeerSender::taskFailed(kj::Exception &&error)
+{
+    Event("peer_send_failed").with("error", error.getDescription().cStr());
+}
+
 void PeerSender::send(const Member &target, const CallRequest &call, Done done)
 {
     m_loop.post(
@@ -77,23 +91,21 @@
     auto forget = kj::defer([this, attemptId = pending->call.context().attemptId()] {
         m_unsent.erase(attemptId);
     });
-    m_loop.io()
-        .provider->getTimer()
-        .timeoutAfter(toKj(remaining + DeadlineGrace), outcome.attach(kj::mv(forget)))
-        .then(
-            [this, done](const CallOutcome &received) {
-                finish(done, received);
-            },
-            [this, done, pending](kj::Exception &&) {
-                if (pending->sentToIncarnation) {
-                    const CallContext &context = pending->call.context();
-                    cancelOnLoop(pending->address, context.attemptId(), context.deadline());
-                }
-                finish(done, outcomeAtDeadline(*pending));
-            })
-        .detach([](kj::Exception &&error) {
-            Event("peer_send_failed").with("error", error.getDescription().cStr());
-        });
+    auto ended = m_loop.io()
+                     .provider->getTimer()
+                     .timeoutAfter(toKj(remaining + DeadlineGrace), outcome.attach(kj::mv(forget)))
+                     .then(
+                         [this, done](const CallOutcome &received) {
+                             finish(done, received);
+                         },
+                         [this, done, pending](kj::Exception &&) {
+                             if (pending->sentToIncarnation) {
+                                 const CallContext &context = pending->call.context();
+                                 cancelOnLoop(pending->address, context.attemptId(), context.deadline());
+                             }
+                             finish(done, outcomeAtDeadline(*pending));
+                         });
+    addTask(kj::mv(ended));
 }
 
 std::optional<CallOutcome> PeerSender::rejectionBeforeSending(const PendingCall &pending) const
@@ -242,19 +254,21 @@
         }
         return;
     }
-    connect(address)
-        .then([this, attemptId, deadline](kj::Own<PeerConnection> connection) {
-            auto message = connection->peer().cancelRequest();
-            encode(attemptId, message.initAttemptId());
-            encode(toWire(deadline, m_kernel.clock().now(), connection->calleeClock()), message.initDeadline());
-            return connection->withLivenessCheck<bool>(message.send().then([](auto &&) {
-                return true;
-            }));
-        })
-        .ignoreResult()
-        .detach([](kj::Exception &&) {
-            // Ignored: without the cancellation, the target ends the attempt at its deadline.
-        });
+    auto sent =
+        connect(address)
+            .then([this, attemptId, deadline](kj::Own<PeerConnection> connection) {
+                auto message = connection->peer().cancelRequest();
+                encode(attemptId, message.initAttemptId());
+                encode(toWire(deadline, m_kernel.clock().now(), connection->calleeClock()), message.initDeadline());
+                return connection->withLivenessCheck<bool>(message.send().then([](auto &&) {
+                    return true;
+                }));
+            })
+            .ignoreResult()
+            .catch_([](kj::Exception &&) {
+                // Ignored: without the cancellation, the target ends the attempt at its deadline.
+            });
+    addTask(kj::mv(sent));
 }
 
 void PeerSender::ask(const std::string &address,
@@ -291,20 +305,21 @@
             return discardAndThrow<OptionalReply>(address, *connection, kj::mv(error));
         });
     });
-    m_loop.io()
-        .provider->getTimer()
-        .timeoutAfter(toKj(timeout), kj::mv(responsePromise))
-        .catch_([](kj::Exception &&) -> OptionalReply {
-            return std::nullopt;
-        })
-        .then([this, reply](OptionalReply optionalReply) {
-            m_kernel.pool().post(Lane::Decision, [reply, optionalReply = std::move(optionalReply)] {
-                reply(optionalReply);
-            });
-        })
-        .detach([](kj::Exception &&error) {
-            Event("peer_ask_failed").with("error", error.getDescription().cStr());
-        });
+    auto answered = m_loop.io()
+                        .provider->getTimer()
+                        .timeoutAfter(toKj(timeout), kj::mv(responsePromise))
+                        .catch_([](kj::Exception &&) -> OptionalReply {
+                            return std::nullopt;
+                        })
+                        .then([this, reply](OptionalReply optionalReply) {
+                            m_kernel.pool().post(Lane::Decision, [reply, optionalReply = std::move(optionalReply)] {
+                                reply(optionalReply);
+                            });
+                        })
+                        .catch_([](kj::Exception &&error) {
+                            Event("peer_ask_failed").with("error", error.getDescription().cStr());
+                        });
+    addTask(kj::mv(answered));
 }
 
 } // namespace fescuepond
--- a/modules/peer/peersender.h
+++ b/modules/peer/peersender.h
@@ -18,7 +18,7 @@
 
 class Kernel;
 
-class PeerSender
+class PeerSender final : public kj::TaskSet::ErrorHandler
 {
 public:
     PeerSender(Kernel &kernel, EventLoop &loop);
@@ -63,11 +63,15 @@
     template<typename T>
     kj::Promise<T> discardAndThrow(const std::string &address, PeerConnection &connection, kj::Exception &&error);
     void finish(const Done &done, const CallOutcome &outcome);
+    /// Keeps a promise until it is done, or until close(). After close() it is dropped.
+    void addTask(kj::Promise<void> task);
+    void taskFailed(kj::Exception &&error) override;
 
     Kernel &m_kernel;
     EventLoop &m_loop;
-    // Created and destroyed on the loop's thread.
+    // Created and destroyed on the loop's thread, while the loop runs: requests that are cancelled send a message.
     std::unique_ptr<PeerConnections> m_connections;
+    std::unique_ptr<kj::TaskSet> m_tasks; ///< What is sent and not answered.
     /// The calls that wait for their connection. Used only on the loop's thread.
     std::unordered_map<AttemptId, std::weak_ptr<PendingCall>> m_unsent;
 };
