--- a/servers/registration/backendtracker.cpp
+++ b/servers/registration/backendtracker.cpp
@@ -114,11 +114,11 @@
 
 BackendNotice BackendTracker::notice() const
 {
-    const auto notice = BackendNotice().withRate(m_rate);
-    if (m_drainingSince == TimePoint()) {
-        return notice;
+    BackendNotice notice = BackendNotice().withRate(m_rate);
+    if (m_drainingSince != TimePoint()) {
+        notice = notice.withLeavingInstance(m_report.instance()).withLeavingStartedAtMs(m_report.startedAtMs());
     }
-    return notice.withLeavingInstance(m_report.instance()).withLeavingStartedAtMs(m_report.startedAtMs());
+    return notice;
 }
 
 BackendTracker afterAnswer(const BackendTracker &known,
--- a/tests/platform/storemessagestest.cpp
+++ b/tests/platform/storemessagestest.cpp
@@ -5,6 +5,8 @@
 
 #include <Poco/Exception.h>
 
+#include <fmt/format.h>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -58,12 +60,13 @@
         "\x01\xff",
     };
     for (const std::string &odd : oddItems) {
-        const StorePage read = readStorePage(R"({"items":[)" + item + "," + odd + "," + item + R"(],"at":5})");
+        const StorePage read = readStorePage(fmt::format(R"({{"items":[{0},{1},{0}],"at":5}})", item, odd));
         EXPECT_EQ(read.objects.size(), 2) << odd.substr(0, 100);
         EXPECT_EQ(read.storeVersion, 5);
-        const std::string event = R"({"deleted":false,"object":)";
-        const StoreChanges changes = readStoreChanges(R"({"events":[)" + event + item + "}," + event + odd + "}," + odd
-                                                      + "," + event + item + R"(}],"at":5})");
+        const std::string event = fmt::format(R"({{"deleted":false,"object":{}}})", item);
+        const std::string oddEvent = fmt::format(R"({{"deleted":false,"object":{}}})", odd);
+        const StoreChanges changes =
+            readStoreChanges(fmt::format(R"({{"events":[{0},{1},{2},{0}],"at":5}})", event, oddEvent, odd));
         EXPECT_EQ(changes.changes.size(), 2) << odd.substr(0, 100);
     }
 }
--- a/tests/system/latecalltest.cpp
+++ b/tests/system/latecalltest.cpp
@@ -59,9 +59,9 @@
     /// Sends calls whose callers leave after CallerTimeout, and waits until they have.
     void readAndLeave() const
     {
-        std::vector<std::future<HttpReply>> replies;
-        for (int i = 0; i < LateCalls; ++i) {
-            replies.push_back(read("/ledger/late", CallerTimeout));
+        std::vector<std::future<HttpReply>> replies(LateCalls);
+        for (auto &reply : replies) {
+            reply = read("/ledger/late", CallerTimeout);
         }
         for (auto &reply : replies) {
             EXPECT_EQ(reply.get().status, 0);
@@ -100,9 +100,9 @@
     ASSERT_EQ(read("/ledger/second").get().outcome(), "answered");
 
     m_relay.stall(Direction::ToTarget);
-    std::vector<std::future<HttpReply>> replies;
-    for (int i = 0; i < LateCalls; ++i) {
-        replies.push_back(read("/stock/late"));
+    std::vector<std::future<HttpReply>> replies(LateCalls);
+    for (auto &reply : replies) {
+        reply = read("/stock/late");
     }
     std::this_thread::sleep_for(Deadline + 200ms);
     m_relay.resume();
