Read a callee's clock again soon if the reading was slow

Found in review: after a hello of up to 1 s, deadlines on its connection are early by as much until a better reading replaces it, and the next one was due only 10 s later on a busy connection. A reading with a round trip above 20 ms is now renewed each 250 ms while there are requests. A node that doesn't return its clock was pinged as often, for nothing.

LateCall.IsNotTakenForOneSoonAfterTheHelloOfItsConnectionTookLong states it; it also passes before where the connection is idle first, as the ping with the first call gives a reading.

--- a/modules/peer/peerconnection.cpp
+++ b/modules/peer/peerconnection.cpp
@@ -52,12 +52,17 @@
 
 void PeerConnection::addClockReading(std::int64_t remoteNs, TimePoint sentAt)
 {
-    if (remoteNs == 0) {
-        return;
-    }
     const auto measured = CalleeClock().withRemoteNs(remoteNs).withSentAt(sentAt).withReceivedAt(m_clock.now());
-    m_calleeClock = m_calleeClock ? betterReading(*m_calleeClock, measured) : measured;
     m_lastReadingAt = measured.receivedAt();
+    if (remoteNs != 0) {
+        m_calleeClock = m_calleeClock ? betterReading(*m_calleeClock, measured) : measured;
+    }
+}
+
+bool PeerConnection::isReadingDue() const
+{
+    const bool isExact = !m_calleeClock || m_calleeClock->receivedAt() - m_calleeClock->sentAt() <= MaxExactRoundTrip;
+    return !isExact || m_clock.now() - m_lastReadingAt >= ReadingInterval;
 }
 
 void PeerConnection::countRequest()
@@ -80,8 +85,7 @@
     }
     // A connection that was idle is pinged at once, together with the first request.
     const bool hasReceivedRecently = m_timer.now() - m_lastReceived < PingInterval;
-    const bool hasRecentReading = m_clock.now() - m_lastReadingAt < ReadingInterval;
-    auto nextCheck = hasReceivedRecently && hasRecentReading ? m_timer.afterDelay(PingInterval) : ping();
+    auto nextCheck = hasReceivedRecently && !isReadingDue() ? m_timer.afterDelay(PingInterval) : ping();
     return nextCheck.then([this] {
         return checkLiveness();
     });
--- a/modules/peer/peerconnection.h
+++ b/modules/peer/peerconnection.h
@@ -2,7 +2,8 @@
 //
 // If requests are pending and no reply has arrived for PingInterval, a ping is sent. If it isn't answered within
 // PingTimeout, the connection counts as unresponsive: all pending requests fail at once, and no new one uses it. The
-// replies to pings carry the other node's clock, so a connection with requests is also pinged once in ReadingInterval.
+// replies to pings carry the other node's clock, so a connection with requests is also pinged once in ReadingInterval,
+// and more often until that clock is known well.
 
 #pragma once
 
@@ -25,6 +26,8 @@
 constexpr kj::Duration PingInterval = 250 * kj::MILLISECONDS;
 constexpr kj::Duration PingTimeout = 500 * kj::MILLISECONDS;
 constexpr Duration ReadingInterval = std::chrono::seconds(10);
+/// A reading of the other node's clock with a longer round trip is renewed at each PingInterval.
+constexpr Duration MaxExactRoundTrip = std::chrono::milliseconds(20);
 
 /// May be used only on the event loop's thread.
 class PeerConnection : public kj::Refcounted
@@ -101,6 +104,7 @@
 
 private:
     void countRequest();
+    bool isReadingDue() const;
     kj::Promise<void> checkLiveness();
     kj::Promise<void> ping();
 
--- a/tests/system/latecalltest.cpp
+++ b/tests/system/latecalltest.cpp
@@ -56,6 +56,19 @@
         });
     }
 
+    /// Replaces the connection to yard by one whose hello takes 800 ms.
+    void connectSlowly()
+    {
+        m_relay.setStallsNewConnections(true);
+        m_relay.closeConnections();
+        auto first = read("/ledger/first");
+        std::this_thread::sleep_for(800ms);
+        m_relay.setStallsNewConnections(false);
+        m_relay.resume();
+        // It may have been sent on the connection that was closed.
+        first.get();
+    }
+
     /// Sends calls whose callers leave after CallerTimeout, and waits until they have.
     void readAndLeave() const
     {
@@ -89,14 +102,7 @@
 
 TEST_F(LateCall, IsNotRunAfterItsDeadlineIfTheHelloOfItsConnectionTookLong)
 {
-    m_relay.setStallsNewConnections(true);
-    m_relay.closeConnections();
-    auto first = read("/ledger/first");
-    std::this_thread::sleep_for(800ms);
-    m_relay.setStallsNewConnections(false);
-    m_relay.resume();
-    // It may have been sent on the connection that was closed.
-    first.get();
+    connectSlowly();
     ASSERT_EQ(read("/ledger/second").get().outcome(), "answered");
 
     m_relay.stall(Direction::ToTarget);
@@ -112,6 +118,16 @@
     EXPECT_EQ(executionCount("/stock/late"), 0);
 }
 
+TEST_F(LateCall, IsNotTakenForOneSoonAfterTheHelloOfItsConnectionTookLong)
+{
+    connectSlowly();
+    read("/ledger/second").get();
+    std::this_thread::sleep_for(300ms);
+    for (int i = 0; i < 5; ++i) {
+        EXPECT_EQ(read("/stock/in-time").get().outcome(), "answered");
+    }
+}
+
 TEST_F(LateCall, IsNotRunIfItsCallerLeftWhileTheConnectionToItsTargetWasOpened)
 {
     m_relay.setStallsNewConnections(true);
