Read header bytes from the buffer, not one by one from the socket

Fix: next() fills the buffer first. Chunk lines were read that way before, too, if their header had used up the buffer.

--- a/modules/http/httpstream.cpp
+++ b/modules/http/httpstream.cpp
@@ -131,6 +131,10 @@
 
 int HttpStream::next()
 {
+    // Fills the buffer: a read of one byte from an empty one would be a system call for each byte.
+    if (buffered() == 0) {
+        peek();
+    }
     char byte = 0;
     return readSome(&byte, sizeof(byte)) == 0 ? EndOfStream : static_cast<unsigned char>(byte);
 }
