--- a/core/values/declaration.h
+++ b/core/values/declaration.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "core/kernel/finding.h"
 #include "core/value.h"
 
 #include <chrono>
@@ -94,6 +95,8 @@
     FESCUEPOND_FIELD(ObjectVersion, version, withVersion);
     FESCUEPOND_FIELD(ServiceMap, services, withServices);
     FESCUEPOND_FIELD(RouteMap, routes, withRoutes);
+    /// Entries that are in force, though in part not understood.
+    FESCUEPOND_FIELD(Findings, warnings, withWarnings);
 
 public:
     /// The route with the longest prefix of `path`, or null. `path` may contain a query string.
--- a/modules/configuration/configurationplugin.cpp
+++ b/modules/configuration/configurationplugin.cpp
@@ -36,6 +36,10 @@
         kernel.metrics().gauge("fescuepond_configuration_version", {}, [this] {
             return static_cast<double>(version());
         });
+        kernel.metrics().gauge("fescuepond_configuration_warnings", {}, [this] {
+            const auto inForce = configuration();
+            return inForce ? static_cast<double>(inForce->warnings().size()) : 0;
+        });
         return {};
     }
 
@@ -189,6 +193,7 @@
     void install(std::shared_ptr<const Configuration> configuration, const std::string &text, const std::string &source)
     {
         const ObjectVersion version = configuration->version();
+        const Findings warnings = configuration->warnings();
         std::function<void()> installed;
         const bool isNewer = m_table.locked([&](Table &table) {
             const auto next = advanceTo(table.m_follower, version);
@@ -205,6 +210,9 @@
             return;
         }
         Event("configuration_in_force").with("version", version).with("source", source);
+        if (!warnings.empty()) {
+            Event("configuration_warnings").with("version", version).with("findings", toString(warnings));
+        }
         if (installed) {
             installed();
         }
