Never pass on a body that the node itself has cut off as a whole response

An operator reported 200s with an empty or short body, framed as whole. Shown here: a backend server answers without a length, so that the end of the connection ends the body. If the call's deadline passes meanwhile, or the caller of an idempotent call leaves, the node shuts the connection down, its own read returns the end of the stream, and the part that had arrived was passed on with a Content-Length, as a complete answer. The new test got such answers in all of its four deadlines and after a cancellation; now they are unknown outcomes (deadline-exceeded, cancelled).

Ruled out for the report's own case: a head that the backend server cuts. Tests cut a head and a body at every position, with a length, chunked and without one, closed and reset; they pass on the code before too.

Cause: a wait that the node ends itself is told apart from the end that the other side gave nowhere but by time. The guard of the exchange now keeps that it shut the connection down.

--- a/modules/backend/backendclient.cpp
+++ b/modules/backend/backendclient.cpp
@@ -140,7 +140,11 @@
         setExchangeSocket(call.context().attemptId(), guard.socket());
     }
     connection.send(call, m_dialect.requestHeaders(call, instance, now()));
-    return connection.receive(call, instance, m_dialect, m_maxBodyBytes);
+    CallOutcome outcome = connection.receive(call, instance, m_dialect, m_maxBodyBytes);
+    if (connection.endsWithConnection() && guard.wasShutDown()) {
+        throw Poco::Net::ConnectionAbortedException("the connection was shut down inside a body without a length");
+    }
+    return outcome;
 }
 
 CallOutcome BackendClient::outcomeOfFailure(const CallRequest &call,
--- a/modules/backend/backendconnection.cpp
+++ b/modules/backend/backendconnection.cpp
@@ -131,8 +131,8 @@
     const HTTPResponse response = receiveHeader();
     const BodyReader reader = bodyReaderFor(call.method(), response);
     std::string body = (this->*reader)(maxBodyBytes);
-    const bool isSelfDelimiting = reader != &BackendConnection::bodyUntilEnd;
-    m_isReuseAllowed = response.getKeepAlive() && isSelfDelimiting;
+    m_endsWithConnection = reader == &BackendConnection::bodyUntilEnd;
+    m_isReuseAllowed = response.getKeepAlive() && !m_endsWithConnection;
     m_keepAliveTime = keepAliveTimeout(response);
     return CallOutcome()
         .withState(CallState::Answered)
--- a/modules/backend/backendconnection.h
+++ b/modules/backend/backendconnection.h
@@ -39,6 +39,11 @@
     }
     /// Whether another request may be sent: the response was complete and allows it, and no byte followed it.
     bool isReusable();
+    /// Whether the body of the latest response has no length and ends with the connection.
+    bool endsWithConnection() const
+    {
+        return m_endsWithConnection;
+    }
     /// How long the backend server keeps an idle connection open, from its latest Keep-Alive header; zero: not stated.
     Duration keepAliveTime() const
     {
@@ -61,6 +66,7 @@
     Duration m_keepAliveTime{};
     std::size_t m_declaredLength = 0; ///< Content-Length of the response being read, if it has one.
     bool m_hasSent = false;
+    bool m_endsWithConnection = false;
     bool m_isReuseAllowed = true; ///< False during an exchange.
 };
 
--- a/modules/backend/deadlineguard.cpp
+++ b/modules/backend/deadlineguard.cpp
@@ -7,7 +7,7 @@
 
 DeadlineGuard::DeadlineGuard(TimerService &timers, TimePoint deadline, const Poco::Net::StreamSocket &socket)
     : m_timers(timers)
-    , m_socket(std::make_shared<AbortableSocket>(LockRank::BackendConnections, socket))
+    , m_socket(std::make_shared<AbortableSocket>(LockRank::BackendConnections, AbortableConnection{socket}))
     , m_subscription(timers.once(deadline, [socket = m_socket] {
         shutDown(*socket);
     }))
@@ -16,24 +16,32 @@
 
 DeadlineGuard::~DeadlineGuard()
 {
-    m_socket->locked([](std::optional<Poco::Net::StreamSocket> &socket) {
-        socket.reset();
+    m_socket->locked([](AbortableConnection &connection) {
+        connection.socket.reset();
     });
     m_timers.cancel(m_subscription);
 }
 
 void DeadlineGuard::shutDown(AbortableSocket &socket)
 {
-    socket.locked([](std::optional<Poco::Net::StreamSocket> &open) {
-        if (!open) {
+    socket.locked([](AbortableConnection &connection) {
+        if (!connection.socket) {
             return;
         }
+        connection.wasShutDown = true;
         try {
-            open->shutdown();
+            connection.socket->shutdown();
         } catch (const Poco::Exception &) {
             // The backend server has already closed the connection.
         }
     });
 }
 
+bool DeadlineGuard::wasShutDown() const
+{
+    return m_socket->locked([](const AbortableConnection &connection) {
+        return connection.wasShutDown;
+    });
+}
+
 } // namespace fescuepond
--- a/modules/backend/deadlineguard.h
+++ b/modules/backend/deadlineguard.h
@@ -13,9 +13,14 @@
 namespace fescuepond
 {
 
-/// A connection that another thread may shut down. Empty once the exchange is over: by then the connection may carry
-/// another exchange, or its file descriptor may be reused.
-using AbortableSocket = SharedTable<std::optional<Poco::Net::StreamSocket>>;
+/// A connection that another thread may shut down.
+struct AbortableConnection {
+    /// Empty once the exchange is over: by then the connection may carry another exchange, or its file descriptor may
+    /// be reused.
+    std::optional<Poco::Net::StreamSocket> socket;
+    bool wasShutDown = false; ///< By this node, which ends a read as if the backend server had closed it.
+};
+using AbortableSocket = SharedTable<AbortableConnection>;
 
 /// Shuts down a connection at a deadline unless the exchange on it is over before; pending reads and writes then
 /// return. A time-out per read doesn't suffice, since a response may arrive byte by byte.
@@ -34,6 +39,7 @@
         return m_socket;
     }
     static void shutDown(AbortableSocket &socket);
+    bool wasShutDown() const;
 
 private:
     TimerService &m_timers;
--- a/tests/modules/backend/backendclienttest.cpp
+++ b/tests/modules/backend/backendclienttest.cpp
@@ -40,6 +40,15 @@
     };
 }
 
+Script sendAndReset(const std::string &bytes)
+{
+    return [bytes](StreamSocket &socket) {
+        socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+        socket.setLinger(true, 0);
+        socket.close();
+    };
+}
+
 Script sendAndClose(const std::string &bytes)
 {
     return [bytes](StreamSocket &socket) {
@@ -280,6 +289,74 @@
     }
 }
 
+TEST_F(BackendClientTest, HeadThatEndsAtAnyPositionIsNeverACompleteResponse)
+{
+    // Without a length, the end of the connection ends the body, so an incomplete head must not pass for a whole one.
+    const std::string head = "HTTP/1.1 200 OK\r\nFescuepond-Signature: s\r\nConnection: close\r\n";
+    for (const auto &end : {sendAndClose, sendAndReset}) {
+        std::deque<Script> scripts;
+        for (const std::string &framing : {"", "Content-Length: 12\r\n", "Transfer-Encoding: chunked\r\n"}) {
+            const std::string whole = head + framing + "\r\n";
+            for (std::size_t length = 0; length < whole.size(); ++length) {
+                scripts.push_back(end(whole.substr(0, length)));
+            }
+        }
+        const std::size_t count = scripts.size();
+        ScriptedServer server(std::move(scripts));
+        BackendClient client = clientOf(server);
+        for (std::size_t i = 0; i < count; ++i) {
+            EXPECT_EQ(client.run(call(), {}).state(), CallState::OutcomeUnknown) << "response " << i;
+        }
+    }
+}
+
+TEST_F(BackendClientTest, BodyThatEndsAtAnyPositionIsNeverACompleteResponse)
+{
+    const std::string withLength = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n";
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> responses = {
+        {withLength, "twelve bytes"},
+        {chunked, "6\r\ntwelve\r\n6\r\n bytes\r\n0\r\n\r\n"},
+    };
+    for (const auto &end : {sendAndClose, sendAndReset}) {
+        std::deque<Script> scripts;
+        for (const auto &[head, body] : responses) {
+            for (std::size_t length = 0; length < body.size(); ++length) {
+                scripts.push_back(end(head + body.substr(0, length)));
+            }
+        }
+        // A body without a length is complete only if the connection is closed, not if it is reset.
+        scripts.push_back(sendAndReset("HTTP/1.1 200 OK\r\n\r\ntwelve"));
+        const std::size_t count = scripts.size();
+        ScriptedServer server(std::move(scripts));
+        BackendClient client = clientOf(server);
+        for (std::size_t i = 0; i < count; ++i) {
+            EXPECT_EQ(client.run(call(), {}).state(), CallState::OutcomeUnknown) << "response " << i;
+        }
+    }
+}
+
+TEST_F(BackendClientTest, BodyWithoutALengthThatTheNodeItselfCutsOffIsNeverACompleteResponse)
+{
+    const auto sendAndHold = sendBytes("HTTP/1.1 200 OK\r\n\r\nhalf of the body");
+    for (const Duration limit : {150ms, 200ms, 250ms, 300ms}) {
+        ScriptedServer server({sendAndHold});
+        const CallOutcome outcome = clientOf(server).run(call(limit, true), {});
+        EXPECT_EQ(outcome.state(), CallState::OutcomeUnknown);
+        EXPECT_EQ(outcome.reason(), Reason::DeadlineExceeded);
+    }
+    ScriptedServer server({sendAndHold});
+    BackendClient client = clientOf(server);
+    const AttemptId attempt = AttemptId::random();
+    const CallRequest request = call(5s, true);
+    auto outcome = std::async(std::launch::async, [&] {
+        return client.run(request.withContext(request.context().withAttemptId(attempt)), {});
+    });
+    std::this_thread::sleep_for(300ms);
+    client.abort(attempt);
+    EXPECT_EQ(outcome.get().reason(), Reason::Cancelled);
+}
+
 TEST_F(BackendClientTest, MalformedOrTooLongResponsesGiveUnknownOutcomes)
 {
     const std::vector<std::string> answers = {
