Read requests that a client sends ahead, and notice behind them that it has left

A client may send further requests before the first answer.

The listener's event loop now reads ahead while a request is in flight, 64 KB at most for a connection, with the time of arrival; beyond that the rest stays with the operating system, which pushes back. Requests are still run one after the other, so their responses are in order.

A connection that is closed after a response while further input is there is now closed in two steps: unread bytes would reset it, and the caller could lose the response that was just written. A connection that a worker owns is no longer removed from the poll set by an event of before, and readable connections of a leaving node are posted before its idle connections stop counting as work.

--- a/modules/http/httpconnection.cpp
+++ b/modules/http/httpconnection.cpp
@@ -71,8 +71,9 @@
 {
 }
 
-HttpRequest HttpConnection::receive(const NodeSettings &settings)
+HttpRequest HttpConnection::receive(const NodeSettings &settings, TimePoint arrivedAt)
 {
+    m_arrivedAt = arrivedAt;
     m_header.clear();
     readHeader(m_header);
     requireKnownVersion(m_header);
@@ -88,6 +89,7 @@
         .withTarget(m_header.getURI())
         .withHost(hostWithoutPort(m_header.get("Host", "")))
         .withHeaders(std::move(headers))
+        .withArrivedAt(arrivedAt)
         .withBody(std::move(body));
 }
 
@@ -103,7 +105,12 @@
 
 bool HttpConnection::hasPendingInput()
 {
-    return buffered() > 0 || isReadable(socket());
+    return hasHeldInput() || isReadable(socket());
+}
+
+TimePoint HttpConnection::nextArrivedAt() const
+{
+    return buffered() > 0 ? m_arrivedAt : nextReadAheadAt();
 }
 
 void HttpConnection::send(const std::string &bytes)
--- a/modules/http/httpconnection.h
+++ b/modules/http/httpconnection.h
@@ -20,18 +20,22 @@
 public:
     explicit HttpConnection(const Poco::Net::StreamSocket &socket);
 
-    /// Reads a request. Throws a RequestError or a Poco::Exception if it is truncated, malformed or too long.
-    HttpRequest receive(const NodeSettings &settings);
+    /// Reads a request that arrived at `arrivedAt`. Throws a RequestError or a Poco::Exception if it is truncated,
+    /// malformed or too long.
+    HttpRequest receive(const NodeSettings &settings, TimePoint arrivedAt);
     void respond(const HttpResponse &response, bool keepAlive);
     /// Whether the latest request asks to keep the connection open.
     bool wantsKeepAlive() const;
     /// Whether bytes of the next request have arrived.
     bool hasPendingInput();
+    /// When the next request arrived, whose first bytes are held; TimePoint() if none are.
+    TimePoint nextArrivedAt() const;
 
 private:
     void send(const std::string &bytes);
 
     Poco::Net::HTTPRequest m_header; ///< Of the latest request.
+    TimePoint m_arrivedAt; ///< Of the latest request. Bytes that were read together with it arrived no later.
 };
 
 } // namespace fescuepond
--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -172,6 +172,7 @@
     struct WatchedRequest {
         AttemptId m_requestId;
         TimePoint m_since;
+        HttpConnectionPtr m_connection;
     };
     using WatchedConnections = std::map<Poco::Net::Socket, WatchedRequest>;
 
@@ -214,7 +215,8 @@
             return;
         }
         m_watched.locked([&](WatchedConnections &watched) {
-            watched.insert_or_assign(connection->stream(), WatchedRequest{requestId, m_kernel.clock().now()});
+            watched.insert_or_assign(connection->stream(),
+                                     WatchedRequest{requestId, m_kernel.clock().now(), connection});
         });
         m_pollSet.add(connection->stream(), Poco::Net::PollSet::POLL_READ);
     }
@@ -234,22 +236,35 @@
         });
     }
 
-    /// Handles a poll event of a watched connection, which was closed or received its next request early. Returns false
-    /// if the connection isn't watched.
+    /// Handles a poll event of a watched connection, which was closed or received a further request early. Returns
+    /// false if the connection isn't watched.
+    ///
+    /// Further requests are read ahead, up to a limit: only then does the end of the input behind them show.
     bool handleWatchedEvent(const Poco::Net::Socket &socket)
     {
-        const auto request = unwatch(socket);
-        if (!request) {
-            return false;
-        }
-        removeFromPollSet(socket);
-        if (isClosedByCaller(socket)) {
+        InputState state = InputState::Open;
+        // The worker that writes the response stops watching before it uses the connection, so the lock also protects
+        // the connection's input.
+        const auto request = m_watched.locked([&](WatchedConnections &watched) -> std::optional<WatchedRequest> {
+            const auto found = watched.find(socket);
+            if (found == watched.end()) {
+                return std::nullopt;
+            }
+            WatchedRequest request = found->second;
+            state = request.m_connection->readAhead(m_kernel.clock().now());
+            if (state != InputState::Open) {
+                watched.erase(found);
+                removeFromPollSet(socket);
+            }
+            return request;
+        });
+        if (request && state == InputState::Closed) {
             recordDisconnect(*request);
             m_kernel.pool().post(Lane::Decision, [self = shared_from_this(), requestId = request->m_requestId] {
                 self->m_disconnectHandler(requestId);
             });
         }
-        return true;
+        return request.has_value();
     }
 
     void recordDisconnect(const WatchedRequest &request) const
@@ -284,7 +299,8 @@
         m_serverSocket.close();
     }
 
-    /// Closes the parked connections on which no bytes have arrived. The others are served.
+    /// Closes the parked connections on which no bytes have arrived. The others are served; reading them is posted
+    /// before the idle connections stop counting as work in flight.
     void closeIdleConnections()
     {
         const ParkedConnections parked = m_parked.locked([](const ParkedConnections &table) {
@@ -293,6 +309,7 @@
         for (const auto &entry : parked) {
             const Poco::Net::Socket &socket = entry.first;
             if (isReadable(socket)) {
+                dispatchParked(socket);
                 continue;
             }
             m_pollSet.remove(socket);
@@ -332,7 +349,6 @@
     /// Removes a readable connection from the poll set and posts reading it to a worker.
     void dispatchParked(const Poco::Net::Socket &socket)
     {
-        removeFromPollSet(socket);
         const HttpConnectionPtr connection = m_parked.locked([&](ParkedConnections &parked) -> HttpConnectionPtr {
             const auto found = parked.find(socket);
             if (found == parked.end()) {
@@ -343,42 +359,43 @@
             return unparked;
         });
         if (connection) {
-            postRead(connection);
+            // If it isn't parked, a worker owns it now and may have added it again.
+            removeFromPollSet(socket);
+            postRead(connection, m_kernel.clock().now());
         }
     }
 
-    void postRead(const HttpConnectionPtr &connection)
+    void postRead(const HttpConnectionPtr &connection, TimePoint arrivedAt)
     {
         ++m_inFlight;
-        m_kernel.pool().post(Lane::Http, [self = shared_from_this(), connection, arrivedAt = m_kernel.clock().now()] {
+        m_kernel.pool().post(Lane::Http, [self = shared_from_this(), connection, arrivedAt] {
             self->readAndHandle(connection, arrivedAt);
         });
     }
 
     void readAndHandle(const HttpConnectionPtr &connection, TimePoint arrivedAt)
     {
-        const auto request = read(connection);
+        const auto request = read(connection, arrivedAt);
         if (!request) {
             --m_inFlight;
             return;
         }
         // A request may wait long to be read. Once its caller has left, the handler must not send it on.
         if (m_disconnectHandler && isClosedByCaller(connection->stream())) {
-            recordDisconnect(WatchedRequest{request->requestId(), m_kernel.clock().now()});
+            recordDisconnect(WatchedRequest{request->requestId(), m_kernel.clock().now(), connection});
             m_disconnectHandler(request->requestId());
         } else {
             watch(connection, request->requestId());
         }
-        m_handler(request->withArrivedAt(arrivedAt),
-                  [self = shared_from_this(), connection](const HttpResponse &response) {
-                      self->m_kernel.pool().post(Lane::Http, [self, connection, response] {
-                          self->write(connection, response);
-                      });
-                  });
+        m_handler(*request, [self = shared_from_this(), connection](const HttpResponse &response) {
+            self->m_kernel.pool().post(Lane::Http, [self, connection, response] {
+                self->write(connection, response);
+            });
+        });
     }
 
     /// Reads one request. On an error, returns nothing; a malformed request also gets an error response.
-    std::optional<HttpRequest> read(const HttpConnectionPtr &connection)
+    std::optional<HttpRequest> read(const HttpConnectionPtr &connection, TimePoint arrivedAt)
     {
         const NodeSettings &settings = m_kernel.settings();
         // Limits the time for the whole request, so that a slow sender doesn't hold the worker (slowloris).
@@ -388,7 +405,7 @@
             });
         std::optional<HttpRequest> request;
         try {
-            request = connection->receive(settings);
+            request = connection->receive(settings, arrivedAt);
         } catch (const RequestError &error) {
             rejectRequest(connection, error.status(), error.what());
         } catch (const Poco::Net::NoMessageException &) {
@@ -446,6 +463,8 @@
         // Before m_inFlight is decremented, so that an open connection is counted at all times.
         if (keepAlive) {
             awaitNextRequest(connection);
+        } else {
+            closeAfterResponse(connection);
         }
         --m_inFlight;
     }
@@ -453,17 +472,26 @@
     /// Parks the connection, or reads the next request at once if bytes of it have already arrived.
     void awaitNextRequest(const HttpConnectionPtr &connection)
     {
-        bool hasPendingInput = false;
-        try {
-            hasPendingInput = connection->hasPendingInput();
-        } catch (const Poco::Exception &) {
+        if (!connection->hasPendingInput()) {
+            park(connection);
             return;
         }
-        if (hasPendingInput) {
-            postRead(connection);
-            return;
+        const TimePoint arrivedAt = connection->nextArrivedAt();
+        postRead(connection, arrivedAt == TimePoint() ? m_kernel.clock().now() : arrivedAt);
+    }
+
+    /// Requests that were sent behind the one answered last are not read. Unread input would reset the connection when
+    /// it is closed, and the caller could lose the response.
+    void closeAfterResponse(const HttpConnectionPtr &connection) const
+    {
+        try {
+            if (!m_isStopped && isReadable(connection->stream())) {
+                connection->stream().shutdownSend();
+                discardInput(connection->stream());
+            }
+        } catch (const Poco::Exception &) {
+            // The caller has disconnected.
         }
-        park(connection);
     }
 
     Kernel &m_kernel;
--- a/modules/http/httpstream.cpp
+++ b/modules/http/httpstream.cpp
@@ -79,6 +79,24 @@
 {
 }
 
+InputState HttpStream::readAhead(TimePoint now)
+{
+    std::array<char, BufferBytes> buffer;
+    while (m_aheadBytes < MaxReadAheadBytes) {
+        const std::size_t limit = std::min(buffer.size(), MaxReadAheadBytes - m_aheadBytes);
+        const auto count = ::recv(socket().impl()->sockfd(), buffer.data(), limit, MSG_DONTWAIT);
+        if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
+            return InputState::Open;
+        }
+        if (count <= 0) {
+            return InputState::Closed;
+        }
+        m_ahead.push_back({std::string(buffer.data(), static_cast<std::size_t>(count)), now});
+        m_aheadBytes += static_cast<std::size_t>(count);
+    }
+    return InputState::Full;
+}
+
 void HttpStream::readHeader(Poco::Net::HTTPMessage &message)
 {
     LimitedBuffer buffer(*this, MaxHeaderBytes);
@@ -132,7 +150,7 @@
 int HttpStream::next()
 {
     // Fills the buffer: a read of one byte from an empty one would be a system call for each byte.
-    if (buffered() == 0) {
+    if (!hasHeldInput()) {
         peek();
     }
     char byte = 0;
@@ -141,10 +159,26 @@
 
 std::size_t HttpStream::readSome(char *bytes, std::size_t count)
 {
+    if (buffered() == 0 && !m_ahead.empty()) {
+        return takeHeld(bytes, count);
+    }
     const int received = read(bytes, static_cast<std::streamsize>(count));
     return received <= 0 ? 0 : static_cast<std::size_t>(received);
 }
 
+std::size_t HttpStream::takeHeld(char *bytes, std::size_t count)
+{
+    const std::string &first = m_ahead.front().bytes;
+    const std::size_t taken = first.copy(bytes, count, m_takenOfFirst);
+    m_aheadBytes -= taken;
+    m_takenOfFirst += taken;
+    if (m_takenOfFirst == first.size()) {
+        m_ahead.pop_front();
+        m_takenOfFirst = 0;
+    }
+    return taken;
+}
+
 void HttpStream::readBytes(std::string &bytes, std::size_t count)
 {
     std::array<char, BufferBytes> buffer;
--- a/modules/http/httpstream.h
+++ b/modules/http/httpstream.h
@@ -5,6 +5,7 @@
 
 #pragma once
 
+#include "core/kernel/clock.h"
 #include "modules/http/bodyreader.h"
 
 #include <Poco/Net/HTTPMessage.h>
@@ -13,6 +14,7 @@
 #include <Poco/Net/StreamSocket.h>
 
 #include <cstddef>
+#include <deque>
 #include <string>
 
 namespace fescuepond
@@ -29,6 +31,16 @@
 /// Socket::poll() creates an epoll instance for each check, which costs four system calls.
 bool isReadable(const Poco::Net::Socket &socket);
 
+/// What is known of a connection after its input was read ahead.
+enum class InputState {
+    Open,
+    Full, ///< MaxReadAheadBytes are held; more input stays with the operating system.
+    Closed, ///< The remote side has closed the connection or its sending direction.
+};
+
+/// Bytes of one connection that are held for requests that were sent before the response to the one before them.
+constexpr std::size_t MaxReadAheadBytes = 65'536;
+
 class HttpStream : protected Poco::Net::HTTPSession, protected ByteSource
 {
 public:
@@ -37,6 +49,8 @@
     {
         return socket();
     }
+    /// Reads and holds what has arrived, without waiting. `now` is kept as the time of its arrival.
+    InputState readAhead(TimePoint now);
 
 protected:
     explicit HttpStream(const Poco::Net::StreamSocket &socket)
@@ -57,9 +71,31 @@
     int next() override;
     std::size_t readSome(char *bytes, std::size_t count) override;
 
+    /// Whether bytes are held that were read from the socket and not yet consumed.
+    bool hasHeldInput() const
+    {
+        return buffered() > 0 || !m_ahead.empty();
+    }
+    /// When the next byte to be consumed was read ahead; TimePoint() if it wasn't.
+    TimePoint nextReadAheadAt() const
+    {
+        return buffered() > 0 || m_ahead.empty() ? TimePoint() : m_ahead.front().readAt;
+    }
+
 private:
+    struct Piece {
+        std::string bytes; ///< Not empty.
+        TimePoint readAt;
+    };
+
+    std::size_t takeHeld(char *bytes, std::size_t count);
+
     /// Appends exactly `count` bytes to `bytes`.
     void readBytes(std::string &bytes, std::size_t count);
+
+    std::deque<Piece> m_ahead; ///< In order of arrival, after the bytes in the session's buffer.
+    std::size_t m_aheadBytes = 0; ///< Not yet consumed of m_ahead; at most MaxReadAheadBytes.
+    std::size_t m_takenOfFirst = 0; ///< Bytes consumed of the first piece of m_ahead; less than its size.
 };
 
 } // namespace fescuepond
