Answer requests that come late in a planned stop before the process ends

An operator reported requests that came late in the grace, were passed on and then cut with no answer, among them ones that may not be repeated.

Nothing limited a request that arrived during the stop to the time that was left, so it was passed on with its full deadline; now its deadline ends 200 ms before the cut-off: admission rejects it as not run if that is too short, and otherwise it ends with an outcome in time, at the target as well. Whoever removes a request from the table of open requests writes its response, so there is exactly one.

Ruled out: refusing all requests once the signal came. Callers of this VM have no other node until two readiness checks have failed.

--- a/core/kernel/kernel.cpp
+++ b/core/kernel/kernel.cpp
@@ -86,6 +86,7 @@
         m_draining = true;
     }
     const StopPlan plan = stopPlan(m_settings);
+    m_cutOffTime = m_clock.now() + plan.leaveGrace + plan.drainTimeout;
     Event("drain_started").with("limit_ms", plan.drainTimeout.count());
     for (const StartedPlugin &started : m_started) {
         started.m_plugin->beginDrain();
--- a/core/kernel/kernel.h
+++ b/core/kernel/kernel.h
@@ -12,6 +12,7 @@
 #include "core/kernel/workerpool.h"
 #include "core/settings/nodesettings.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <map>
 #include <memory>
@@ -70,6 +71,11 @@
     void requestStop();
     /// Whether drainAndStop() has been called.
     bool isDraining() const;
+    /// When a planned stop cuts off the work that is still in flight; TimePoint::max() before it is requested.
+    TimePoint cutOffTime() const
+    {
+        return m_cutOffTime;
+    }
     /// A planned stop: notifies the other nodes, accepts calls that still arrive for the grace period of the settings,
     /// then rejects new work, waits for the work in flight for at most the drain timeout of the settings, and stops all
     /// plug-ins. Returns false if work was still in flight when the timeout expired.
@@ -99,6 +105,7 @@
     std::condition_variable_any m_wake;
     bool m_stopRequested = false;
     bool m_draining = false;
+    std::atomic<TimePoint> m_cutOffTime = TimePoint::max();
 };
 
 } // namespace fescuepond
--- a/modules/classification/classificationplugin.cpp
+++ b/modules/classification/classificationplugin.cpp
@@ -19,6 +19,9 @@
 /// at none.
 constexpr std::uint64_t LoggedSuccessPeriod = 64;
 
+/// Time for the outcome of a call to reach the caller before a planned stop cuts off what is in flight.
+constexpr Duration AnswerReserve = std::chrono::milliseconds(200);
+
 bool isLogged(const CallContext &context, const CallOutcome &outcome)
 {
     return !isSuccess(outcome) || std::hash<std::string>()(context.callerAttempt()) % LoggedSuccessPeriod == 0;
@@ -50,10 +53,21 @@
             done(*rejection);
             return;
         }
-        observe(std::get<CallRequest>(result), next, std::move(done));
+        observe(endingBeforeCutOff(std::get<CallRequest>(result)), next, std::move(done));
     }
 
 private:
+    /// Limits the deadline of a call that arrives during a planned stop: it is rejected as not run if the time left is
+    /// too short for it, and otherwise has an outcome before this node cuts it off.
+    CallRequest endingBeforeCutOff(const CallRequest &call) const
+    {
+        const TimePoint cutOff = m_kernel->cutOffTime();
+        const bool isStopping = cutOff != TimePoint::max();
+        const TimePoint latest = isStopping ? cutOff - AnswerReserve : cutOff;
+        const CallContext &context = call.context();
+        return context.deadline() <= latest ? call : call.withContext(context.withDeadline(latest));
+    }
+
     /// Passes the call on and records its duration by kind and outcome.
     void observe(const CallRequest &call, const Next &next, Done done)
     {
--- a/modules/front/frontplugin.cpp
+++ b/modules/front/frontplugin.cpp
@@ -39,6 +39,8 @@
         m_listener->setDisconnectHandler([&cancellation](const AttemptId &requestId) {
             cancellation.cancelCallsOf(requestId);
         });
+        m_listener->setFinalResponse(
+            toResponse(CallOutcome::unknown(Reason::Leaving, "the node stopped before the call had ended")));
         kernel.metrics().gauge("fescuepond_front_connections", {}, [this] {
             return static_cast<double>(m_listener->connectionCount());
         });
--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -21,6 +21,7 @@
 #include <map>
 #include <optional>
 #include <thread>
+#include <utility>
 
 namespace fescuepond
 {
@@ -39,6 +40,9 @@
 constexpr Duration DiscardDuration = std::chrono::milliseconds(500);
 constexpr long DiscardPollMicroseconds = 100'000;
 constexpr std::size_t DiscardChunkBytes = 16384;
+constexpr Duration FinalSendTimeout = std::chrono::milliseconds(50);
+constexpr Duration FinalWriteLimit = std::chrono::milliseconds(300);
+constexpr Duration FinalWriteCheckInterval = std::chrono::milliseconds(5);
 constexpr int StatusBadRequest = 400;
 
 HttpResponse badRequest(int status, const std::string &detail)
@@ -108,6 +112,11 @@
         m_disconnectHandler = std::move(handler);
     }
 
+    void setFinalResponse(const HttpResponse &response)
+    {
+        m_finalResponse = response;
+    }
+
     void listen(const std::string &address)
     {
         // No SO_REUSEPORT: another process that already listens on the port is an error to report.
@@ -149,6 +158,7 @@
         if (m_thread.joinable()) {
             m_thread.join();
         }
+        finishOpenRequests();
         m_parked.locked([](auto &parked) {
             parked.clear();
         });
@@ -175,6 +185,7 @@
         HttpConnectionPtr m_connection;
     };
     using WatchedConnections = std::map<Poco::Net::Socket, WatchedRequest>;
+    using OpenRequests = std::map<AttemptId, HttpConnectionPtr>;
 
     void pollLoop()
     {
@@ -380,6 +391,9 @@
             --m_inFlight;
             return;
         }
+        m_open.locked([&](OpenRequests &open) {
+            open.emplace(request->requestId(), connection);
+        });
         // A request may wait long to be read. Once its caller has left, the handler must not send it on.
         if (m_disconnectHandler && isClosedByCaller(connection->stream())) {
             recordDisconnect(WatchedRequest{request->requestId(), m_kernel.clock().now(), connection});
@@ -387,11 +401,53 @@
         } else {
             watch(connection, request->requestId());
         }
-        m_handler(*request, [self = shared_from_this(), connection](const HttpResponse &response) {
-            self->m_kernel.pool().post(Lane::Http, [self, connection, response] {
+        m_handler(*request,
+                  [self = shared_from_this(), requestId = request->requestId()](const HttpResponse &response) {
+                      self->complete(requestId, response);
+                  });
+    }
+
+    void complete(const AttemptId &requestId, const HttpResponse &response)
+    {
+        const HttpConnectionPtr connection = m_open.locked([&](OpenRequests &open) -> HttpConnectionPtr {
+            const auto found = open.find(requestId);
+            if (found == open.end()) {
+                return nullptr; // The listener has stopped and sent its final response.
+            }
+            HttpConnectionPtr answered = found->second;
+            open.erase(found);
+            return answered;
+        });
+        if (connection) {
+            ++m_responsesToWrite;
+            m_kernel.pool().post(Lane::Http, [self = shared_from_this(), connection, response] {
                 self->write(connection, response);
+                --self->m_responsesToWrite;
             });
+        }
+    }
+
+    /// Sends the final response to all requests that are still open, and waits until responses that were ready before
+    /// are written, or FinalWriteLimit has passed.
+    void finishOpenRequests()
+    {
+        const OpenRequests open = m_open.locked([](OpenRequests &table) {
+            return std::exchange(table, OpenRequests());
         });
+        for (const auto &[requestId, connection] : open) {
+            Event("request_cut_off").with("listener", m_name).with("request", requestId.toString());
+            if (m_finalResponse) {
+                connection->stream().setSendTimeout(
+                    Poco::Timespan(std::chrono::duration_cast<std::chrono::microseconds>(FinalSendTimeout).count()));
+                write(connection, *m_finalResponse);
+            } else {
+                --m_inFlight;
+            }
+        }
+        const TimePoint limit = m_kernel.clock().now() + FinalWriteLimit;
+        while (m_responsesToWrite > 0 && m_kernel.clock().now() < limit) {
+            std::this_thread::sleep_for(FinalWriteCheckInterval);
+        }
     }
 
     /// Reads one request. On an error, returns nothing; a malformed request also gets an error response.
@@ -503,7 +559,11 @@
     SharedTable<ParkedConnections> m_parked{LockRank::HttpConnections};
     /// Connections in the poll set whose request is in flight. Disjoint from m_parked.
     SharedTable<WatchedConnections> m_watched{LockRank::HttpConnections};
+    /// Requests that were read and have no response yet. Whoever removes an entry writes the response.
+    SharedTable<OpenRequests> m_open{LockRank::HttpConnections};
+    std::optional<HttpResponse> m_finalResponse; ///< To requests that are open when the listener stops.
     std::atomic<std::size_t> m_inFlight = 0;
+    std::atomic<std::size_t> m_responsesToWrite = 0;
     std::atomic<bool> m_isDraining = false; ///< Each response asks the caller to close its connection.
     std::atomic<bool> m_isAcceptStopped = false; ///< No new connections are accepted; implies m_isDraining.
     std::atomic<bool> m_isStopped = false;
@@ -542,6 +602,11 @@
     m_state->setDisconnectHandler(std::move(handler));
 }
 
+void HttpListener::setFinalResponse(const HttpResponse &response)
+{
+    m_state->setFinalResponse(response);
+}
+
 void HttpListener::beginDrain()
 {
     m_state->beginDrain();
--- a/modules/http/httplistener.h
+++ b/modules/http/httplistener.h
@@ -49,6 +49,9 @@
     void setDisconnectHandler(HttpDisconnectHandler handler);
     /// Closes the listening socket and idle connections. Requests on other connections are still served.
     void stopAccepting();
+    /// The response to requests that are still unanswered when the listener stops; without it, their connections are
+    /// closed. Call before start().
+    void setFinalResponse(const HttpResponse &response);
     /// Requests whose response hasn't been written yet, from the moment when reading them is posted to a worker.
     std::size_t requestsInFlight() const;
     /// Open connections.
--- a/tests/system/plannedstoptest.cpp
+++ b/tests/system/plannedstoptest.cpp
@@ -1,8 +1,10 @@
-// Planned stops with real processes. Guards against requests that fail during a rolling restart under load, and against
-// nodes that go on calling a target that is leaving.
+// Planned stops with real processes. Guards against requests that fail during a rolling restart under load, against
+// nodes that go on calling a target that is leaving, and against requests that arrive late in the grace period, are
+// passed on, and get no response because the process ends first.
 
 #include "tests/support/callers.h"
 #include "tests/support/fleet.h"
+#include "tests/support/rawconnection.h"
 
 #include <gtest/gtest.h>
 
@@ -131,4 +133,38 @@
     EXPECT_EQ(counts.incomplete + counts.failedTotal(), 0) << counts.toString();
 }
 
+TEST(PlannedStop, RequestThatComesLateInTheGraceAndIsPassedOnGetsAResponse)
+{
+    Fleet fleet;
+    fleet.publish({Yard, Dispatch});
+    FleetNode &yard = fleet.addNode(
+        {.name = "yard-1", .service = "yard", .backendFlags = {"--service_ms=1800", "--fixed"}, .settings = {}});
+    // The process is cut off 2.2 s after the signal.
+    FleetNode &entry = fleet.addNode(
+        {.name = "dispatch-1", .service = "dispatch", .settings = {"leave_grace_ms: 600", "stop_limit_s: 3"}});
+    ASSERT_TRUE(fleet.waitUntilReady(2));
+    std::vector<std::unique_ptr<RawConnection>> connections;
+    for (int i = 0; i < 12; ++i) {
+        connections.push_back(std::make_unique<RawConnection>(entry.front));
+    }
+
+    entry.process->signal(SIGTERM);
+    for (const auto &connection : connections) {
+        connection->send("GET /stock/sleepers HTTP/1.1\r\nHost: yard\r\n\r\n");
+        std::this_thread::sleep_for(milliseconds(100));
+    }
+    std::size_t responses = 0;
+    for (const auto &connection : connections) {
+        EXPECT_TRUE(connection->isClosedWithin(StopLimit));
+        const std::string &received = connection->received();
+        EXPECT_TRUE(received.empty() || received.starts_with("HTTP/1.1 ")) << received;
+        responses += received.empty() ? 0 : 1;
+        std::cout << received.substr(0, received.find('\r')) << '\n';
+    }
+    EXPECT_TRUE(entry.process->wait(milliseconds(3000)).has_value());
+    const std::size_t passedOn = yard.journalLines("begin").size();
+    EXPECT_GT(passedOn, 5);
+    EXPECT_GE(responses, passedOn) << "requests that were passed on got no response";
+}
+
 } // namespace fescuepond::test
