--- a/core/settings/nodesettings.h
+++ b/core/settings/nodesettings.h
@@ -43,7 +43,7 @@
     FESCUEPOND_FIELD(std::string, readinessAddress, withReadinessAddress);
     FESCUEPOND_FIELD(std::string, registrationAddress, withRegistrationAddress);
     FESCUEPOND_FIELD(double, retryRatio, withRetryRatio);
-    FESCUEPOND_FIELD(std::size_t, retrySlack, withRetrySlack);
+    FESCUEPOND_FIELD(double, retrySlack, withRetrySlack);
     FESCUEPOND_FIELD(Seconds, retryWindow, withRetryWindow);
     FESCUEPOND_FIELD(Seconds, backendDrain, withBackendDrain);
     FESCUEPOND_FIELD(Seconds, backendReportInterval, withBackendReportInterval);
--- a/core/settings/settingformat.cpp
+++ b/core/settings/settingformat.cpp
@@ -37,7 +37,7 @@
     SettingRule{"seed_peers", SettingFormat::RemoteAddress},
     SettingRule{"backend_slots", SettingFormat::Number, 1, 100'000},
     SettingRule{"retry_ratio", SettingFormat::Fraction, 0, 1},
-    SettingRule{"retry_slack", SettingFormat::Number, 0, 1'000'000},
+    SettingRule{"retry_slack", SettingFormat::Fraction, 0, 1'000'000},
     SettingRule{"retry_window_s", SettingFormat::Fraction, 1, 3600},
     SettingRule{"backend_drain_s", SettingFormat::Fraction, 0, 3600},
     SettingRule{"backend_report_interval_s", SettingFormat::Fraction, 0, 3600},
--- a/core/values/call.h
+++ b/core/values/call.h
@@ -126,6 +126,9 @@
     FESCUEPOND_FIELD(Incarnation, target, withTarget);
     /// The latest notice of the target's backend server.
     FESCUEPOND_FIELD(BackendNotice, notice, withNotice);
+    /// How long work takes at the backend server now, as a multiple of what is usual; 0: not told. Not sent to other
+    /// nodes.
+    FESCUEPOND_FIELD(double, backendSlowness, withBackendSlowness);
 
 public:
     static CallOutcome notRun(Reason reason, std::string detail);
--- a/modules/retry/retryplugin.cpp
+++ b/modules/retry/retryplugin.cpp
@@ -35,7 +35,7 @@
         const NodeSettings &settings = kernel.settings();
         m_rules = RetryRules()
                       .withRatio(settings.retryRatio())
-                      .withSlack(static_cast<double>(settings.retrySlack()))
+                      .withSlack(settings.retrySlack())
                       .withWindow(std::chrono::duration_cast<Duration>(settings.retryWindow()));
         kernel.require<EntryPipeline>().add(EntryStage::Retry, *this);
         return {};
--- a/tests/core/settings/settingsreadertest.cpp
+++ b/tests/core/settings/settingsreadertest.cpp
@@ -69,6 +69,14 @@
     EXPECT_EQ(findingsOf(validExcept("peer_advertised_address: 10.0.0.1:7000")), "");
 }
 
+TEST(Settings, BoundsOfThePlatformMayBeFractionsSoThatNodesStart)
+{
+    for (const char *key :
+         {"retry_ratio: 0", "retry_slack: 35", "retry_window_s: 10", "backend_drain_s: 2", "stop_limit_s: 6"}) {
+        EXPECT_EQ(findingsOf(validExcept(std::string(key) + ".5")), "") << key;
+    }
+}
+
 TEST(Settings, EachErrorIsFoundAndLocated)
 {
     const std::vector<ErrorCase> errors = {
