Run requests that a client sends ahead concurrently, and answer them in order

Responses are written in order, by one worker at a time. While a node drains nothing more is read, and only the last response asks the caller to close, so that every request that was passed on is answered. All connections are in one table now, with who reads their input; before, three tables had to be kept in step.

TheyDoNotWaitForEachOther fails on the code before: the second request was sent to the backend server only after the first response.

--- a/modules/http/httpconnection.cpp
+++ b/modules/http/httpconnection.cpp
@@ -48,7 +48,7 @@
     }
 }
 
-std::string toText(const HttpResponse &response, const Poco::Net::HTTPRequest &request, bool keepAlive)
+std::string toText(const HttpResponse &response, bool isHead, bool keepAlive)
 {
     Poco::Net::HTTPResponse header;
     header.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
@@ -60,7 +60,6 @@
     header.setContentLength64(static_cast<Poco::Int64>(response.body().size()));
     std::ostringstream text;
     header.write(text);
-    const bool isHead = request.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD;
     return isHead ? text.str() : text.str() + response.body().bytes();
 }
 
@@ -93,9 +92,9 @@
         .withBody(std::move(body));
 }
 
-void HttpConnection::respond(const HttpResponse &response, bool keepAlive)
+void HttpConnection::respond(const HttpResponse &response, bool isHead, bool keepAlive)
 {
-    send(toText(response, m_header, keepAlive));
+    send(toText(response, isHead, keepAlive));
 }
 
 bool HttpConnection::wantsKeepAlive() const
@@ -103,11 +102,6 @@
     return m_header.getKeepAlive();
 }
 
-bool HttpConnection::hasPendingInput()
-{
-    return hasHeldInput() || isReadable(socket());
-}
-
 TimePoint HttpConnection::nextArrivedAt() const
 {
     return buffered() > 0 ? m_arrivedAt : nextReadAheadAt();
--- a/modules/http/httpconnection.h
+++ b/modules/http/httpconnection.h
@@ -14,7 +14,7 @@
 
 class NodeSettings;
 
-/// At any time, the connection is either parked in its listener's poll set or owned by one request.
+/// At any time, one thread at most reads from the connection, and one at most writes to it.
 class HttpConnection final : public HttpStream
 {
 public:
@@ -23,11 +23,11 @@
     /// Reads a request that arrived at `arrivedAt`. Throws a RequestError or a Poco::Exception if it is truncated,
     /// malformed or too long.
     HttpRequest receive(const NodeSettings &settings, TimePoint arrivedAt);
-    void respond(const HttpResponse &response, bool keepAlive);
+    /// The response to a HEAD request has no body.
+    void respond(const HttpResponse &response, bool isHead, bool keepAlive);
     /// Whether the latest request asks to keep the connection open.
     bool wantsKeepAlive() const;
-    /// Whether bytes of the next request have arrived.
-    bool hasPendingInput();
+    using HttpStream::hasHeldInput;
     /// When the next request arrived, whose first bytes are held; TimePoint() if none are.
     TimePoint nextArrivedAt() const;
 
--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -7,6 +7,7 @@
 #include "core/kernel/sharedtable.h"
 #include "modules/http/bodyreader.h"
 #include "modules/http/httpconnection.h"
+#include "modules/http/requestpipeline.h"
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/PollSet.h>
@@ -18,10 +19,12 @@
 #include <array>
 #include <atomic>
 #include <cerrno>
+#include <deque>
 #include <map>
 #include <optional>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace fescuepond
 {
@@ -76,8 +79,18 @@
 namespace detail
 {
 
-/// Shuts down both directions of a connection, so that a worker blocked in a read returns.
-static void shutDown(Poco::Net::StreamSocket &socket)
+/// Shuts down the input of a connection, so that a worker blocked in a read returns. Responses can still be written.
+static void shutDownInput(Poco::Net::StreamSocket &socket)
+{
+    try {
+        socket.shutdownReceive();
+    } catch (const Poco::Exception &) {
+        // The connection is already closed.
+    }
+}
+
+/// Shuts down both directions.
+static void shutDownBoth(Poco::Net::StreamSocket &socket)
 {
     try {
         socket.shutdown();
@@ -159,8 +172,8 @@
             m_thread.join();
         }
         finishOpenRequests();
-        m_parked.locked([](auto &parked) {
-            parked.clear();
+        m_table.locked([](Connections &table) {
+            table.clear();
         });
     }
 
@@ -171,21 +184,18 @@
 
     std::size_t connectionCount() const
     {
-        return m_inFlight + m_parked.locked([](const auto &parked) {
-            return parked.size();
+        return m_table.locked([](const Connections &table) {
+            return table.size();
         });
     }
 
 private:
-    using ParkedConnections = std::map<Poco::Net::Socket, HttpConnectionPtr>;
-    /// A request in flight whose caller may disconnect.
-    struct WatchedRequest {
-        AttemptId m_requestId;
-        TimePoint m_since;
-        HttpConnectionPtr m_connection;
+    struct Tracked {
+        HttpConnectionPtr connection;
+        RequestPipeline pipeline;
     };
-    using WatchedConnections = std::map<Poco::Net::Socket, WatchedRequest>;
-    using OpenRequests = std::map<AttemptId, HttpConnectionPtr>;
+    /// All open connections. Those with input Parked or Watched are in the poll set, and only those.
+    using Connections = std::map<Poco::Net::Socket, Tracked>;
 
     void pollLoop()
     {
@@ -210,83 +220,66 @@
             for (const auto &[socket, mode] : m_pollSet.poll(Poco::Timespan(0, PollTimeoutMicroseconds))) {
                 if (isListening && socket == m_serverSocket) {
                     accept();
-                    continue;
-                }
-                if (!handleWatchedEvent(socket)) {
-                    dispatchParked(socket);
+                } else {
+                    handleInput(socket);
                 }
             }
         }
     }
 
-    /// Watches a connection for a disconnect until the response to its request is written.
-    void watch(const HttpConnectionPtr &connection, const AttemptId &requestId)
-    {
-        if (!m_disconnectHandler) {
-            return;
-        }
-        m_watched.locked([&](WatchedConnections &watched) {
-            watched.insert_or_assign(connection->stream(),
-                                     WatchedRequest{requestId, m_kernel.clock().now(), connection});
-        });
-        m_pollSet.add(connection->stream(), Poco::Net::PollSet::POLL_READ);
-    }
-
-    /// Stops watching the connection and returns its request, or nothing if the connection isn't watched. The function
-    /// that gets the request has to remove the connection from the poll set.
-    std::optional<WatchedRequest> unwatch(const Poco::Net::Socket &socket)
+    /// Handles a poll event: the next request of an idle connection, or further input while requests are open.
+    void handleInput(const Poco::Net::Socket &socket)
     {
-        return m_watched.locked([&](WatchedConnections &watched) -> std::optional<WatchedRequest> {
-            const auto found = watched.find(socket);
-            if (found == watched.end()) {
-                return std::nullopt;
+        std::vector<AttemptId> abandoned;
+        m_table.locked([&](Connections &table) {
+            const auto found = table.find(socket);
+            if (found == table.end()) {
+                return;
+            }
+            Tracked &tracked = found->second;
+            if (tracked.pipeline.input() == InputOwner::Parked) {
+                startReading(tracked, m_kernel.clock().now());
+            } else if (tracked.pipeline.input() == InputOwner::Watched) {
+                abandoned = handleFurtherInput(tracked);
             }
-            const WatchedRequest request = found->second;
-            watched.erase(found);
-            return request;
         });
+        if (!abandoned.empty()) {
+            m_kernel.pool().post(Lane::Decision, [self = shared_from_this(), abandoned] {
+                self->abandon(abandoned);
+            });
+        }
     }
 
-    /// Handles a poll event of a watched connection, which was closed or received a further request early. Returns
-    /// false if the connection isn't watched.
-    ///
-    /// Further requests are read ahead, up to a limit: only then does the end of the input behind them show.
-    bool handleWatchedEvent(const Poco::Net::Socket &socket)
+    /// Reads ahead on a connection with open requests, up to a limit: only then does the end of the input behind
+    /// further requests show. Starts reading the next request if it may run now. Returns the requests whose caller has
+    /// left.
+    std::vector<AttemptId> handleFurtherInput(Tracked &tracked)
     {
-        InputState state = InputState::Open;
-        // The worker that writes the response stops watching before it uses the connection, so the lock also protects
-        // the connection's input.
-        const auto request = m_watched.locked([&](WatchedConnections &watched) -> std::optional<WatchedRequest> {
-            const auto found = watched.find(socket);
-            if (found == watched.end()) {
-                return std::nullopt;
-            }
-            WatchedRequest request = found->second;
-            state = request.m_connection->readAhead(m_kernel.clock().now());
-            if (state != InputState::Open) {
-                watched.erase(found);
-                removeFromPollSet(socket);
-            }
-            return request;
-        });
-        if (request && state == InputState::Closed) {
-            recordDisconnect(*request);
-            m_kernel.pool().post(Lane::Decision, [self = shared_from_this(), requestId = request->m_requestId] {
-                self->m_disconnectHandler(requestId);
-            });
+        const InputState state = tracked.connection->readAhead(m_kernel.clock().now());
+        if (state == InputState::Closed) {
+            setInput(tracked, InputOwner::None);
+            tracked.pipeline.end();
+            return tracked.pipeline.unanswered();
+        }
+        if (!readNextIfPossible(tracked) && state == InputState::Full) {
+            setInput(tracked, InputOwner::None);
         }
-        return request.has_value();
+        return {};
     }
 
-    void recordDisconnect(const WatchedRequest &request) const
+    /// Changes who reads the input, and keeps the poll set in line with that.
+    void setInput(Tracked &tracked, InputOwner owner)
     {
-        using std::chrono::milliseconds;
-        m_kernel.metrics().count("fescuepond_requests_abandoned_total", {{"listener", m_name}});
-        Event("caller_disconnected")
-            .with("listener", m_name)
-            .with("request", request.m_requestId.toString())
-            .with("after_ms",
-                  std::chrono::duration_cast<milliseconds>(m_kernel.clock().now() - request.m_since).count());
+        const auto isPolled = [](InputOwner input) {
+            return input == InputOwner::Parked || input == InputOwner::Watched;
+        };
+        const bool wasPolled = isPolled(tracked.pipeline.input());
+        tracked.pipeline.setInput(owner);
+        if (wasPolled && !isPolled(owner)) {
+            removeFromPollSet(tracked.connection->stream());
+        } else if (!wasPolled && isPolled(owner)) {
+            m_pollSet.add(tracked.connection->stream(), Poco::Net::PollSet::POLL_READ);
+        }
     }
 
     void removeFromPollSet(const Poco::Net::Socket &socket)
@@ -294,8 +287,28 @@
         try {
             m_pollSet.remove(socket);
         } catch (const Poco::Exception &) {
-            // The event was reported before the connection was removed from the set.
+            // The caller has reset the connection, which takes it out of the set.
+        }
+    }
+
+    void startReading(Tracked &tracked, TimePoint arrivedAt)
+    {
+        setInput(tracked, InputOwner::Reader);
+        ++m_inFlight;
+        m_kernel.pool().post(Lane::Http, [self = shared_from_this(), connection = tracked.connection, arrivedAt] {
+            self->readAndHandle(connection, arrivedAt);
+        });
+    }
+
+    /// Starts reading the request behind the open ones if bytes of it are held and it may run now.
+    bool readNextIfPossible(Tracked &tracked)
+    {
+        const bool canRead = !m_isDraining && tracked.pipeline.input() != InputOwner::Reader
+            && tracked.pipeline.canReadNext() && tracked.connection->hasHeldInput();
+        if (canRead) {
+            startReading(tracked, tracked.connection->nextArrivedAt());
         }
+        return canRead;
     }
 
     /// Closes the listening socket without resetting connections that are open from the caller's point of view.
@@ -310,24 +323,24 @@
         m_serverSocket.close();
     }
 
-    /// Closes the parked connections on which no bytes have arrived. The others are served; reading them is posted
-    /// before the idle connections stop counting as work in flight.
+    /// Closes the idle connections on which no bytes have arrived. The others are served; reading them starts before
+    /// the idle connections stop counting as work in flight.
     void closeIdleConnections()
     {
-        const ParkedConnections parked = m_parked.locked([](const ParkedConnections &table) {
-            return table;
-        });
-        for (const auto &entry : parked) {
-            const Poco::Net::Socket &socket = entry.first;
-            if (isReadable(socket)) {
-                dispatchParked(socket);
-                continue;
+        m_table.locked([&](Connections &table) {
+            for (auto entry = table.begin(); entry != table.end();) {
+                Tracked &tracked = entry->second;
+                if (tracked.pipeline.input() != InputOwner::Parked) {
+                    ++entry;
+                } else if (isReadable(entry->first)) {
+                    startReading(tracked, m_kernel.clock().now());
+                    ++entry;
+                } else {
+                    setInput(tracked, InputOwner::None);
+                    entry = table.erase(entry);
+                }
             }
-            m_pollSet.remove(socket);
-            m_parked.locked([&](ParkedConnections &table) {
-                table.erase(socket);
-            });
-        }
+        });
     }
 
     void accept()
@@ -340,125 +353,233 @@
                     .count());
             socket.setReceiveTimeout(timeout);
             socket.setSendTimeout(timeout);
-            park(std::make_shared<HttpConnection>(socket));
+            const auto connection = std::make_shared<HttpConnection>(socket);
+            m_table.locked([&](Connections &table) {
+                Tracked &tracked = table[socket];
+                tracked.connection = connection;
+                m_pollSet.add(socket, Poco::Net::PollSet::POLL_READ);
+            });
         } catch (const Poco::Exception &error) {
             Event("accept_failed").with("listener", m_name).with("error", error.displayText());
         }
     }
 
-    void park(const HttpConnectionPtr &connection)
+    void readAndHandle(const HttpConnectionPtr &connection, TimePoint arrivedAt)
     {
-        if (m_isStopped) {
+        const auto request = read(connection, arrivedAt);
+        if (!request) {
+            endInput(connection);
+            --m_inFlight;
             return;
         }
-        m_parked.locked([&](ParkedConnections &parked) {
-            parked.insert_or_assign(connection->stream(), connection);
+        m_table.locked([&](Connections &table) {
+            const auto found = table.find(connection->stream());
+            if (found != table.end()) {
+                add(found->second, *request);
+            }
+            m_connectionOf.insert_or_assign(request->requestId(), connection);
         });
-        m_pollSet.add(connection->stream(), Poco::Net::PollSet::POLL_READ);
+        // A request may wait long to be read. Once its caller has left, the handler must not send it on.
+        if (m_disconnectHandler && isClosedByCaller(connection->stream())) {
+            abandon({request->requestId()});
+        }
+        m_handler(*request,
+                  [self = shared_from_this(), requestId = request->requestId()](const HttpResponse &response) {
+                      self->complete(requestId, response);
+                  });
     }
 
-    /// Removes a readable connection from the poll set and posts reading it to a worker.
-    void dispatchParked(const Poco::Net::Socket &socket)
+    /// Adds a request that a worker has read, and hands the input on: to a worker if the next request may run now, and
+    /// otherwise to the event loop, which notices that the caller leaves.
+    void add(Tracked &tracked, const HttpRequest &request)
     {
-        const HttpConnectionPtr connection = m_parked.locked([&](ParkedConnections &parked) -> HttpConnectionPtr {
-            const auto found = parked.find(socket);
-            if (found == parked.end()) {
-                return nullptr;
+        OpenRequest open;
+        open.id = request.requestId();
+        open.wantsKeepAlive = tracked.connection->wantsKeepAlive();
+        open.isHead = request.method() == Poco::Net::HTTPRequest::HTTP_HEAD;
+        open.isSafe = open.isHead || request.method() == Poco::Net::HTTPRequest::HTTP_GET;
+        tracked.pipeline.add(std::move(open));
+        setInput(tracked, m_disconnectHandler ? InputOwner::Watched : InputOwner::None);
+        readNextIfPossible(tracked);
+    }
+
+    /// No further request can be read from the connection. If its caller has left, cancels the requests before.
+    void endInput(const HttpConnectionPtr &connection)
+    {
+        std::vector<AttemptId> abandoned;
+        const bool hasLeft = isClosedByCaller(connection->stream());
+        m_table.locked([&](Connections &table) {
+            const auto found = table.find(connection->stream());
+            if (found == table.end()) {
+                return;
+            }
+            setInput(found->second, InputOwner::None);
+            found->second.pipeline.end();
+            if (hasLeft) {
+                abandoned = found->second.pipeline.unanswered();
+            }
+            if (found->second.pipeline.isEmpty()) {
+                table.erase(found);
             }
-            HttpConnectionPtr unparked = found->second;
-            parked.erase(found);
-            return unparked;
         });
-        if (connection) {
-            // If it isn't parked, a worker owns it now and may have added it again.
-            removeFromPollSet(socket);
-            postRead(connection, m_kernel.clock().now());
+        abandon(abandoned);
+    }
+
+    /// Cancels requests whose caller has left.
+    void abandon(const std::vector<AttemptId> &requests) const
+    {
+        for (const AttemptId &requestId : requests) {
+            m_kernel.metrics().count("fescuepond_requests_abandoned_total", {{"listener", m_name}});
+            Event("caller_disconnected").with("listener", m_name).with("request", requestId.toString());
+            if (m_disconnectHandler) {
+                m_disconnectHandler(requestId);
+            }
         }
     }
 
-    void postRead(const HttpConnectionPtr &connection, TimePoint arrivedAt)
+    void complete(const AttemptId &requestId, const HttpResponse &response)
     {
-        ++m_inFlight;
-        m_kernel.pool().post(Lane::Http, [self = shared_from_this(), connection, arrivedAt] {
-            self->readAndHandle(connection, arrivedAt);
+        const HttpConnectionPtr connection = m_table.locked([&](Connections &table) -> HttpConnectionPtr {
+            const auto known = m_connectionOf.extract(requestId);
+            // There is none if the listener has stopped and sent its final response, or the connection has failed.
+            const auto found = known.empty() ? table.end() : table.find(known.mapped()->stream());
+            const bool mustWrite = found != table.end() && found->second.pipeline.complete(requestId, response);
+            m_writers += mustWrite ? 1 : 0;
+            return mustWrite ? known.mapped() : nullptr;
         });
+        if (connection) {
+            m_kernel.pool().post(Lane::Http, [self = shared_from_this(), connection] {
+                self->writeResponses(connection);
+                --self->m_writers;
+            });
+        }
     }
 
-    void readAndHandle(const HttpConnectionPtr &connection, TimePoint arrivedAt)
+    /// Writes the responses that are there, in the order of their requests.
+    void writeResponses(const HttpConnectionPtr &connection)
     {
-        const auto request = read(connection, arrivedAt);
-        if (!request) {
+        while (const auto next = nextToWrite(connection)) {
+            try {
+                connection->respond(next->response, next->isHead, next->keepAlive);
+            } catch (const Poco::Exception &error) {
+                Event("response_write_failed").with("listener", m_name).with("error", error.displayText());
+                dropOpenRequests(connection);
+            }
+            if (!next->keepAlive) {
+                closeAfterResponse(connection);
+            }
             --m_inFlight;
-            return;
         }
-        m_open.locked([&](OpenRequests &open) {
-            open.emplace(request->requestId(), connection);
+    }
+
+    std::optional<ResponseToWrite> nextToWrite(const HttpConnectionPtr &connection)
+    {
+        return m_table.locked([&](Connections &table) -> std::optional<ResponseToWrite> {
+            const auto found = table.find(connection->stream());
+            if (found == table.end()) {
+                return std::nullopt;
+            }
+            Tracked &tracked = found->second;
+            const auto next = tracked.pipeline.nextToWrite(m_isDraining);
+            if (next) {
+                readNextIfPossible(tracked);
+            } else if (tracked.pipeline.isEmpty()) {
+                allResponsesWritten(table, found);
+            }
+            return next;
         });
-        // A request may wait long to be read. Once its caller has left, the handler must not send it on.
-        if (m_disconnectHandler && isClosedByCaller(connection->stream())) {
-            recordDisconnect(WatchedRequest{request->requestId(), m_kernel.clock().now(), connection});
-            m_disconnectHandler(request->requestId());
-        } else {
-            watch(connection, request->requestId());
+    }
+
+    /// The connection waits for its next request, or is closed.
+    void allResponsesWritten(Connections &table, Connections::iterator entry)
+    {
+        Tracked &tracked = entry->second;
+        if (tracked.pipeline.input() == InputOwner::Reader) {
+            return;
         }
-        m_handler(*request,
-                  [self = shared_from_this(), requestId = request->requestId()](const HttpResponse &response) {
-                      self->complete(requestId, response);
-                  });
+        if (tracked.pipeline.isEnding() || m_isStopped) {
+            setInput(tracked, InputOwner::None);
+            table.erase(entry);
+            return;
+        }
+        // Held input doesn't show in the poll set.
+        if (tracked.connection->hasHeldInput()) {
+            startReading(tracked, tracked.connection->nextArrivedAt());
+            return;
+        }
+        setInput(tracked, InputOwner::Parked);
     }
 
-    void complete(const AttemptId &requestId, const HttpResponse &response)
+    /// The connection has failed: cancels the requests behind the one whose response could not be written.
+    void dropOpenRequests(const HttpConnectionPtr &connection)
     {
-        const HttpConnectionPtr connection = m_open.locked([&](OpenRequests &open) -> HttpConnectionPtr {
-            const auto found = open.find(requestId);
-            if (found == open.end()) {
-                return nullptr; // The listener has stopped and sent its final response.
+        std::vector<AttemptId> dropped;
+        m_table.locked([&](Connections &table) {
+            const auto found = table.find(connection->stream());
+            if (found == table.end()) {
+                return;
+            }
+            found->second.pipeline.end();
+            dropped = found->second.pipeline.unanswered();
+            m_inFlight -= found->second.pipeline.takeAll().size();
+            for (const AttemptId &requestId : dropped) {
+                m_connectionOf.erase(requestId);
             }
-            HttpConnectionPtr answered = found->second;
-            open.erase(found);
-            return answered;
         });
-        if (connection) {
-            ++m_responsesToWrite;
-            m_kernel.pool().post(Lane::Http, [self = shared_from_this(), connection, response] {
-                self->write(connection, response);
-                --self->m_responsesToWrite;
-            });
-        }
+        abandon(dropped);
     }
 
-    /// Sends the final response to all requests that are still open, and waits until responses that were ready before
-    /// are written, or FinalWriteLimit has passed.
+    /// Waits until responses that are ready are written, or FinalWriteLimit has passed, and then sends the final
+    /// response to all requests that are still open.
     void finishOpenRequests()
     {
-        const OpenRequests open = m_open.locked([](OpenRequests &table) {
-            return std::exchange(table, OpenRequests());
-        });
-        for (const auto &[requestId, connection] : open) {
-            Event("request_cut_off").with("listener", m_name).with("request", requestId.toString());
-            if (m_finalResponse) {
-                connection->stream().setSendTimeout(
-                    Poco::Timespan(std::chrono::duration_cast<std::chrono::microseconds>(FinalSendTimeout).count()));
-                write(connection, *m_finalResponse);
-            } else {
-                --m_inFlight;
-            }
-        }
         const TimePoint limit = m_kernel.clock().now() + FinalWriteLimit;
-        while (m_responsesToWrite > 0 && m_kernel.clock().now() < limit) {
+        while (m_writers > 0 && m_kernel.clock().now() < limit) {
             std::this_thread::sleep_for(FinalWriteCheckInterval);
         }
+        std::vector<std::pair<HttpConnectionPtr, std::deque<OpenRequest>>> unfinished;
+        m_table.locked([&](Connections &table) {
+            m_connectionOf.clear();
+            for (auto &[socket, tracked] : table) {
+                if (!tracked.pipeline.isWriting()) {
+                    unfinished.emplace_back(tracked.connection, tracked.pipeline.takeAll());
+                }
+            }
+        });
+        for (const auto &[connection, requests] : unfinished) {
+            finish(connection, requests);
+        }
+    }
+
+    void finish(const HttpConnectionPtr &connection, const std::deque<OpenRequest> &requests)
+    {
+        try {
+            connection->stream().setSendTimeout(
+                Poco::Timespan(std::chrono::duration_cast<std::chrono::microseconds>(FinalSendTimeout).count()));
+            for (const OpenRequest &request : requests) {
+                Event("request_cut_off").with("listener", m_name).with("request", request.id.toString());
+                const auto &response = request.response ? request.response : m_finalResponse;
+                const bool isLast = &request == &requests.back();
+                if (response) {
+                    connection->respond(*response, request.isHead, !isLast);
+                }
+            }
+        } catch (const Poco::Exception &error) {
+            Event("response_write_failed").with("listener", m_name).with("error", error.displayText());
+        }
     }
 
-    /// Reads one request. On an error, returns nothing; a malformed request also gets an error response.
+    /// Reads one request. On an error, returns nothing; a malformed request also gets an error response, unless
+    /// responses to others are due before it.
     std::optional<HttpRequest> read(const HttpConnectionPtr &connection, TimePoint arrivedAt)
     {
         const NodeSettings &settings = m_kernel.settings();
         // Limits the time for the whole request, so that a slow sender doesn't hold the worker (slowloris).
         const auto watchdog =
-            m_kernel.timers().once(m_kernel.clock().now() + settings.requestReadTimeout(), [connection] {
-                shutDown(connection->stream());
-            });
+            m_kernel.timers().once(m_kernel.clock().now() + settings.requestReadTimeout(),
+                                   [connection, shutDown = hasOpenRequests(connection) ? shutDownInput : shutDownBoth] {
+                                       shutDown(connection->stream());
+                                   });
         std::optional<HttpRequest> request;
         try {
             request = connection->receive(settings, arrivedAt);
@@ -475,12 +596,23 @@
         return request;
     }
 
+    bool hasOpenRequests(const HttpConnectionPtr &connection) const
+    {
+        return m_table.locked([&](const Connections &table) {
+            const auto found = table.find(connection->stream());
+            return found != table.end() && !found->second.pipeline.isEmpty();
+        });
+    }
+
     void rejectRequest(const HttpConnectionPtr &connection, int status, const std::string &detail)
     {
         Event("request_refused").with("listener", m_name).with("status", status).with("detail", detail);
         m_kernel.metrics().count("fescuepond_bad_requests_total", {{"listener", m_name}});
+        if (hasOpenRequests(connection)) {
+            return;
+        }
         try {
-            connection->respond(badRequest(status, detail), false);
+            connection->respond(badRequest(status, detail), false, false);
             connection->stream().shutdownSend();
             discardInput(connection->stream());
         } catch (const Poco::Exception &) {
@@ -503,43 +635,16 @@
         }
     }
 
-    void write(const HttpConnectionPtr &connection, const HttpResponse &response)
-    {
-        if (unwatch(connection->stream())) {
-            removeFromPollSet(connection->stream());
-        }
-        bool keepAlive = false;
-        try {
-            keepAlive = connection->wantsKeepAlive() && !m_isDraining;
-            connection->respond(response, keepAlive);
-        } catch (const Poco::Exception &error) {
-            keepAlive = false;
-            Event("response_write_failed").with("listener", m_name).with("error", error.displayText());
-        }
-        // Before m_inFlight is decremented, so that an open connection is counted at all times.
-        if (keepAlive) {
-            awaitNextRequest(connection);
-        } else {
-            closeAfterResponse(connection);
-        }
-        --m_inFlight;
-    }
-
-    /// Parks the connection, or reads the next request at once if bytes of it have already arrived.
-    void awaitNextRequest(const HttpConnectionPtr &connection)
-    {
-        if (!connection->hasPendingInput()) {
-            park(connection);
-            return;
-        }
-        const TimePoint arrivedAt = connection->nextArrivedAt();
-        postRead(connection, arrivedAt == TimePoint() ? m_kernel.clock().now() : arrivedAt);
-    }
-
     /// Requests that were sent behind the one answered last are not read. Unread input would reset the connection when
     /// it is closed, and the caller could lose the response.
-    void closeAfterResponse(const HttpConnectionPtr &connection) const
+    void closeAfterResponse(const HttpConnectionPtr &connection)
     {
+        m_table.locked([&](Connections &table) {
+            const auto found = table.find(connection->stream());
+            if (found != table.end() && found->second.pipeline.input() != InputOwner::Reader) {
+                setInput(found->second, InputOwner::None);
+            }
+        });
         try {
             if (!m_isStopped && isReadable(connection->stream())) {
                 connection->stream().shutdownSend();
@@ -556,15 +661,13 @@
     Poco::Net::ServerSocket m_serverSocket;
     Poco::Net::PollSet m_pollSet;
     HttpDisconnectHandler m_disconnectHandler; ///< Optional.
-    SharedTable<ParkedConnections> m_parked{LockRank::HttpConnections};
-    /// Connections in the poll set whose request is in flight. Disjoint from m_parked.
-    SharedTable<WatchedConnections> m_watched{LockRank::HttpConnections};
-    /// Requests that were read and have no response yet. Whoever removes an entry writes the response.
-    SharedTable<OpenRequests> m_open{LockRank::HttpConnections};
+    SharedTable<Connections> m_table{LockRank::HttpConnections};
+    /// Connections of the requests without a response, by request. Protected by the lock of m_table.
+    std::map<AttemptId, HttpConnectionPtr> m_connectionOf;
     std::optional<HttpResponse> m_finalResponse; ///< To requests that are open when the listener stops.
     std::atomic<std::size_t> m_inFlight = 0;
-    std::atomic<std::size_t> m_responsesToWrite = 0;
-    std::atomic<bool> m_isDraining = false; ///< Each response asks the caller to close its connection.
+    std::atomic<std::size_t> m_writers = 0; ///< Workers that write responses, or are posted to.
+    std::atomic<bool> m_isDraining = false; ///< The last response on each connection asks the caller to close it.
     std::atomic<bool> m_isAcceptStopped = false; ///< No new connections are accepted; implies m_isDraining.
     std::atomic<bool> m_isStopped = false;
     std::thread m_thread;
