Retry calls that a backend server with free slots rejects, at another target

A target that rejects part of its calls while it has free slots is faulty, not overloaded, and another target may take the call.

A rejection now counts as one with free slots if the node of the target, through which all its calls pass, reports fewer calls there than its limit. In overload it is as before. Each call has the attempts of its own route: a child call used to get a part of its root's allowance, which is none where the root may not be repeated. What bounds repeats over a call tree in the platform's environment is the budget of the fleet, as before.

--- a/servers/classification/classifier.cpp
+++ b/servers/classification/classifier.cpp
@@ -40,8 +40,8 @@
     const CallRequest routed = call.withService(route->serviceFor(fraction));
     const KindDeclaration &kind = route->kind();
     const bool isRoot = call.context().rootId().isNone();
-    const CallContext child =
-        call.context().withRetryAllowance(std::min(call.context().retryAllowance(), kind.retryAllowance()));
+    // A route bounds the attempts of each of its requests; the retry budget bounds those of a whole call tree.
+    const CallContext child = call.context().withRetryAllowance(kind.retryAllowance());
     const CallContext origin = isRoot ? rootContext(routed, kind) : child;
     return routed.withContext(origin.withCallId(CallId::random())
                                   .withKind(kind.name())
--- a/servers/retry/retrypolicy.cpp
+++ b/servers/retry/retrypolicy.cpp
@@ -15,8 +15,8 @@
 /// A call that was running on two backend servers when they were lost isn't sent to a third: it may have crashed them.
 constexpr int MaxCrashes = 2;
 
-/// A failure that may not recur at another target. Rejections for overload, by a node or by the backend server itself,
-/// aren't listed: a retry would add to the load.
+/// A failure that may not recur at another target. Rejections for overload aren't listed: a retry would add to the
+/// load.
 struct RetryableFailure {
     CallState state;
     Reason reason;
@@ -43,6 +43,14 @@
     return isListed && outcome.reason() != Reason::ChildCallFailed;
 }
 
+/// The backend server rejected the call though it runs fewer calls than it can. That isn't overload: all its calls pass
+/// its node, which knows how many run.
+bool isRejectionWithFreeSlots(const CallOutcome &outcome)
+{
+    return outcome.state() == CallState::NotRun && outcome.reason() == Reason::BackendBusy
+        && outcome.targetInFlight() < outcome.targetLimit();
+}
+
 bool isRetryable(const FailedAttempt &attempt)
 {
     const CallOutcome &outcome = attempt.outcome();
@@ -52,6 +60,9 @@
     if (outcome.state() == CallState::Answered) {
         return attempt.idempotent() && isOwnServerError(outcome);
     }
+    if (isRejectionWithFreeSlots(outcome)) {
+        return true;
+    }
     return std::any_of(RetryableFailures.begin(), RetryableFailures.end(), [&](const RetryableFailure &failure) {
         const bool isSame = failure.state == outcome.state() && failure.reason == outcome.reason();
         return isSame && (attempt.idempotent() || !failure.needsIdempotent);
--- a/tests/servers/retry/retrypolicytest.cpp
+++ b/tests/servers/retry/retrypolicytest.cpp
@@ -35,6 +35,18 @@
     EXPECT_EQ(decideRetry(attemptWith(answered(503)), true), RetryVerdict::NotRetryable);
 }
 
+TEST(RetryPolicy, RejectionByABackendServerWithFreeSlotsIsRetriedElsewhere)
+{
+    const CallOutcome rejection = CallOutcome::notRun(Reason::BackendBusy, "").withTargetLimit(29);
+    const auto verdictAt = [&](int inFlight) {
+        return decideRetry(attemptWith(rejection.withTargetInFlight(inFlight)).withIdempotent(false), true);
+    };
+    EXPECT_EQ(verdictAt(12), RetryVerdict::Retry);
+    EXPECT_EQ(verdictAt(29), RetryVerdict::NotRetryable);
+    EXPECT_EQ(verdictAt(50), RetryVerdict::NotRetryable);
+    EXPECT_EQ(decideRetry(attemptWith(rejection.withTargetInFlight(12)), false), RetryVerdict::NoBudget);
+}
+
 TEST(RetryPolicy, OnlyTheHopNextToTheFailureRetries)
 {
     EXPECT_EQ(decideRetry(attemptWith(answered(500)), true), RetryVerdict::Retry);
