--- a/tests/system/plannedstoptest.cpp
+++ b/tests/system/plannedstoptest.cpp
@@ -139,12 +139,14 @@
     fleet.publish({Yard, Dispatch});
     FleetNode &yard = fleet.addNode(
         {.name = "yard-1", .service = "yard", .backendFlags = {"--service_ms=1800", "--fixed"}, .settings = {}});
+    constexpr std::size_t RequestCount = 12;
     // The process is cut off 2.2 s after the signal.
     FleetNode &entry = fleet.addNode(
         {.name = "dispatch-1", .service = "dispatch", .settings = {"leave_grace_ms: 600", "stop_limit_s: 3"}});
     ASSERT_TRUE(fleet.waitUntilReady(2));
     std::vector<std::unique_ptr<RawConnection>> connections;
-    for (int i = 0; i < 12; ++i) {
+    connections.reserve(RequestCount);
+    for (std::size_t i = 0; i < RequestCount; ++i) {
         connections.push_back(std::make_unique<RawConnection>(entry.front));
     }
 
