--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -480,7 +480,7 @@
                 return std::nullopt;
             }
             Tracked &tracked = found->second;
-            const auto next = tracked.pipeline.nextToWrite(m_isDraining);
+            auto next = tracked.pipeline.nextToWrite(m_isDraining);
             if (next) {
                 readNextIfPossible(tracked);
             } else if (tracked.pipeline.isEmpty()) {
