Watch the configuration only once a node knows other members

A node that has just started knows no other member, so it chose itself as a watcher of the configuration: each start cost a list and a waiting watch beside its own three calls, on each of 195 nodes. The first watch now starts a second later, when the members have been listed; the start still reads the configuration at once, and changes come from peers meanwhile.

Ruled out: reading with stale_ok at the start. After a loss of all nodes right after a change, every node would start on a version that is seconds old.

--- a/modules/configuration/followerplugin.cpp
+++ b/modules/configuration/followerplugin.cpp
@@ -17,6 +17,8 @@
 
 /// Time-out of a watch: a lost connection is noticed after this time. It also limits a watcher to six calls a minute.
 constexpr Duration WatchTimeout = std::chrono::seconds(10);
+/// Until then a node that has just started knows no other member and would choose itself as a watcher.
+constexpr Duration FirstWatchDelay = std::chrono::seconds(1);
 /// One call in six is a plain read instead of a watch: a watch doesn't return a version older than the one in force.
 constexpr unsigned WatchesPerRead = 6;
 /// How often a node compares its version with a peer's.
@@ -43,7 +45,9 @@
             return isWatching() ? 1.0 : 0.0;
         });
         readInitialConfiguration();
-        watchOrWait();
+        runAfter(FirstWatchDelay, [this] {
+            watchOrWait();
+        });
         exchangeWithPeers(PeersToNotify);
         scheduleExchange();
         return {};
