Admit only a share of the requests of a path where many nodes enter a few each

With 195 entry nodes a path limit refuses hardly anything: a window holds at least one call for each entry node, and each keeps a few queued downstream.

Each entry node now also admits a share of a path's requests, by the hash that orders shedding downstream, cut by the headroom that answers report and growing back by a tenth a second (servers/pathlimit/pathshare.h). Retry-After of what it rejects is half of the time until all are admitted again.

--- a/modules/pathlimit/pathlimitplugin.cpp
+++ b/modules/pathlimit/pathlimitplugin.cpp
@@ -110,9 +110,10 @@
         const CallContext &context = decided.waiting.call.context();
         m_kernel->metrics().count("fescuepond_path_refused_total",
                                   {{"kind", context.rootKind()}, {"reason", toString(decided.rejection)}});
-        const auto [window, drainTime] = m_table.locked([&](const PathTable &table) {
+        const TimePoint now = m_kernel->clock().now();
+        const auto [window, retryAfter] = m_table.locked([&](const PathTable &table) {
             const PathKey path = pathOf(decided.waiting.call);
-            return std::pair(table.limiter.windowOf(path), table.limiter.drainTime(path));
+            return std::pair(table.limiter.windowOf(path), table.limiter.retryAfter(path, now));
         });
         Event("path_refused")
             .with("attempt", context.callerAttempt())
@@ -123,7 +124,7 @@
             .with("window", fmt::format("{:.1f}", window));
         decided.waiting.done(CallOutcome::notRun(decided.rejection, detailOf(decided.rejection))
                                  .withUnusedAllowance(context.retryAllowance())
-                                 .withRetryAfter(std::min(drainTime, MaxRetryAfter)));
+                                 .withRetryAfter(std::min(retryAfter, MaxRetryAfter)));
     }
 
     void admit(const WaitingCall &waiting)
--- a/servers/pathlimit/pathlimiter.cpp
+++ b/servers/pathlimit/pathlimiter.cpp
@@ -66,6 +66,9 @@
     if (expiresAt <= now) {
         return {AdmissionDecision().withId(entry.id()).withRejection(Reason::DeadlineExceeded)};
     }
+    if (m_rules.limitShare && !path.m_share.admits(entry.order().rootHash(), now)) {
+        return {AdmissionDecision().withId(entry.id()).withRejection(Reason::Overload)};
+    }
     AdmissionDecisions decisions;
     rejectExpired(path, decisions, now);
     const double capacity = std::max(MinQueueCapacity, QueueCapacityPerCall * path.m_window.size());
@@ -86,6 +89,7 @@
     Path &path = pathOf(key);
     if (headroom > 0) {
         path.m_window.update(headroom, path.m_queue.running());
+        path.m_share.update(headroom, now);
     }
     if (serviceTime) {
         path.m_serviceTimes.add(*serviceTime);
@@ -120,14 +124,15 @@
     return earliest;
 }
 
-Duration PathLimiter::drainTime(const PathKey &path) const
+Duration PathLimiter::retryAfter(const PathKey &path, TimePoint now) const
 {
     const auto found = m_paths.find(path);
     if (found == m_paths.end()) {
         return Duration::zero();
     }
     const Path &known = found->second;
-    return known.m_drain.drainTime(known.m_queue.queued(), known.m_window.size());
+    return std::max(known.m_drain.drainTime(known.m_queue.queued(), known.m_window.size()),
+                    known.m_share.retryAfter(now));
 }
 
 double PathLimiter::windowOf(const PathKey &path) const
--- a/servers/pathlimit/pathlimiter.h
+++ b/servers/pathlimit/pathlimiter.h
@@ -15,6 +15,7 @@
 #include "servers/admission/admissionqueue.h"
 #include "servers/admission/drainestimate.h"
 #include "servers/admission/servicetimes.h"
+#include "servers/pathlimit/pathshare.h"
 
 #include <cstddef>
 #include <map>
@@ -57,6 +58,8 @@
     QueueRules queue;
     /// Rejects requests with less time left than the minimum service time of their path.
     bool rejectUnmeetable = true;
+    /// Admits only a share of the requests of a path without headroom.
+    bool limitShare = true;
 };
 
 /// The windows and queues of all paths that enter at this node. Each submitted request gets exactly one decision,
@@ -75,8 +78,8 @@
     AdmissionDecisions expire(TimePoint now);
     std::optional<TimePoint> nextExpiry() const;
 
-    /// Estimated time until all requests that are queued on the path now have been admitted.
-    Duration drainTime(const PathKey &path) const;
+    /// Estimated time until a request of the path that is sent again will be admitted.
+    Duration retryAfter(const PathKey &path, TimePoint now) const;
     double windowOf(const PathKey &path) const;
     std::size_t queued() const;
     std::size_t inFlight() const;
@@ -88,6 +91,7 @@
         {
         }
         PathWindow m_window;
+        PathShare m_share;
         AdmissionQueue m_queue;
         DurationHistogram m_serviceTimes;
         DrainEstimate m_drain;
