Send no interim response while a response to an earlier request is due

With requests that are sent ahead, the interim response that asks a caller to send its body could be written by the worker that reads, in the middle of a response that another worker writes, or before the response that is due first. It is left out now unless the request is the first one open; callers send the body after a pause then. Found by reading the change; the new test fails without it.

--- a/modules/http/httpconnection.cpp
+++ b/modules/http/httpconnection.cpp
@@ -70,7 +70,7 @@
 {
 }
 
-HttpRequest HttpConnection::receive(const NodeSettings &settings, TimePoint arrivedAt)
+HttpRequest HttpConnection::receive(const NodeSettings &settings, TimePoint arrivedAt, bool mayWrite)
 {
     m_arrivedAt = arrivedAt;
     m_header.clear();
@@ -78,7 +78,7 @@
     requireKnownVersion(m_header);
     Headers headers = toHeaders(m_header, settings.maxHeaderBytes());
     const BodyFraming framing = framingOf(HeaderFields(m_header.begin(), m_header.end()));
-    if (m_header.getExpectContinue()) {
+    if (mayWrite && m_header.getExpectContinue()) {
         send("HTTP/1.1 100 Continue\r\n\r\n");
     }
     Body body(fescuepond::readBody(*this, framing, settings.maxBodyBytes()));
--- a/modules/http/httpconnection.h
+++ b/modules/http/httpconnection.h
@@ -21,8 +21,9 @@
     explicit HttpConnection(const Poco::Net::StreamSocket &socket);
 
     /// Reads a request that arrived at `arrivedAt`. Throws a RequestError or a Poco::Exception if it is truncated,
-    /// malformed or too long.
-    HttpRequest receive(const NodeSettings &settings, TimePoint arrivedAt);
+    /// malformed or too long. `mayWrite`: no response is due or being written, so a caller that waits for it may be
+    /// told to send the body.
+    HttpRequest receive(const NodeSettings &settings, TimePoint arrivedAt, bool mayWrite);
     /// The response to a HEAD request has no body.
     void respond(const HttpResponse &response, bool isHead, bool keepAlive);
     /// Whether the latest request asks to keep the connection open.
--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -574,15 +574,15 @@
     std::optional<HttpRequest> read(const HttpConnectionPtr &connection, TimePoint arrivedAt)
     {
         const NodeSettings &settings = m_kernel.settings();
+        const bool isFirst = !hasOpenRequests(connection);
         // Limits the time for the whole request, so that a slow sender doesn't hold the worker (slowloris).
-        const auto watchdog =
-            m_kernel.timers().once(m_kernel.clock().now() + settings.requestReadTimeout(),
-                                   [connection, shutDown = hasOpenRequests(connection) ? shutDownInput : shutDownBoth] {
-                                       shutDown(connection->stream());
-                                   });
+        const auto watchdog = m_kernel.timers().once(m_kernel.clock().now() + settings.requestReadTimeout(),
+                                                     [connection, shutDown = isFirst ? shutDownBoth : shutDownInput] {
+                                                         shutDown(connection->stream());
+                                                     });
         std::optional<HttpRequest> request;
         try {
-            request = connection->receive(settings, arrivedAt);
+            request = connection->receive(settings, arrivedAt, isFirst);
         } catch (const RequestError &error) {
             rejectRequest(connection, error.status(), error.what());
         } catch (const Poco::Net::NoMessageException &) {
--- a/tests/platform/requestsaheadtest.cpp
+++ b/tests/platform/requestsaheadtest.cpp
@@ -103,6 +103,22 @@
     EXPECT_EQ(attemptsIn(connection.received()), (std::vector<std::string>{"b1", "a1"}));
 }
 
+TEST_F(RequestsAhead, CallerThatWaitsToSendItsBodyIsNotToldSoInsideAnotherResponse)
+{
+    RawConnection connection(m_entry);
+    m_target.m_workTime = 400;
+    connection.send(requestBytes("/read/x", "a1")
+                    + "POST /read/y HTTP/1.1\r\nHost: a.example\r\nFescuepond-Attempt-Id: a2\r\n"
+                      "Fescuepond-Deadline-Ms: 1500\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n");
+    std::this_thread::sleep_for(milliseconds(200));
+    connection.receiveMoreThan(0, milliseconds(0));
+    EXPECT_EQ(connection.received(), "");
+    connection.send("body");
+    connection.receiveUntil("attempt-id: a2", MaxWait);
+    EXPECT_TRUE(connection.received().starts_with("HTTP/1.1 200")) << connection.received();
+    EXPECT_EQ(attemptsIn(connection.received()), (std::vector<std::string>{"a1", "a2"}));
+}
+
 TEST_F(RequestsAhead, MoreThanAreHeldAreServedToo)
 {
     RawConnection connection(m_entry);
