End the discarding of a caller's input when the listener stops

A worker may read and discard a caller's input for half a second before it closes a connection, and the pool joins its workers when the node stops, so this time was added to the stop.

--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -620,13 +620,13 @@
         }
     }
 
-    /// Reads and discards the caller's remaining input for DiscardDuration at most. Closing a socket with unread input
-    /// resets the connection, and the caller could lose the response.
-    static void discardInput(Poco::Net::StreamSocket &socket)
+    /// Reads and discards the caller's remaining input for DiscardDuration at most, or until the listener stops.
+    /// Closing a socket with unread input resets the connection, and the caller could lose the response.
+    void discardInput(Poco::Net::StreamSocket &socket) const
     {
         const auto end = std::chrono::steady_clock::now() + DiscardDuration;
         std::array<char, DiscardChunkBytes> chunk;
-        while (std::chrono::steady_clock::now() < end) {
+        while (!m_isStopped && std::chrono::steady_clock::now() < end) {
             const bool hasPendingInput =
                 socket.poll(Poco::Timespan(DiscardPollMicroseconds), Poco::Net::Socket::SELECT_READ);
             if (hasPendingInput && socket.receiveBytes(chunk.data(), chunk.size()) <= 0) {
