--- a/review/support/support.cpp
+++ b/review/support/support.cpp
@@ -37,7 +37,6 @@
 constexpr const char *Loopback = "127.0.0.1";
 constexpr int Backlog = 512;
 constexpr long long ReportIntervalMs = 1500;
-constexpr std::size_t PageBytes = 4096;
 
 SteadyClock::time_point startTime()
 {
@@ -769,7 +768,7 @@
     std::size_t all = 0;
     std::size_t resident = 0;
     file >> all >> resident;
-    return file ? resident * PageBytes : 0;
+    return file ? resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE)) : 0;
 }
 
 bool Node::isReady() const
