--- a/modules/backend/backendclient.cpp
+++ b/modules/backend/backendclient.cpp
@@ -117,6 +117,8 @@
         CallOutcome outcome = sendAndReceive(call, instance, *connection);
         returnToIdle(std::move(connection));
         return outcome.withBackendWasReached(true);
+    } catch (const UnwritableHeader &error) {
+        return CallOutcome::notRun(Reason::BadRequest, error.displayText());
     } catch (const Poco::Exception &error) {
         const bool isAborted = call.context().idempotent() && isExchangeAborted(call.context().attemptId());
         const std::string text = error.displayText();
--- a/modules/http/bodyreader.h
+++ b/modules/http/bodyreader.h
@@ -6,12 +6,11 @@
 #pragma once
 
 #include "modules/http/httpmessage.h"
+#include "modules/http/messageheader.h"
 
 #include <cstddef>
 #include <exception>
 #include <string>
-#include <utility>
-#include <vector>
 
 namespace fescuepond
 {
@@ -51,9 +50,6 @@
     virtual std::size_t readSome(char *bytes, std::size_t count) = 0;
 };
 
-/// Header fields in the order of the message; a name may occur several times.
-using HeaderFields = std::vector<std::pair<std::string, std::string>>;
-
 /// How the body of a message is delimited.
 class BodyFraming
 {
--- a/modules/http/httpconnection.cpp
+++ b/modules/http/httpconnection.cpp
@@ -2,12 +2,9 @@
 
 #include "modules/http/httpconnection.h"
 
+#include "core/kernel/eventlog.h"
 #include "core/settings/nodesettings.h"
-
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/NetException.h>
-
-#include <sstream>
+#include "modules/http/messageheader.h"
 
 namespace fescuepond
 {
@@ -15,7 +12,6 @@
 namespace
 {
 
-constexpr int StatusBadRequest = 400;
 constexpr int StatusHeaderTooLarge = 431;
 
 std::string hostWithoutPort(const std::string &host)
@@ -23,44 +19,36 @@
     return host.substr(0, host.find(':'));
 }
 
-/// The headers with lower-case names. Throws a RequestError if they have more than `limit` bytes.
-Headers toHeaders(const Poco::Net::HTTPRequest &request, std::size_t limit)
+/// Throws a RequestError if the headers have more than `limit` bytes.
+void requireWithinLimit(const HeaderFields &fields, std::size_t limit)
 {
-    Headers headers;
     std::size_t bytes = 0;
-    for (const auto &[name, value] : request) {
+    for (const auto &[name, value] : fields) {
         bytes += name.size() + value.size();
-        std::string &combined = headers[toLower(name)];
-        combined.append(combined.empty() ? "" : ", ").append(value);
     }
     if (bytes > limit) {
         throw RequestError(StatusHeaderTooLarge, "the header exceeds the size limit");
     }
-    return headers;
 }
 
-void requireKnownVersion(const Poco::Net::HTTPRequest &request)
+std::string headerText(const HttpResponse &response, bool keepAlive)
 {
-    const bool isKnown = request.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1
-        || request.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0;
-    if (!isKnown) {
-        throw RequestError(StatusBadRequest, "the request is not HTTP/1.0 or HTTP/1.1");
-    }
+    HeaderFields fields = toEndToEndFields(response.headers());
+    fields.emplace_back("Connection", keepAlive ? "Keep-Alive" : "Close");
+    fields.emplace_back("Content-Length", std::to_string(response.body().size()));
+    return toText(ResponseHeader().withStatus(response.status()).withFields(std::move(fields)));
 }
 
-std::string toText(const HttpResponse &response, bool isHead, bool keepAlive)
+std::string responseText(const HttpResponse &response, bool isHead, bool keepAlive)
 {
-    Poco::Net::HTTPResponse header;
-    header.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
-    header.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(response.status()));
-    for (const auto &[name, value] : response.headers()) {
-        header.set(name, value);
-    }
-    header.setKeepAlive(keepAlive);
-    header.setContentLength64(static_cast<Poco::Int64>(response.body().size()));
-    std::ostringstream text;
-    header.write(text);
-    return isHead ? text.str() : text.str() + response.body().bytes();
+    std::string text = headerText(response, keepAlive);
+    return isHead ? text : text + response.body().bytes();
+}
+
+/// What a caller gets instead of a response that can't be written; its call may have been run.
+HttpResponse unwritableResponse(const std::string &detail)
+{
+    return toResponse(CallOutcome::unknown(Reason::AnswerLost, detail));
 }
 
 } // namespace
@@ -73,20 +61,21 @@
 HttpRequest HttpConnection::receive(const NodeSettings &settings, TimePoint arrivedAt, bool mayWrite)
 {
     m_arrivedAt = arrivedAt;
-    m_header.clear();
-    readHeader(m_header);
-    requireKnownVersion(m_header);
-    Headers headers = toHeaders(m_header, settings.maxHeaderBytes());
-    const BodyFraming framing = framingOf(HeaderFields(m_header.begin(), m_header.end()));
-    if (mayWrite && m_header.getExpectContinue()) {
-        send("HTTP/1.1 100 Continue\r\n\r\n");
+    const RequestHeader header = readRequestHeader(readHeaderText());
+    requireWithinLimit(header.fields(), settings.maxHeaderBytes());
+    Headers headers = toHeaders(header.fields());
+    const std::string host = hostWithoutPort(valueOf(headers, "host"));
+    m_wantsKeepAlive = isKeptAlive(header.minorVersion(), headers);
+    const BodyFraming framing = framingOf(header.fields());
+    if (mayWrite && toLower(valueOf(headers, "expect")) == "100-continue") {
+        sendAll("HTTP/1.1 100 Continue\r\n\r\n");
     }
     Body body(fescuepond::readBody(*this, framing, settings.maxBodyBytes()));
     return HttpRequest()
         .withRequestId(AttemptId::random())
-        .withMethod(m_header.getMethod())
-        .withTarget(m_header.getURI())
-        .withHost(hostWithoutPort(m_header.get("Host", "")))
+        .withMethod(header.method())
+        .withTarget(header.target())
+        .withHost(host)
         .withHeaders(std::move(headers))
         .withArrivedAt(arrivedAt)
         .withBody(std::move(body));
@@ -94,12 +83,14 @@
 
 void HttpConnection::respond(const HttpResponse &response, bool isHead, bool keepAlive)
 {
-    send(toText(response, isHead, keepAlive));
-}
-
-bool HttpConnection::wantsKeepAlive() const
-{
-    return m_header.getKeepAlive();
+    std::string text;
+    try {
+        text = responseText(response, isHead, keepAlive);
+    } catch (const UnwritableHeader &error) {
+        Event("response_unwritable").with("status", response.status()).with("error", error.displayText());
+        text = responseText(unwritableResponse(error.displayText()), isHead, keepAlive);
+    }
+    sendAll(text);
 }
 
 TimePoint HttpConnection::nextArrivedAt() const
@@ -107,16 +98,4 @@
     return buffered() > 0 ? m_arrivedAt : nextReadAheadAt();
 }
 
-void HttpConnection::send(const std::string &bytes)
-{
-    std::size_t sent = 0;
-    while (sent < bytes.size()) {
-        const int count = socket().sendBytes(bytes.data() + sent, static_cast<int>(bytes.size() - sent));
-        if (count <= 0) {
-            throw Poco::Net::ConnectionAbortedException("the caller closed the connection while the response was sent");
-        }
-        sent += static_cast<std::size_t>(count);
-    }
-}
-
 } // namespace fescuepond
--- a/modules/http/httpconnection.h
+++ b/modules/http/httpconnection.h
@@ -5,8 +5,6 @@
 #include "modules/http/httpmessage.h"
 #include "modules/http/httpstream.h"
 
-#include <Poco/Net/HTTPRequest.h>
-
 #include <string>
 
 namespace fescuepond
@@ -24,18 +22,19 @@
     /// malformed or too long. `mayWrite`: no response is due or being written, so a caller that waits for it may be
     /// told to send the body.
     HttpRequest receive(const NodeSettings &settings, TimePoint arrivedAt, bool mayWrite);
-    /// The response to a HEAD request has no body.
+    /// The response to a HEAD request has no body. A response that can't be written as HTTP is replaced by status 502.
     void respond(const HttpResponse &response, bool isHead, bool keepAlive);
     /// Whether the latest request asks to keep the connection open.
-    bool wantsKeepAlive() const;
+    bool wantsKeepAlive() const
+    {
+        return m_wantsKeepAlive;
+    }
     using HttpStream::hasHeldInput;
     /// When the next request arrived, whose first bytes are held; TimePoint() if none are.
     TimePoint nextArrivedAt() const;
 
 private:
-    void send(const std::string &bytes);
-
-    Poco::Net::HTTPRequest m_header; ///< Of the latest request.
+    bool m_wantsKeepAlive = false; ///< Of the latest request.
     TimePoint m_arrivedAt; ///< Of the latest request. Bytes that were read together with it arrived no later.
 };
 
--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -396,8 +396,8 @@
         OpenRequest open;
         open.id = request.requestId();
         open.wantsKeepAlive = tracked.connection->wantsKeepAlive();
-        open.isHead = request.method() == Poco::Net::HTTPRequest::HTTP_HEAD;
-        open.isSafe = open.isHead || request.method() == Poco::Net::HTTPRequest::HTTP_GET;
+        open.isHead = request.method() == "HEAD";
+        open.isSafe = open.isHead || request.method() == "GET";
         tracked.pipeline.add(std::move(open));
         setInput(tracked, m_disconnectHandler ? InputOwner::Watched : InputOwner::None);
         readNextIfPossible(tracked);
--- a/modules/http/httpmessage.cpp
+++ b/modules/http/httpmessage.cpp
@@ -82,10 +82,15 @@
     return std::find(Names.begin(), Names.end(), lowerName) != Names.end();
 }
 
+std::string valueOf(const Headers &headers, std::string_view name)
+{
+    const auto found = headers.find(toLower(name));
+    return found == headers.end() ? std::string() : found->second;
+}
+
 std::string HttpRequest::header(std::string_view name) const
 {
-    const auto found = m_headers.find(toLower(name));
-    return found == m_headers.end() ? std::string() : found->second;
+    return valueOf(m_headers, name);
 }
 
 HttpResponse::HttpResponse(int status, std::string contentType, std::string body)
--- a/modules/http/httpmessage.h
+++ b/modules/http/httpmessage.h
@@ -43,6 +43,10 @@
 
 std::string toLower(std::string_view text);
 
+/// The value of a header, or an empty string if it is absent. `headers` have lower-case names; `name` may be in any
+/// case.
+std::string valueOf(const Headers &headers, std::string_view name);
+
 /// Whether a header applies to one connection only and is never forwarded. `lowerName` must be in lower case.
 bool isHopByHop(std::string_view lowerName);
 
--- a/modules/http/httpstream.cpp
+++ b/modules/http/httpstream.cpp
@@ -7,9 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <charconv>
-#include <istream>
-#include <streambuf>
+#include <string_view>
 
 namespace fescuepond
 {
@@ -43,35 +41,6 @@
     }
 }
 
-/// Gives the bytes of a source to a stream, up to a limit.
-class LimitedBuffer final : public std::streambuf
-{
-public:
-    LimitedBuffer(ByteSource &source, std::size_t limit)
-        : m_source(source)
-        , m_left(limit)
-    {
-    }
-
-protected:
-    int_type underflow() override
-    {
-        const int byte = m_left > 0 ? m_source.next() : EndOfStream;
-        if (byte < 0) {
-            return traits_type::eof();
-        }
-        --m_left;
-        m_byte = static_cast<char>(byte);
-        setg(&m_byte, &m_byte, &m_byte + 1);
-        return traits_type::to_int_type(m_byte);
-    }
-
-private:
-    ByteSource &m_source;
-    std::size_t m_left;
-    char m_byte = 0;
-};
-
 } // namespace
 
 BodyTooLong::BodyTooLong()
@@ -97,26 +66,44 @@
     return InputState::Full;
 }
 
-void HttpStream::readHeader(Poco::Net::HTTPMessage &message)
+std::string HttpStream::readHeaderText()
 {
-    LimitedBuffer buffer(*this, MaxHeaderBytes);
-    std::istream stream(&buffer);
-    message.read(stream);
-    // POCO treats the end of the stream as the end of the header.
-    if (!stream.good()) {
-        failTruncated();
+    constexpr std::string_view LineEnd = "\r\n";
+    constexpr std::string_view SectionEnd = "\r\n\r\n";
+    std::string text;
+    for (std::size_t bytes = 0; !text.ends_with(SectionEnd); ++bytes) {
+        const int byte = next();
+        if (byte == EndOfStream && text.empty()) {
+            throw Poco::Net::NoMessageException();
+        }
+        if (byte == EndOfStream) {
+            failTruncated();
+        }
+        if (byte == '\n' && !text.ends_with('\r')) {
+            throw MessageException("a header line ends without CR");
+        }
+        if (bytes == MaxHeaderBytes) {
+            throw MessageException("the header exceeds the size limit");
+        }
+        text.push_back(static_cast<char>(byte));
+        if (text == LineEnd) {
+            text.clear();
+        }
     }
+    return text;
 }
 
-std::size_t HttpStream::declaredLength(const Poco::Net::HTTPMessage &message)
+void HttpStream::sendAll(const std::string &bytes, const std::function<void()> &onProgress)
 {
-    const std::string &text = message.get(Poco::Net::HTTPMessage::CONTENT_LENGTH);
-    std::size_t length = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), length);
-    if (error != std::errc() || end != text.data() + text.size()) {
-        throw MessageException("Content-Length is not a number");
+    std::size_t sent = 0;
+    while (sent < bytes.size()) {
+        const int count = socket().sendBytes(bytes.data() + sent, static_cast<int>(bytes.size() - sent));
+        if (count <= 0) {
+            throw Poco::Net::ConnectionAbortedException("the remote side closed the connection during a write");
+        }
+        sent += static_cast<std::size_t>(count);
+        onProgress();
     }
-    return length;
 }
 
 std::string HttpStream::readBody(std::size_t length, std::size_t maxBytes)
--- a/modules/http/httpstream.h
+++ b/modules/http/httpstream.h
@@ -1,20 +1,20 @@
 // Reads complete HTTP messages from a connection.
 //
-// POCO's streams treat the end of a connection as the end of a header or of a chunked body. These functions use only
-// its HTTPSession and accept a message only if all of it has arrived.
+// POCO's streams treat the end of a connection as the end of a header or of a chunked body, and decode header values.
+// These functions use only its HTTPSession, for its buffer, and accept a message only if all of it has arrived.
 
 #pragma once
 
 #include "core/kernel/clock.h"
 #include "modules/http/bodyreader.h"
 
-#include <Poco/Net/HTTPMessage.h>
 #include <Poco/Net/HTTPSession.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocket.h>
 
 #include <cstddef>
 #include <deque>
+#include <functional>
 #include <string>
 
 namespace fescuepond
@@ -58,11 +58,14 @@
     {
     }
 
-    /// Reads a header. Throws NoMessageException if the connection ends before it and MessageException if it ends
-    /// inside it.
-    void readHeader(Poco::Net::HTTPMessage &message);
-    /// The value of Content-Length. Throws MessageException if it is not a number.
-    static std::size_t declaredLength(const Poco::Net::HTTPMessage &message);
+    /// Reads a header section with the empty line that ends it, and skips empty lines before it. Throws
+    /// NoMessageException if the connection ends before it, and MessageException if it ends inside it or the section is
+    /// too long.
+    std::string readHeaderText();
+    /// Sends all bytes. `onProgress` is called each time some were sent. Throws a Poco::Exception if it can't.
+    void sendAll(
+        const std::string &bytes,
+        const std::function<void()> &onProgress = [] {});
     std::string readBody(std::size_t length, std::size_t maxBytes);
     std::string readChunkedBody(std::size_t maxBytes);
     std::string readBodyUntilEnd(std::size_t maxBytes);
--- a/modules/verbs/operatorclient.cpp
+++ b/modules/verbs/operatorclient.cpp
@@ -2,11 +2,10 @@
 
 #include "modules/verbs/operatorclient.h"
 
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
+#include "modules/http/httpclientconnection.h"
+
 #include <Poco/Net/SocketAddress.h>
-#include <Poco/StreamCopier.h>
+#include <Poco/Net/StreamSocket.h>
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
@@ -22,6 +21,7 @@
 {
 
 constexpr int MinErrorStatus = 400;
+constexpr std::size_t MaxResponseBytes = 64UL * 1024 * 1024;
 
 } // namespace
 
@@ -29,20 +29,19 @@
 requestOperatorListener(const std::string &address, const std::string &method, const std::string &path)
 {
     try {
-        Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress(address)};
-        session.setTimeout(
-            Poco::Timespan(std::chrono::microseconds(std::chrono::milliseconds(FLAGS_timeout_ms)).count()));
-        Poco::Net::HTTPRequest request(method, path, Poco::Net::HTTPRequest::HTTP_1_1);
-        request.setContentLength(0);
-        session.sendRequest(request);
-        Poco::Net::HTTPResponse response;
-        std::string body;
-        Poco::StreamCopier::copyToString(session.receiveResponse(response), body);
-        if (response.getStatus() < MinErrorStatus) {
-            return body;
+        const auto timeout =
+            Poco::Timespan(std::chrono::microseconds(std::chrono::milliseconds(FLAGS_timeout_ms)).count());
+        Poco::Net::StreamSocket socket;
+        socket.connect(Poco::Net::SocketAddress(address), timeout);
+        socket.setReceiveTimeout(timeout);
+        socket.setSendTimeout(timeout);
+        HttpClientConnection connection(socket);
+        connection.send(RequestHeader().withMethod(method).withTarget(path).withFields({{"Host", address}}), {});
+        const HttpResponse response = connection.receive(method, MaxResponseBytes);
+        if (response.status() < MinErrorStatus) {
+            return response.body().bytes();
         }
-        fmt::print(
-            stderr, "{}: {} {} returned status {}\n", address, method, path, static_cast<int>(response.getStatus()));
+        fmt::print(stderr, "{}: {} {} returned status {}\n", address, method, path, response.status());
     } catch (const Poco::Exception &error) {
         fmt::print(stderr, "{}: no answer: {}\n", address, error.displayText());
     }
--- a/tests/modules/backend/backendclienttest.cpp
+++ b/tests/modules/backend/backendclienttest.cpp
@@ -374,6 +374,33 @@
     }
 }
 
+TEST_F(BackendClientTest, EncodedWordInAResponseHeaderIsHandedOnAsItWasSent)
+{
+    const std::string word = "=?UTF-8?Q?a=0D=0AContent=2DLength=3A=200=0D=0A=0D=0AHTTP=2F1=2E1=20200=20OK?=";
+    const CallOutcome outcome =
+        outcomeOfResponse("HTTP/1.1 200 OK\r\nX-Note: " + word + "\r\nContent-Length: 5\r\n\r\nfirst");
+    ASSERT_EQ(outcome.state(), CallState::Answered);
+    EXPECT_EQ(outcome.headers().at("x-note"), word);
+}
+
+TEST_F(BackendClientTest, HeaderThatWouldBreakOutOfItsPlaceIsNotSent)
+{
+    // Callers' headers are checked when they are read; these come from another node's message.
+    const std::string forged = "a\r\nContent-Length: 0\r\n\r\nGET /hidden HTTP/1.1\r\nB: c";
+    ScriptedServer server({sendBytes(firstResponse)});
+    BackendClient client = clientOf(server);
+    for (const CallRequest &request : {call().withHeaders({{"x-note", forged}}),
+                                       call().withHeaders({{forged, "a"}}),
+                                       call().withPath("/a HTTP/1.1\r\nX: y"),
+                                       call().withHost("yard\r\nX: y")}) {
+        const CallOutcome outcome = client.run(request, {});
+        EXPECT_EQ(outcome.state(), CallState::NotRun);
+        EXPECT_EQ(outcome.reason(), Reason::BadRequest);
+    }
+    EXPECT_EQ(server.requests(), 0);
+    EXPECT_EQ(client.run(call(), {}).body().bytes(), "first");
+}
+
 TEST_F(BackendClientTest, ResponseWithoutAnEndIsGivenUpLongBeforeTheDeadline)
 {
     const std::string ok = "HTTP/1.1 200 OK\r\n";
