--- a/core/kernel/clock.cpp
+++ b/core/kernel/clock.cpp
@@ -15,4 +15,10 @@
     return TimePoint(std::chrono::seconds(time.tv_sec) + Duration(time.tv_nsec));
 }
 
+std::uint64_t wallClockMs()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+}
+
 } // namespace fescuepond
--- a/core/kernel/clock.h
+++ b/core/kernel/clock.h
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstdint>
 
 namespace fescuepond
 {
@@ -27,6 +28,9 @@
     TimePoint now() const override;
 };
 
+/// The time of day in milliseconds since the Unix epoch. It may jump, and differs between VMs.
+std::uint64_t wallClockMs();
+
 /// A clock for tests, which changes only when it is advanced. It starts one hour after the epoch, so that subtracting a
 /// duration doesn't give a time before the epoch.
 class ManualClock final : public Clock
--- a/modules/membership/membershipplugin.cpp
+++ b/modules/membership/membershipplugin.cpp
@@ -20,12 +20,6 @@
 /// Members that a node syncs with once it has read the others' objects, so that they learn of it at once.
 constexpr std::size_t InitialSyncCount = 4;
 
-std::uint64_t wallClockMs()
-{
-    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
-}
-
 class MembershipPlugin final : public Plugin, public Membership, public ServingAdvertiser
 {
 public:
--- a/modules/registration/registrationplugin.cpp
+++ b/modules/registration/registrationplugin.cpp
@@ -59,7 +59,7 @@
     {
         const TimePoint now = m_kernel->clock().now();
         apply(instance, 0, [&](const BackendTracker &known) {
-            return afterDeregistration(known, instance, now);
+            return afterDeregistration(known, instance, now, wallClockMs());
         });
     }
 
--- a/servers/registration/backendtracker.cpp
+++ b/servers/registration/backendtracker.cpp
@@ -92,6 +92,9 @@
     if (report.service() != service) {
         return {known, ReportVerdict::Foreign};
     }
+    if (hasDeparted(known.departures(), report, now)) {
+        return {known, ReportVerdict::Stale};
+    }
     const bool isKnown = known.report().state() != BackendState::Unknown;
     const bool isSilent = isKnown && now - known.lastReportAt() >= known.timeouts().silenceTimeout();
     const bool isNew = !isKnown || (isSilent && !isSameInstance(report, known.report()));
@@ -107,7 +110,7 @@
         next = next.withRate(0).withLastAnswerAt(TimePoint()).withRateNamedAt(TimePoint());
     }
     if (report.state() == BackendState::Draining && next.drainingSince() == TimePoint()) {
-        next = next.withDrainingSince(now);
+        next = next.withDrainingSince(isKnown ? now : now - known.timeouts().drainLimit());
     }
     return {next, ReportVerdict::Accepted};
 }
@@ -156,15 +159,21 @@
     return next;
 }
 
-TrackerUpdate afterDeregistration(const BackendTracker &known, const std::string &instance, TimePoint now)
+TrackerUpdate
+afterDeregistration(const BackendTracker &known, const std::string &instance, TimePoint now, std::uint64_t wallClockMs)
 {
-    if (known.report().instance() != instance) {
-        return {known, ReportVerdict::Foreign};
-    }
-    if (known.drainingSince() != TimePoint()) {
-        return {known, ReportVerdict::Accepted};
-    }
-    return {known.withDrainingSince(now), ReportVerdict::Accepted};
+    const bool isKnown = known.report().instance() == instance;
+    const Departure departure = Departure()
+                                    .withInstance(instance)
+                                    .withStartedAtMs(isKnown ? known.report().startedAtMs() : 0)
+                                    .withAcknowledgedAt(now)
+                                    .withAcknowledgedAtMs(wallClockMs);
+    const BackendTracker next = known.withDepartures(withDeparture(known.departures(), departure));
+    if (!isKnown) {
+        return {next, ReportVerdict::Foreign};
+    }
+    const bool startsDraining = known.drainingSince() == TimePoint();
+    return {startsDraining ? next.withDrainingSince(now) : next, ReportVerdict::Accepted};
 }
 
 } // namespace fescuepond
--- a/servers/registration/backendtracker.h
+++ b/servers/registration/backendtracker.h
@@ -2,12 +2,14 @@
 //
 // A report is accepted if it is of a later instance (a later start of the backend server), or of the same instance with
 // a higher sequence number; a stale one, such as one delayed by a partition, is ignored. An instance that has reported
-// that it is draining stays draining, whatever it reports later.
+// that it is draining stays draining, whatever it reports later. An instance that has deregistered is gone for this
+// node, also if the process that acknowledged it had just started and knew nothing of it.
 
 #pragma once
 
 #include "core/values/backendnotice.h"
 #include "core/values/backendreport.h"
+#include "servers/registration/departures.h"
 
 #include <compare>
 #include <string>
@@ -44,6 +46,7 @@
     /// When the latest instance answered last; zero: not yet.
     FESCUEPOND_FIELD(TimePoint, lastAnswerAt, withLastAnswerAt);
     FESCUEPOND_FIELD(TimePoint, rateNamedAt, withRateNamedAt); ///< When an answer named the rate last.
+    FESCUEPOND_FIELD(Departures, departures, withDepartures); ///< Acknowledged, of the known instance and of others.
 
 public:
     BackendState state(TimePoint now) const;
@@ -63,8 +66,8 @@
 
 enum class ReportVerdict {
     Accepted,
-    Stale, ///< Older than a report that was accepted.
-    Foreign, ///< Of another service, or, for afterDeregistration(), of another instance.
+    Stale, ///< Older than a report that was accepted, or than a departure that was acknowledged.
+    Foreign, ///< Of another service, or, for afterDeregistration(), of an instance that isn't the known one.
 };
 
 const char *toString(ReportVerdict verdict);
@@ -74,13 +77,15 @@
     ReportVerdict verdict;
 };
 
-/// The state after a report to a node of `service`.
+/// The state after a report to a node of `service`. If the first report says that the instance drains, it may have said
+/// so long ago to an earlier process of this node, so no call is passed to it.
 TrackerUpdate
 afterReport(const BackendTracker &known, const BackendReport &report, const std::string &service, TimePoint now);
 
-/// The state after the backend server has deregistered, which starts draining like a report does. Ignored unless
-/// `instance` is the known one.
-TrackerUpdate afterDeregistration(const BackendTracker &known, const std::string &instance, TimePoint now);
+/// The state after the backend server has deregistered, which starts draining like a report does if `instance` is the
+/// known one. The departure is remembered in any case. `wallClockMs` is the wall-clock time of `now`.
+TrackerUpdate
+afterDeregistration(const BackendTracker &known, const std::string &instance, TimePoint now, std::uint64_t wallClockMs);
 
 /// An answer of an instance. A limit ends with the first answer without one to a call that was sent after the limit was
 /// named last: answers can overtake each other. An instance that is leaving starts draining as if it had reported so.
--- a/tests/platform/fleetenvironmenttest.cpp
+++ b/tests/platform/fleetenvironmenttest.cpp
@@ -128,6 +128,17 @@
     EXPECT_EQ(m_target.m_requests, before);
 }
 
+TEST_F(FleetEnvironment, ALateReportDoesNotUndoADepartureThatARestartedNodeAcknowledged)
+{
+    // The target has reported to an earlier process of the node only.
+    EXPECT_EQ(sendHttp(m_registration, {.method = "DELETE", .path = "/instances/i-1"}).status, 200);
+    EXPECT_EQ(report(7, "ready").status, 200);
+    EXPECT_EQ(send("/read/x").status, 503);
+    std::this_thread::sleep_for(seconds(2));
+    EXPECT_EQ(send("/read/x").status, 503);
+    EXPECT_EQ(m_target.m_requests, 0);
+}
+
 TEST_F(FleetEnvironment, ACallerThatDisconnectsCancelsIdempotentWork)
 {
     report(1, "ready");
--- a/tests/servers/registration/backendtrackertest.cpp
+++ b/tests/servers/registration/backendtrackertest.cpp
@@ -17,6 +17,7 @@
 using std::chrono::milliseconds;
 
 constexpr TimePoint Start{std::chrono::hours(1)};
+constexpr std::uint64_t WallClockMs = 1000; ///< At Start.
 
 const BackendTimeouts usualTimeouts = BackendTimeouts::from(std::chrono::seconds(2), milliseconds(1500));
 const BackendTracker fresh = BackendTracker().withTimeouts(usualTimeouts);
@@ -125,13 +126,66 @@
     constexpr Duration Bound = std::chrono::seconds(2);
     const BackendTracker ready = after(fresh, report("i-1", 5, 4, BackendState::Ready)).tracker;
     for (const BackendTracker &draining : {after(ready, report("i-1", 5, 5, BackendState::Draining)).tracker,
-                                           afterDeregistration(ready, "i-1", Start).tracker}) {
+                                           afterDeregistration(ready, "i-1", Start, WallClockMs).tracker}) {
         EXPECT_TRUE(draining.canStart(Start));
         EXPECT_FALSE(draining.acceptsCalls(Start + usualTimeouts.drainGrace()));
         EXPECT_FALSE(draining.canStart(Start + usualTimeouts.drainLimit()));
         EXPECT_LT(usualTimeouts.drainLimit(), Bound);
     }
-    EXPECT_EQ(afterDeregistration(ready, "i-0", Start).verdict, ReportVerdict::Foreign);
+    EXPECT_EQ(afterDeregistration(ready, "i-0", Start, WallClockMs).verdict, ReportVerdict::Foreign);
+}
+
+TEST(BackendTracker, LateReportDoesNotUndoADepartureThatARestartedNodeAcknowledged)
+{
+    // A process that has just started knows nothing of the instance that deregisters.
+    const BackendTracker left = afterDeregistration(fresh, "i-1", Start, WallClockMs).tracker;
+    const TimePoint later = Start + std::chrono::seconds(3);
+    for (const std::uint64_t startedAtMs : {std::uint64_t{0}, WallClockMs - 500, WallClockMs}) {
+        for (const BackendState state : {BackendState::Ready, BackendState::Draining}) {
+            const TrackerUpdate update = after(left, report("i-1", startedAtMs, 9, state), later);
+            EXPECT_EQ(update.verdict, ReportVerdict::Stale) << startedAtMs;
+            EXPECT_FALSE(update.tracker.canStart(later)) << startedAtMs;
+            EXPECT_FALSE(update.tracker.isServing(later)) << startedAtMs;
+        }
+    }
+    EXPECT_TRUE(after(left, report("i-1", WallClockMs + 1, 1, BackendState::Ready), later).tracker.isServing(later))
+        << "the instance has started again";
+    EXPECT_TRUE(after(left, report("i-2", 1, 1, BackendState::Ready), later).tracker.isServing(later))
+        << "another instance";
+    // The wall clock was set back, so the instance that started again seems older than the departure.
+    const TimePoint muchLater = Start + DepartureMemory;
+    EXPECT_TRUE(after(left, report("i-1", 1, 1, BackendState::Ready), muchLater).tracker.isServing(muchLater));
+}
+
+TEST(BackendTracker, LateReportOfADepartedInstanceIsIgnoredOnceItsSuccessorIsSilent)
+{
+    BackendTracker tracker = after(fresh, report("i-1", 5, 4, BackendState::Ready)).tracker;
+    tracker = afterDeregistration(tracker, "i-1", Start, WallClockMs).tracker;
+    tracker = after(tracker, report("i-2", 9, 1, BackendState::Ready)).tracker;
+    EXPECT_TRUE(tracker.isServing(Start));
+    const TimePoint late = Start + usualTimeouts.silenceTimeout();
+    EXPECT_EQ(after(tracker, report("i-1", 5, 5, BackendState::Ready), late).verdict, ReportVerdict::Stale);
+    EXPECT_TRUE(after(tracker, report("i-1", 10, 1, BackendState::Ready), late).tracker.isServing(late));
+}
+
+TEST(BackendTracker, DepartureOfAnotherInstanceDoesNotEndTheKnownOne)
+{
+    BackendTracker tracker = after(fresh, report("i-2", 9, 1, BackendState::Ready)).tracker;
+    for (std::size_t i = 0; i < MaxDepartures * 2; ++i) {
+        tracker = afterDeregistration(tracker, "old-" + std::to_string(i), Start, WallClockMs).tracker;
+    }
+    EXPECT_TRUE(tracker.isServing(Start));
+    EXPECT_EQ(tracker.departures().size(), MaxDepartures);
+    EXPECT_EQ(tracker.departures().back().instance(), "old-" + std::to_string(MaxDepartures * 2 - 1));
+}
+
+TEST(BackendTracker, NodeThatFirstHearsOfAnInstanceWhileItDrainsPassesNothingToIt)
+{
+    // The instance may have said so to an earlier process of the node, which acknowledged it.
+    const BackendTracker draining = after(fresh, report("i-1", 5, 4, BackendState::Draining)).tracker;
+    EXPECT_EQ(draining.state(Start), BackendState::Draining);
+    EXPECT_FALSE(draining.acceptsCalls(Start));
+    EXPECT_FALSE(draining.canStart(Start));
 }
 
 TEST(BackendTracker, TimeoutsFollowTheSettings)
