--- a/core/settings/nodesettings.h
+++ b/core/settings/nodesettings.h
@@ -48,6 +48,8 @@
     FESCUEPOND_FIELD(Seconds, backendDrain, withBackendDrain);
     FESCUEPOND_FIELD(Seconds, backendReportInterval, withBackendReportInterval);
     FESCUEPOND_FIELD(Seconds, stopLimit, withStopLimit); ///< 0: none.
+    FESCUEPOND_FIELD(Seconds, changeBound, withChangeBound);
+    FESCUEPOND_FIELD(Seconds, recoveryTime, withRecoveryTime);
     FESCUEPOND_FIELD(std::size_t, logLinesPerSecond, withLogLinesPerSecond);
     FESCUEPOND_FIELD(std::size_t, httpThreads, withHttpThreads);
     FESCUEPOND_FIELD(std::size_t, backendThreads, withBackendThreads);
--- a/core/settings/settingformat.cpp
+++ b/core/settings/settingformat.cpp
@@ -42,6 +42,8 @@
     SettingRule{"backend_drain_s", SettingFormat::Fraction, 0, 3600},
     SettingRule{"backend_report_interval_s", SettingFormat::Fraction, 0, 3600},
     SettingRule{"stop_limit_s", SettingFormat::Fraction, 0, 3600},
+    SettingRule{"change_bound_s", SettingFormat::Fraction, 0, 3600},
+    SettingRule{"recovery_time_s", SettingFormat::Fraction, 0, 3600},
     SettingRule{"log_lines_per_second", SettingFormat::Number, 0, 1'000'000},
     SettingRule{"http_threads", SettingFormat::Number, 2, 10'000},
     SettingRule{"backend_threads", SettingFormat::Number, 1, 100'000},
--- a/modules/configuration/configurationexchange.h
+++ b/modules/configuration/configurationexchange.h
@@ -25,6 +25,10 @@
     /// Sends the version in force here to the node at `address` and installs that node's version if it is newer. The
     /// other node does the same with this node's version.
     virtual void exchangeWith(const std::string &address) = 0;
+    /// Asks the node at `address` to watch the platform for some time.
+    virtual void requestStandIn(const std::string &address) = 0;
+    /// Sets the function called if another node asks for that. Only while plug-ins start.
+    virtual void setStandInHandler(std::function<void()> handler) = 0;
     /// Sets the function called after each installed version. Only while plug-ins start.
     virtual void setInstalledHandler(std::function<void()> handler) = 0;
 };
--- a/modules/configuration/configurationplugin.cpp
+++ b/modules/configuration/configurationplugin.cpp
@@ -90,14 +90,30 @@
 
     void exchangeWith(const std::string &address) override
     {
-        const auto request = ExchangeRequest().withVersion(version()).withAddress(m_messages->address());
-        m_messages->ask(address,
-                        PeerTopic::Configuration,
-                        toJson(request),
-                        ExchangeTimeout,
-                        [this, address](const std::optional<std::string> &reply) {
-                            handleExchangeReply(address, reply);
-                        });
+        ask(address, ownRequest(), [this, address](const std::optional<std::string> &reply) {
+            if (reply) {
+                handleExchangeReply(address, reply);
+                return;
+            }
+            // The connection may have gone silent while it was idle; a second request opens another one.
+            ask(address, ownRequest(), [this, address](const std::optional<std::string> &second) {
+                handleExchangeReply(address, second);
+            });
+        });
+    }
+
+    void requestStandIn(const std::string &address) override
+    {
+        ask(address, ownRequest().withAsksForStandIn(true), [this, address](const std::optional<std::string> &reply) {
+            handleExchangeReply(address, reply);
+        });
+    }
+
+    void setStandInHandler(std::function<void()> handler) override
+    {
+        m_table.locked([&](Table &table) {
+            table.m_standInHandler = std::move(handler);
+        });
     }
 
     void setInstalledHandler(std::function<void()> handler) override
@@ -113,8 +129,19 @@
         std::shared_ptr<const Configuration> m_configuration; ///< The version in force; null: none is known.
         std::string m_text; ///< Published text of the version in force.
         std::function<void()> m_installedHandler; ///< Called after each installed version.
+        std::function<void()> m_standInHandler; ///< Called if another node asks for a stand-in.
     };
 
+    ExchangeRequest ownRequest() const
+    {
+        return ExchangeRequest().withVersion(version()).withAddress(m_messages->address());
+    }
+
+    void ask(const std::string &address, const ExchangeRequest &request, PeerReply reply)
+    {
+        m_messages->ask(address, PeerTopic::Configuration, toJson(request), ExchangeTimeout, std::move(reply));
+    }
+
     /// Asks the node at `address` for its configuration if `version` is newer than the one in force and not being
     /// pulled already.
     void pullIfNewer(const std::string &address, ObjectVersion version)
@@ -127,17 +154,12 @@
         if (!shouldPull) {
             return;
         }
-        const auto request = ExchangeRequest().withVersion(this->version()).withAddress(m_messages->address());
-        m_messages->ask(address,
-                        PeerTopic::Configuration,
-                        toJson(request),
-                        ExchangeTimeout,
-                        [this, address, version](const std::optional<std::string> &reply) {
-                            m_table.locked([&](Table &table) {
-                                table.m_follower = finishPull(table.m_follower, version);
-                            });
-                            handleExchangeReply(address, reply);
-                        });
+        ask(address, ownRequest(), [this, address, version](const std::optional<std::string> &reply) {
+            m_table.locked([&](Table &table) {
+                table.m_follower = finishPull(table.m_follower, version);
+            });
+            handleExchangeReply(address, reply);
+        });
     }
 
     void handleExchangeRequest(const std::string &text, const PeerReply &reply)
@@ -153,6 +175,14 @@
             return ExchangeReply().withVersion(heldVersion).withText(isNewer ? table.m_text : std::string());
         });
         reply(toJson(answer));
+        if (request->asksForStandIn()) {
+            const auto handler = m_table.locked([](const Table &table) {
+                return table.m_standInHandler;
+            });
+            if (handler) {
+                handler();
+            }
+        }
         pullIfNewer(request->address(), request->version());
     }
 
--- a/modules/configuration/exchangeencoding.cpp
+++ b/modules/configuration/exchangeencoding.cpp
@@ -32,6 +32,9 @@
     Poco::JSON::Object object;
     object.set("version", request.version());
     object.set("address", request.address());
+    if (request.asksForStandIn()) {
+        object.set("stand_in", true);
+    }
     return toText(object);
 }
 
@@ -49,7 +52,8 @@
         const auto object = parseObject(text);
         return ExchangeRequest()
             .withVersion(object->getValue<Poco::UInt64>("version"))
-            .withAddress(object->getValue<std::string>("address"));
+            .withAddress(object->getValue<std::string>("address"))
+            .withAsksForStandIn(object->optValue("stand_in", false));
     } catch (const Poco::Exception &) {
         return std::nullopt;
     }
--- a/modules/configuration/exchangeencoding.h
+++ b/modules/configuration/exchangeencoding.h
@@ -17,6 +17,8 @@
 {
     FESCUEPOND_FIELD(ObjectVersion, version, withVersion);
     FESCUEPOND_FIELD(std::string, address, withAddress);
+    /// The sender can't reach the platform and asks the recipient to watch it.
+    FESCUEPOND_FIELD(bool, asksForStandIn, withAsksForStandIn);
 
 public:
     friend auto operator<=>(const ExchangeRequest &, const ExchangeRequest &) = default;
--- a/modules/configuration/followerplugin.cpp
+++ b/modules/configuration/followerplugin.cpp
@@ -1,6 +1,8 @@
 // Follows the published configuration: a few nodes of each zone watch the platform. A node that installs a new version
-// notifies some peers at once, and every node regularly compares versions with a random peer.
+// notifies some peers at once, and every node regularly compares versions with a random peer. A watcher that can't
+// reach the platform asks another node of its zone to stand in.
 
+#include "core/kernel/eventlog.h"
 #include "core/kernel/kernel.h"
 #include "core/kernel/random.h"
 #include "core/kernel/sharedtable.h"
@@ -15,12 +17,14 @@
 namespace
 {
 
-/// Time-out of a watch: a lost connection is noticed after this time. It also limits a watcher to six calls a minute.
-constexpr Duration WatchTimeout = std::chrono::seconds(10);
 /// Until then a node that has just started knows no other member and would choose itself as a watcher.
 constexpr Duration FirstWatchDelay = std::chrono::seconds(1);
-/// One call in six is a plain read instead of a watch: a watch doesn't return a version older than the one in force.
-constexpr unsigned WatchesPerRead = 6;
+/// A plain read takes the place of a watch after this time: a watch doesn't return a version older than the one in
+/// force.
+constexpr Duration PlainReadInterval = std::chrono::seconds(60);
+/// For how long a node stands in for a watcher that can't reach the platform, since it was asked last. Longer than the
+/// longest pause between a watcher's attempts.
+constexpr Duration StandInTime = std::chrono::seconds(15);
 /// How often a node compares its version with a peer's.
 constexpr Duration ExchangeInterval = std::chrono::seconds(3);
 /// The same interval for a node that has no configuration yet.
@@ -41,6 +45,15 @@
         m_exchange->setInstalledHandler([this] {
             exchangeWithPeers(PeersToNotify);
         });
+        m_exchange->setStandInHandler([this] {
+            standIn();
+        });
+        const NodeSettings &settings = kernel.settings();
+        m_firstWatchWait =
+            firstWatchWait(FollowBounds()
+                               .withChangeBound(std::chrono::duration_cast<Duration>(settings.changeBound()))
+                               .withRecoveryTime(std::chrono::duration_cast<Duration>(settings.recoveryTime()))
+                               .withCallTimeout(std::chrono::duration_cast<Duration>(settings.platformTimeout())));
         kernel.metrics().gauge("fescuepond_configuration_watcher", {}, [this] {
             return isWatching() ? 1.0 : 0.0;
         });
@@ -56,7 +69,8 @@
 private:
     struct Table {
         bool m_isWatching = false;
-        unsigned m_watches = 0; ///< Watches and plain reads since the node started.
+        TimePoint m_plainReadAt; ///< When the latest plain read began, or the first watch.
+        TimePoint m_standsInUntil; ///< Watches until then although it isn't a watcher.
         unsigned m_watchFailures = 0; ///< Consecutive.
         unsigned m_initialReadFailures = 0; ///< Consecutive.
     };
@@ -95,32 +109,65 @@
         });
     }
 
-    /// Watches the platform if this node is a watcher; otherwise checks again later whether it has become one.
+    /// Watches the platform if this node is a watcher or stands in for one; otherwise checks again later.
     void watchOrWait()
     {
-        const bool isChosen = isWatcher(m_membership->all(), m_membership->self());
-        const unsigned watches = m_table.locked([&](Table &table) {
-            table.m_isWatching = isChosen;
-            return isChosen ? ++table.m_watches : table.m_watches;
+        const WatcherRole role = watcherRole(m_membership->all(), m_membership->self());
+        const TimePoint now = m_kernel->clock().now();
+        const bool mustWatch = m_table.locked([&](Table &table) {
+            table.m_isWatching = role != WatcherRole::None || now < table.m_standsInUntil;
+            return table.m_isWatching;
         });
-        if (!isChosen) {
+        if (!mustWatch) {
             runAfter(ExchangeInterval, [this] {
                 watchOrWait();
             });
             return;
         }
-        const auto done = [this](const StoreReply &reply) {
-            handleWatchReply(reply);
+        const auto done = [this, role](const StoreReply &reply) {
+            handleWatchReply(reply, role);
         };
         const ConfigurationFormat &format = m_exchange->format();
-        if (watches % WatchesPerRead == 0) {
+        if (isPlainReadDue(now)) {
             m_platform->get(format.collection(), format.object(), done);
             return;
         }
-        m_platform->watch(format.collection(), format.object(), m_exchange->version(), WatchTimeout, done);
+        const Duration wait = role == WatcherRole::Standby ? MaxWatchWait : m_firstWatchWait;
+        m_platform->watch(format.collection(), format.object(), m_exchange->version(), wait, done);
+    }
+
+    bool isPlainReadDue(TimePoint now)
+    {
+        return m_table.locked([&](Table &table) {
+            const bool isFirst = table.m_plainReadAt == TimePoint();
+            const bool isDue = !isFirst && now - table.m_plainReadAt >= PlainReadInterval;
+            if (isFirst || isDue) {
+                table.m_plainReadAt = now;
+            }
+            return isDue;
+        });
+    }
+
+    /// A watcher of this zone can't reach the platform.
+    void standIn()
+    {
+        const TimePoint now = m_kernel->clock().now();
+        m_table.locked([&](Table &table) {
+            table.m_standsInUntil = now + StandInTime;
+        });
+        Event("configuration_stand_in");
+    }
+
+    /// Asks a node of this zone that isn't a watcher to stand in.
+    void findStandIn()
+    {
+        const std::string address = chooseStandIn(m_membership->all(), m_membership->self(), randomWord());
+        if (!address.empty()) {
+            m_exchange->requestStandIn(address);
+        }
     }
 
-    void handleWatchReply(const StoreReply &reply)
+    void handleWatchReply(const StoreReply &reply, WatcherRole role)
     {
         const bool hasFailed = reply.status() == StoreStatus::Unavailable;
         const unsigned failures = m_table.locked([&](Table &table) {
@@ -128,6 +175,10 @@
             return table.m_watchFailures;
         });
         if (hasFailed) {
+            // Nodes that stand in don't ask others, so that their number stays small while the platform is down.
+            if (role != WatcherRole::None) {
+                findStandIn();
+            }
             runAfter(retryDelay(failures, randomWord()), [this] {
                 watchOrWait();
             });
@@ -150,7 +201,7 @@
             watchOrWait();
             return;
         }
-        runAfter(WatchTimeout, [this] {
+        runAfter(MaxWatchWait, [this] {
             watchOrWait();
         });
     }
@@ -177,6 +228,7 @@
     ObjectStore *m_platform = nullptr;
     Membership *m_membership = nullptr;
     ConfigurationExchange *m_exchange = nullptr;
+    Duration m_firstWatchWait{};
     SharedTable<Table> m_table{LockRank::Configuration};
 };
 
--- a/servers/configuration/follower.cpp
+++ b/servers/configuration/follower.cpp
@@ -29,7 +29,7 @@
 
 } // namespace
 
-bool isWatcher(const Members &members, const Member &self)
+WatcherRole watcherRole(const Members &members, const Member &self)
 {
     const std::uint64_t own = watcherHash(self.name());
     const auto isBefore = [&](const Member &member) {
@@ -38,7 +38,21 @@
         return isCandidate && watcherHash(member.name()) < own;
     };
     const auto before = static_cast<std::size_t>(std::count_if(members.begin(), members.end(), isBefore));
-    return before < WatchersPerZone;
+    if (before == 0) {
+        return WatcherRole::First;
+    }
+    return before < WatchersPerZone ? WatcherRole::Standby : WatcherRole::None;
+}
+
+bool isWatcher(const Members &members, const Member &self)
+{
+    return watcherRole(members, self) != WatcherRole::None;
+}
+
+Duration firstWatchWait(const FollowBounds &bounds)
+{
+    const Duration whole = bounds.recoveryTime() + bounds.changeBound();
+    return std::clamp(whole - bounds.callTimeout() - InitialRetryDelay - SpreadTime, MinWatchWait, MaxWatchWait);
 }
 
 std::vector<std::string> choosePeers(const Members &members,
@@ -65,6 +79,19 @@
     return chosen;
 }
 
+std::string chooseStandIn(const Members &members, const Member &self, std::uint64_t random)
+{
+    std::vector<std::string> candidates;
+    for (const Member &member : members) {
+        const bool isCandidate = member.state() == MemberState::Alive && member.zone() == self.zone()
+            && member.region() == self.region() && member.name() != self.name() && !isWatcher(members, member);
+        if (isCandidate) {
+            candidates.push_back(member.peerAddress());
+        }
+    }
+    return candidates.empty() ? std::string() : candidates[random % candidates.size()];
+}
+
 FollowerStep observeVersion(const FollowerState &state, ObjectVersion version, TimePoint now)
 {
     const bool isNewer = version > state.heldVersion();
--- a/servers/configuration/follower.h
+++ b/servers/configuration/follower.h
@@ -22,10 +22,43 @@
 /// Nodes of each zone that watch the platform.
 constexpr std::size_t WatchersPerZone = 2;
 
-/// Whether `self` is among the alive members of its zone that watch the platform. Nodes with the same view of the
-/// members choose the same watchers; while views differ, somewhat more or fewer nodes watch.
+enum class WatcherRole {
+    None,
+    First, ///< Notices the loss of its connection in time. If it can't reach the platform, another node stands in.
+    Standby, ///< Watches with the longest wait, and is the next first one.
+};
+
+/// The role of `self` among the alive members of its zone. Nodes with the same view of the members choose the same
+/// watchers; while views differ, somewhat more or fewer nodes watch.
+WatcherRole watcherRole(const Members &members, const Member &self);
 bool isWatcher(const Members &members, const Member &self);
 
+/// The longest wait of one watch. It also limits a watcher to six watches a minute.
+constexpr Duration MaxWatchWait = std::chrono::seconds(10);
+/// The shortest wait, whatever the bounds.
+constexpr Duration MinWatchWait = std::chrono::seconds(1);
+/// Time for a new version to reach the other nodes: two hops, one of them over a connection that has gone silent and is
+/// replaced.
+constexpr Duration SpreadTime = std::chrono::seconds(1);
+
+/// The bounds that the operator has set for following the configuration.
+class FollowBounds
+{
+    /// All nodes follow a change within this time.
+    FESCUEPOND_FIELD(Duration, changeBound, withChangeBound);
+    /// The change bound holds again this long after a disturbance, such as the loss of all connections.
+    FESCUEPOND_FIELD(Duration, recoveryTime, withRecoveryTime);
+    FESCUEPOND_FIELD(Duration, callTimeout, withCallTimeout); ///< Of calls to the platform, beyond the wait of a watch.
+
+public:
+    friend auto operator<=>(const FollowBounds &, const FollowBounds &) = default;
+};
+
+/// The wait of a watch by the first watcher. A connection that goes silent just after the watch has begun is given up
+/// after this wait and the call's time-out; the retry delay, the new watch and the spread of what it brings then end
+/// within the recovery time and the change bound.
+Duration firstWatchWait(const FollowBounds &bounds);
+
 /// Chooses up to `count` distinct addresses of other members that are not dead. Seed peers are candidates too as long
 /// as fewer than `count` members are known.
 std::vector<std::string> choosePeers(const Members &members,
@@ -34,6 +67,9 @@
                                      std::size_t count,
                                      std::uint64_t random);
 
+/// The address of an alive member of the zone of `self` that isn't a watcher; empty if there is none.
+std::string chooseStandIn(const Members &members, const Member &self, std::uint64_t random);
+
 /// The version that a node has, and the one that it is pulling from a peer.
 class FollowerState
 {
--- a/tests/core/settings/settingsreadertest.cpp
+++ b/tests/core/settings/settingsreadertest.cpp
@@ -71,8 +71,13 @@
 
 TEST(Settings, BoundsOfThePlatformMayBeFractionsSoThatNodesStart)
 {
-    for (const char *key :
-         {"retry_ratio: 0", "retry_slack: 35", "retry_window_s: 10", "backend_drain_s: 2", "stop_limit_s: 6"}) {
+    for (const char *key : {"retry_ratio: 0",
+                            "retry_slack: 35",
+                            "retry_window_s: 10",
+                            "backend_drain_s: 2",
+                            "stop_limit_s: 6",
+                            "change_bound_s: 2",
+                            "recovery_time_s: 3"}) {
         EXPECT_EQ(findingsOf(validExcept(std::string(key) + ".5")), "") << key;
     }
 }
--- a/tests/servers/configuration/followertest.cpp
+++ b/tests/servers/configuration/followertest.cpp
@@ -183,6 +183,54 @@
     }
 }
 
+TEST(Follower, LossOfAllConnectionsIsNoticedInTimeForTheNextChange)
+{
+    using std::chrono::milliseconds;
+    // Recovery time and change bound; each pair leaves room for the shortest wait.
+    for (const auto &[recoveryMs, boundMs] :
+         {std::pair(3000, 2000), std::pair(3000, 2500), std::pair(4000, 3000), std::pair(2000, 1500)}) {
+        const FollowBounds bounds = FollowBounds()
+                                        .withRecoveryTime(milliseconds(recoveryMs))
+                                        .withChangeBound(milliseconds(boundMs))
+                                        .withCallTimeout(milliseconds(1000));
+        const Duration longestRetryDelay = milliseconds(250);
+        const Duration worst = firstWatchWait(bounds) + bounds.callTimeout() + longestRetryDelay + SpreadTime;
+        EXPECT_LE(worst, milliseconds(recoveryMs + boundMs));
+        EXPECT_GE(firstWatchWait(bounds), MinWatchWait);
+    }
+    EXPECT_EQ(firstWatchWait(FollowBounds().withRecoveryTime(std::chrono::minutes(1))), MaxWatchWait);
+}
+
+TEST(Follower, StandInIsANodeOfTheZoneThatDoesNotWatch)
+{
+    Members members = makeMembers(30);
+    for (const Member &self : members) {
+        for (std::uint64_t random = 0; random < 5; ++random) {
+            const std::string address = chooseStandIn(members, self, random);
+            const auto chosen = std::find_if(members.begin(), members.end(), [&](const Member &member) {
+                return member.peerAddress() == address;
+            });
+            ASSERT_NE(chosen, members.end());
+            EXPECT_EQ(chosen->zone(), self.zone());
+            EXPECT_NE(chosen->name(), self.name());
+            EXPECT_EQ(watcherRole(members, *chosen), WatcherRole::None);
+        }
+    }
+    EXPECT_EQ(chooseStandIn({members.front()}, members.front(), 1), "");
+}
+
+TEST(Follower, EachZoneHasOneFirstWatcher)
+{
+    const Members members = makeMembers(30);
+    std::map<std::string, int> firsts;
+    for (const Member &member : members) {
+        firsts[member.zone()] += watcherRole(members, member) == WatcherRole::First ? 1 : 0;
+    }
+    for (const auto &[zone, count] : firsts) {
+        EXPECT_EQ(count, 1) << zone;
+    }
+}
+
 TEST(Follower, AVersionInFlightIsPulledAgainOnlyAfterTheTimeOut)
 {
     const TimePoint now(std::chrono::hours(1));
--- a/tests/system/configurationtest.cpp
+++ b/tests/system/configurationtest.cpp
@@ -3,6 +3,7 @@
 
 #include "tests/support/eventually.h"
 #include "tests/support/fleet.h"
+#include "tests/support/relay.h"
 
 #include <gtest/gtest.h>
 
@@ -187,4 +188,71 @@
     }
 }
 
+TEST(ConfigurationSpread, ChangeIsFollowedInTimeAfterAllConnectionsToThePlatformWentSilent)
+{
+    // As by default: change_bound_s 2, recovery_time_s 3.
+    constexpr auto RecoveryTime = std::chrono::milliseconds(3000);
+    constexpr auto ChangeBound = std::chrono::milliseconds(2000);
+    Fleet fleet;
+    ASSERT_EQ(fleet.publish({declaration("yard", 1000)}), 0);
+    Relay relay;
+    relay.setTarget(fleet.platform());
+    std::vector<FleetNode *> nodes;
+    for (const std::string name : {"a", "b", "c"}) {
+        nodes.push_back(&fleet.addNode({.name = "yard-" + name, .service = "yard", .platform = relay.address()}));
+    }
+    ASSERT_TRUE(fleet.waitUntilReady(nodes.size()));
+    // The watches have begun.
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    const int before = versionOf(*nodes.front());
+    relay.stall(Direction::ToTarget);
+    relay.stall(Direction::ToCaller);
+    std::this_thread::sleep_for(RecoveryTime);
+    ASSERT_EQ(fleet.publish({declaration("yard", 2000)}), 0);
+    std::this_thread::sleep_for(ChangeBound);
+    for (const FleetNode *node : nodes) {
+        EXPECT_GT(versionOf(*node), before) << node->options.name;
+    }
+}
+
+TEST(ConfigurationSpread, NodeStandsInForWatchersThatAreCutOffFromThePlatform)
+{
+    Fleet fleet;
+    ASSERT_EQ(fleet.publish({declaration("yard", 1000)}), 0);
+    // A zone has two watchers.
+    std::vector<std::unique_ptr<Relay>> relays;
+    std::vector<FleetNode *> nodes;
+    for (const std::string name : {"a", "b", "c"}) {
+        relays.push_back(std::make_unique<Relay>());
+        relays.back()->setTarget(fleet.platform());
+        nodes.push_back(
+            &fleet.addNode({.name = "yard-" + name, .service = "yard", .platform = relays.back()->address()}));
+    }
+    ASSERT_TRUE(fleet.waitUntilReady(nodes.size()));
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    const auto isWatching = [](const FleetNode &node) {
+        HttpCall call;
+        call.path = "/metrics";
+        return sendHttp(node.operatorAddress, call).body.find("fescuepond_configuration_watcher 1")
+            != std::string::npos;
+    };
+    const int before = versionOf(*nodes.front());
+    int watchers = 0;
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+        if (isWatching(*nodes[i])) {
+            ++watchers;
+            relays[i]->setTarget("");
+            relays[i]->closeConnections();
+        }
+    }
+    ASSERT_EQ(watchers, 2);
+    // The third node notices within one interval of its check whether it is to watch, 3 s.
+    std::this_thread::sleep_for(std::chrono::seconds(5));
+    ASSERT_EQ(fleet.publish({declaration("yard", 2000)}), 0);
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    for (const FleetNode *node : nodes) {
+        EXPECT_GT(versionOf(*node), before) << node->options.name;
+    }
+}
+
 } // namespace fescuepond::test
