Bound the memory of all bodies together, with the large one that asks for more as the loser

Cause: each body has a limit, and their sum has none; buffers of bodies grow by doubling. Class: a bound on each item without a bound on the sum.

Change: core/values/bodymemory counts all bodies; one of more than 64 KiB is given up while it is read if the sum is over a sixteenth of memory_limit_mb, which the platform's template fills in. A declared length is reserved at once.

--- a/core/settings/nodesettings.cpp
+++ b/core/settings/nodesettings.cpp
@@ -122,6 +122,13 @@
          "16384",
          "bytes",
          "Maximum size of the header of a request."},
+        {"memory_limit_mb",
+         &NodeSettings::withMemoryLimitMb,
+         "256",
+         "MiB",
+         "Memory that the process may use. Bodies may take a sixteenth of it; large ones beyond that are given up. 0: "
+         "no "
+         "limit."},
         {"request_read_timeout_ms",
          &NodeSettings::withRequestReadTimeout,
          "5000",
--- a/core/settings/nodesettings.h
+++ b/core/settings/nodesettings.h
@@ -55,6 +55,7 @@
     FESCUEPOND_FIELD(std::size_t, backendThreads, withBackendThreads);
     FESCUEPOND_FIELD(std::size_t, maxBodyBytes, withMaxBodyBytes);
     FESCUEPOND_FIELD(std::size_t, maxHeaderBytes, withMaxHeaderBytes);
+    FESCUEPOND_FIELD(std::size_t, memoryLimitMb, withMemoryLimitMb); ///< 0: none.
     FESCUEPOND_FIELD(Milliseconds, requestReadTimeout, withRequestReadTimeout);
     FESCUEPOND_FIELD(Milliseconds, drainTimeout, withDrainTimeout);
     FESCUEPOND_FIELD(Milliseconds, leaveGrace, withLeaveGrace);
--- a/core/values/body.h
+++ b/core/values/body.h
@@ -2,6 +2,8 @@
 
 #pragma once
 
+#include "core/values/bodymemory.h"
+
 #include <compare>
 #include <cstdint>
 #include <memory>
@@ -15,14 +17,14 @@
 public:
     Body() = default;
     explicit Body(std::string bytes)
-        : m_bytes(std::make_shared<const std::string>(std::move(bytes)))
+        : m_content(std::make_shared<const Content>(std::move(bytes)))
     {
     }
 
     const std::string &bytes() const
     {
         static const std::string empty;
-        return m_bytes ? *m_bytes : empty;
+        return m_content ? m_content->bytes : empty;
     }
     std::size_t size() const
     {
@@ -41,7 +43,17 @@
     }
 
 private:
-    std::shared_ptr<const std::string> m_bytes; ///< Null: empty.
+    struct Content {
+        explicit Content(std::string content)
+            : bytes(std::move(content))
+            , charge(bytes.size())
+        {
+        }
+        const std::string bytes;
+        const BodyCharge charge; ///< For as long as any copy of the body exists.
+    };
+
+    std::shared_ptr<const Content> m_content; ///< Null: empty.
 };
 
 } // namespace fescuepond
--- a/modules/http/bodyreader.cpp
+++ b/modules/http/bodyreader.cpp
@@ -15,6 +15,7 @@
 
 constexpr int StatusBadRequest = 400;
 constexpr int StatusBodyTooLarge = 413;
+constexpr int StatusUnavailable = 503;
 constexpr int Hexadecimal = 16;
 /// Applies to the line with a chunk's size and extensions, and to each trailer line.
 constexpr std::size_t MaxLineBytes = 1024;
@@ -58,7 +59,7 @@
     throw RequestError(StatusBadRequest, "a line of the chunked body is malformed");
 }
 
-void appendBytes(ByteSource &source, std::size_t count, std::string &body)
+void appendBytes(ByteSource &source, std::size_t count, BodyBuffer &body)
 {
     std::array<char, BufferBytes> buffer;
     while (count > 0) {
@@ -83,14 +84,14 @@
 
 std::string readChunked(ByteSource &source, std::size_t limit)
 {
-    std::string body;
+    BodyBuffer body;
     while (true) {
         const std::string line = readLine(source);
         const std::string digits = line.substr(0, line.find_first_of("; \t"));
         const std::size_t length = parseNumber(digits, Hexadecimal, "the size of a chunk is not a hexadecimal number");
         if (length == 0) {
             skipTrailer(source);
-            return body;
+            return body.take();
         }
         if (length > limit - body.size()) {
             throw RequestError(StatusBodyTooLarge, "the body exceeds the size limit");
@@ -104,6 +105,19 @@
 
 } // namespace
 
+void BodyBuffer::append(const char *bytes, std::size_t count)
+{
+    if (!m_charge.add(count)) {
+        throw BodyMemoryExceeded();
+    }
+    m_bytes.append(bytes, count);
+}
+
+BodyMemoryExceeded::BodyMemoryExceeded()
+    : RequestError(StatusUnavailable, "the bodies of all requests and responses take too much memory")
+{
+}
+
 BodyFraming framingOf(const HeaderFields &fields)
 {
     constexpr int Decimal = 10;
@@ -139,9 +153,10 @@
     if (framing.length() > limit) {
         throw RequestError(StatusBodyTooLarge, "the body exceeds the size limit");
     }
-    std::string body;
+    BodyBuffer body;
+    body.expect(framing.length());
     appendBytes(source, framing.length(), body);
-    return body;
+    return body.take();
 }
 
 } // namespace fescuepond
--- a/modules/http/bodyreader.h
+++ b/modules/http/bodyreader.h
@@ -50,6 +50,38 @@
     virtual std::size_t readSome(char *bytes, std::size_t count) = 0;
 };
 
+/// A body that is being read. Its bytes count towards the memory that all bodies take.
+class BodyBuffer
+{
+public:
+    /// Throws BodyMemoryExceeded if the body is large and all bodies together are over their limit.
+    void append(const char *bytes, std::size_t count);
+    /// Avoids copies while the buffer grows. Memory is used only as bytes arrive.
+    void expect(std::size_t bytes)
+    {
+        m_bytes.reserve(bytes);
+    }
+    std::size_t size() const
+    {
+        return m_bytes.size();
+    }
+    std::string take()
+    {
+        return std::move(m_bytes);
+    }
+
+private:
+    std::string m_bytes;
+    BodyCharge m_charge; ///< Of the size of m_bytes, until the buffer ends.
+};
+
+/// Reading of a body was given up, since all bodies together take too much memory.
+class BodyMemoryExceeded final : public RequestError
+{
+public:
+    BodyMemoryExceeded();
+};
+
 /// How the body of a message is delimited.
 class BodyFraming
 {
--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -47,10 +47,12 @@
 constexpr Duration FinalWriteLimit = std::chrono::milliseconds(300);
 constexpr Duration FinalWriteCheckInterval = std::chrono::milliseconds(5);
 constexpr int StatusBadRequest = 400;
+constexpr int StatusUnavailable = 503;
 
 HttpResponse badRequest(int status, const std::string &detail)
 {
-    return toResponse(CallOutcome::notRun(Reason::BadRequest, detail)).withStatus(status);
+    const Reason reason = status == StatusUnavailable ? Reason::Overload : Reason::BadRequest;
+    return toResponse(CallOutcome::notRun(reason, detail)).withStatus(status);
 }
 
 /// Silently drops SYN packets of new connections with a socket filter. The caller's operating system retransmits them
--- a/modules/http/httpstream.cpp
+++ b/modules/http/httpstream.cpp
@@ -109,15 +109,18 @@
 std::string HttpStream::readBody(std::size_t length, std::size_t maxBytes)
 {
     requireWithinLimit(length, maxBytes);
-    std::string body;
-    readBytes(body, length);
-    return body;
+    return readFramed(BodyFraming().withLength(length), maxBytes);
 }
 
 std::string HttpStream::readChunkedBody(std::size_t maxBytes)
+{
+    return readFramed(BodyFraming().withIsChunked(true), maxBytes);
+}
+
+std::string HttpStream::readFramed(const BodyFraming &framing, std::size_t maxBytes)
 {
     try {
-        return fescuepond::readBody(*this, BodyFraming().withIsChunked(true), maxBytes);
+        return fescuepond::readBody(*this, framing, maxBytes);
     } catch (const RequestError &error) {
         throw MessageException(error.what());
     }
@@ -125,13 +128,17 @@
 
 std::string HttpStream::readBodyUntilEnd(std::size_t maxBytes)
 {
-    std::string body;
+    BodyBuffer body;
     std::array<char, BufferBytes> buffer;
-    while (const std::size_t received = readSome(buffer.data(), buffer.size())) {
-        body.append(buffer.data(), received);
-        requireWithinLimit(body.size(), maxBytes);
+    try {
+        while (const std::size_t received = readSome(buffer.data(), buffer.size())) {
+            requireWithinLimit(body.size() + received, maxBytes);
+            body.append(buffer.data(), received);
+        }
+    } catch (const BodyMemoryExceeded &error) {
+        throw MessageException(error.what());
     }
-    return body;
+    return body.take();
 }
 
 int HttpStream::next()
@@ -166,17 +173,4 @@
     return taken;
 }
 
-void HttpStream::readBytes(std::string &bytes, std::size_t count)
-{
-    std::array<char, BufferBytes> buffer;
-    while (count > 0) {
-        const std::size_t received = readSome(buffer.data(), std::min(count, buffer.size()));
-        if (received == 0) {
-            failTruncated();
-        }
-        bytes.append(buffer.data(), received);
-        count -= received;
-    }
-}
-
 } // namespace fescuepond
--- a/modules/http/httpstream.h
+++ b/modules/http/httpstream.h
@@ -93,8 +93,8 @@
 
     std::size_t takeHeld(char *bytes, std::size_t count);
 
-    /// Appends exactly `count` bytes to `bytes`.
-    void readBytes(std::string &bytes, std::size_t count);
+    /// Throws MessageException where readBody() of bodyreader.h throws a RequestError.
+    std::string readFramed(const BodyFraming &framing, std::size_t maxBytes);
 
     std::deque<Piece> m_ahead; ///< In order of arrival, after the bytes in the session's buffer.
     std::size_t m_aheadBytes = 0; ///< Not yet consumed of m_ahead; at most MaxReadAheadBytes.
--- a/tests/modules/backend/backendclienttest.cpp
+++ b/tests/modules/backend/backendclienttest.cpp
@@ -8,6 +8,7 @@
 
 #include "core/kernel/strategy.h"
 #include "core/kernel/workerpool.h"
+#include "core/values/bodymemory.h"
 #include "tests/support/relay.h"
 
 #include <Poco/Net/ServerSocket.h>
@@ -18,6 +19,7 @@
 #include <deque>
 #include <functional>
 #include <future>
+#include <limits>
 #include <mutex>
 #include <thread>
 
@@ -443,6 +445,52 @@
     }
 }
 
+TEST_F(BackendClientTest, BodiesWithoutAnEndOnManyConnectionsTakeABoundedSum)
+{
+    constexpr int Calls = 24;
+    constexpr std::size_t Limit = 4'000'000;
+    constexpr std::size_t LargeBody = 8'000'000;
+    const std::size_t heldBefore = heldBodyBytes();
+    setBodyMemoryLimit(Limit);
+    const std::string chunk = "2710\r\n" + std::string(10'000, 'a') + "\r\n";
+    const auto sendWithoutEnd = [&](StreamSocket &socket) {
+        sendBytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")(socket);
+        while (true) {
+            sendBytes(chunk)(socket);
+        }
+    };
+    ScriptedServer endless({sendWithoutEnd});
+    BackendClient client(endless.address(), LargeBody, *m_dialect, m_timers);
+    std::atomic<std::size_t> peak = 0;
+    std::atomic<bool> isOver = false;
+    std::thread observer([&] {
+        while (!isOver) {
+            peak = std::max(peak.load(), heldBodyBytes());
+            std::this_thread::sleep_for(100us);
+        }
+    });
+    std::vector<std::future<CallOutcome>> outcomes;
+    for (int i = 0; i < Calls; ++i) {
+        outcomes.push_back(std::async(std::launch::async, [&] {
+            return client.run(call(20s), {});
+        }));
+    }
+    // A small response is read all the while.
+    ScriptedServer small({sendBytes(firstResponse)});
+    BackendClient other = clientOf(small);
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(other.run(call(), {}).body().bytes(), "first");
+    }
+    for (auto &outcome : outcomes) {
+        EXPECT_EQ(outcome.get().state(), CallState::OutcomeUnknown);
+    }
+    isOver = true;
+    observer.join();
+    setBodyMemoryLimit(std::numeric_limits<std::size_t>::max());
+    EXPECT_LE(peak, Limit + (Calls + 1) * SmallBodyBytes);
+    EXPECT_EQ(heldBodyBytes(), heldBefore);
+}
+
 TEST_F(BackendClientTest, IdleConnectionIsReusedForTheNextCall)
 {
     ScriptedServer server({sendBytes(firstResponse), sendBytes(secondResponse)});
