List the other nodes once the own object is stored, so that nodes that start together find each other

Cause: a node listed the others while its own object was being written, once. If both list before either write is applied, neither finds the other, and nothing repeats the list. Class: a read that is to find all writers is ordered before the own write.

Change: the list is read after the own object is known to be stored; if the first write has no answer, at once as well.

The stand-in for the store applied late writes through a handler that was gone by then and could end by that; it does so on the store itself now.

--- a/modules/membership/announcer.cpp
+++ b/modules/membership/announcer.cpp
@@ -43,7 +43,6 @@
 void Announcer::start()
 {
     write(0);
-    listOthers();
     m_kernel.timers().every(CheckInterval, [this] {
         check();
     });
@@ -79,13 +78,17 @@
         m_ownVersion = versionIn(reply);
         m_failures = 0;
         Event("announced").with("version", m_ownVersion.load());
+        handleStored();
         if (m_isWithdrawn) {
             withdraw();
         }
         return;
     }
     if (reply.status() == StoreStatus::Unavailable) {
-        // The write may have taken effect; the next check shows whether it did.
+        // The write may have taken effect; the next check shows whether it did. Others may be readable meanwhile.
+        if (!m_hasListedEarly.exchange(true)) {
+            listOthers();
+        }
         retryLater([this] {
             check();
         });
@@ -117,6 +120,7 @@
     case AnnounceAction::None:
         m_ownVersion = decision.expected();
         m_failures = 0;
+        handleStored();
         return;
     case AnnounceAction::Write:
         write(decision.expected());
@@ -138,6 +142,13 @@
     m_kernel.timers().once(m_kernel.clock().now() + pause, action);
 }
 
+void Announcer::handleStored()
+{
+    if (!m_hasListed.exchange(true)) {
+        listOthers();
+    }
+}
+
 void Announcer::listOthers()
 {
     m_platform.list(collection::Nodes, [this](const StoreReply &reply) {
--- a/modules/membership/announcer.h
+++ b/modules/membership/announcer.h
@@ -33,6 +33,10 @@
     void check();
     void handleCheckReply(const StoreReply &reply);
     void retryLater(const std::function<void()> &action);
+    /// This node's object is stored: every node that lists from now on finds it.
+    void handleStored();
+    /// Reads the other nodes' objects. Once this node's own is stored, of two nodes that start together at least one
+    /// finds the other.
     void listOthers();
     void collectStaleObjects();
     void collectStaleObject(const Member &dead);
@@ -44,6 +48,9 @@
     std::atomic<ObjectVersion> m_ownVersion = 0; ///< Last known version of this node's object; 0: unknown.
     std::atomic<int> m_failures = 0; ///< Consecutive calls that the platform did not answer.
     std::atomic<bool> m_isWithdrawn = false;
+    std::atomic<bool> m_hasListedEarly =
+        false; ///< Others were listed although it isn't known that the own object is stored.
+    std::atomic<bool> m_hasListed = false; ///< Others were listed after the own object was stored.
     /// Dead incarnations whose objects this node has deleted, has found replaced or is checking.
     SharedTable<std::set<Incarnation>> m_handledIncarnations{LockRank::Members};
 };
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -343,13 +343,16 @@
         const bool isWrite = request.getMethod() != "GET";
         if (isWrite && failure.writeDelay.count() > 0) {
             response.setKeepAlive(false);
-            std::thread([this, method = request.getMethod(), uri = request.getURI(), body, late = failure.writeDelay] {
-                std::this_thread::sleep_for(late);
-                run(method, Poco::URI(uri), body);
-            }).detach();
+            // The handler is gone by then.
+            const auto applyLate =
+                [&store = m_store, method = request.getMethod(), uri = request.getURI(), body, failure] {
+                    std::this_thread::sleep_for(failure.writeDelay);
+                    run(store, method, Poco::URI(uri), body);
+                };
+            std::thread(applyLate).detach();
             return;
         }
-        const Response answer = run(request.getMethod(), Poco::URI(request.getURI()), body);
+        const Response answer = run(m_store, request.getMethod(), Poco::URI(request.getURI()), body);
         if (isWrite && m_store.takeLostResponse()) {
             // The write has taken effect, but its response is never sent.
             response.setKeepAlive(false);
@@ -366,7 +369,7 @@
         response.sendBuffer(answer.body.data(), answer.body.size());
     }
 
-    Response run(const std::string &method, const Poco::URI &uri, const std::string &body)
+    static Response run(Store &store, const std::string &method, const Poco::URI &uri, const std::string &body)
     {
         std::vector<std::string> segments;
         uri.getPathSegments(segments);
@@ -376,39 +379,39 @@
         const std::string &kind = segments[1];
         const std::string name = segments.size() == 3 ? segments[2] : std::string();
         if (method == "GET") {
-            return runRead(uri, kind, name);
+            return runRead(store, uri, kind, name);
         }
         if (method == "DELETE") {
-            m_store.count("delete");
-            return m_store.remove(kind, name, numberIn(queryValue(uri, "revision")));
+            store.count("delete");
+            return store.remove(kind, name, numberIn(queryValue(uri, "revision")));
         }
-        m_store.count("put");
+        store.count("put");
         try {
             const auto root = Poco::JSON::Parser().parse(body).extract<JsonObject::Ptr>();
             const auto header = root->getObject("metadata");
             if (method == "POST") {
-                return m_store.create(kind, header->getValue<std::string>("name"), root->get("spec"));
+                return store.create(kind, header->getValue<std::string>("name"), root->get("spec"));
             }
             const std::uint64_t expected = header.isNull() ? 0 : header->optValue<Poco::UInt64>("revision", 0);
-            return m_store.replace(kind, name, expected, root->get("spec"));
+            return store.replace(kind, name, expected, root->get("spec"));
         } catch (const Poco::Exception &) {
             return {400, {}};
         }
     }
 
-    Response runRead(const Poco::URI &uri, const std::string &kind, const std::string &name)
+    static Response runRead(Store &store, const Poco::URI &uri, const std::string &kind, const std::string &name)
     {
         if (!name.empty()) {
-            m_store.count("get");
-            return m_store.get(kind, name);
+            store.count("get");
+            return store.get(kind, name);
         }
         if (const auto from = queryValue(uri, "watch")) {
-            m_store.count("watch");
+            store.count("watch");
             const auto wait = std::chrono::milliseconds(numberIn(queryValue(uri, "wait_ms")));
-            return m_store.watch(kind, std::stoull(*from), wait);
+            return store.watch(kind, std::stoull(*from), wait);
         }
-        m_store.count("list");
-        return m_store.list(kind, queryValue(uri, "after").value_or(""));
+        store.count("list");
+        return store.list(kind, queryValue(uri, "after").value_or(""));
     }
 
     Store &m_store;
--- a/tests/system/membershiptest.cpp
+++ b/tests/system/membershiptest.cpp
@@ -188,4 +188,17 @@
     EXPECT_TRUE(targets.fleet.waitUntilReady(4));
 }
 
+TEST(Membership, NodesThatStartWhileNeitherIsStoredYetFindEachOther)
+{
+    Fleet fleet;
+    fleet.publish({Yard});
+    // Each lists the nodes before the other's object is stored.
+    fleet.setPlatformMode("late=1500");
+    fleet.addNode({.name = "yard-1", .service = "yard"});
+    fleet.addNode({.name = "yard-2", .service = "yard"});
+    std::this_thread::sleep_for(seconds(1));
+    fleet.setPlatformMode("up");
+    EXPECT_TRUE(fleet.waitUntilReady(2));
+}
+
 } // namespace fescuepond::test
