--- a/core/values/bodymemory.h
+++ b/core/values/bodymemory.h
@@ -7,7 +7,6 @@
 #pragma once
 
 #include <cstddef>
-#include <string>
 
 namespace fescuepond
 {
