--- a/tests/modules/backend/backendclienttest.cpp
+++ b/tests/modules/backend/backendclienttest.cpp
@@ -470,6 +470,7 @@
         }
     });
     std::vector<std::future<CallOutcome>> outcomes;
+    outcomes.reserve(Calls);
     for (int i = 0; i < Calls; ++i) {
         outcomes.push_back(std::async(std::launch::async, [&] {
             return client.run(call(20s), {});
