Compress and decompress messages between nodes without zero-filled buffers

Cause: each write grew a string by LZ4's bound, 64 KiB and more, for each piece and for the flush, and each read by 64 KiB; all of it was filled with zeros. Beyond 128 KiB, the memory was mapped and unmapped for each message since.

Change: the streams of a thread share one output buffer. The bytes on the wire are as before.

--- a/modules/peer/compressedstream.cpp
+++ b/modules/peer/compressedstream.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <vector>
 
 namespace fescuepond
 {
@@ -13,8 +14,8 @@
 namespace
 {
 
-/// Size of the blocks in which output is decompressed. LZ4's maximum ratio of 255 bounds the output for one read.
-constexpr std::size_t DecompressBufferBytes = 65'536;
+/// Input that is compressed, and output that is decompressed, in one step.
+constexpr std::size_t StepBytes = 65'536;
 
 LZ4F_preferences_t preferences()
 {
@@ -31,6 +32,23 @@
     return result;
 }
 
+/// Room for the output of one step. All streams of a thread share it, since a step is never interrupted: a buffer of
+/// each message's own would have to be filled with zeros first, which costs more than the step itself.
+std::vector<kj::byte> &stepOutput()
+{
+    static const std::size_t size = [] {
+        const LZ4F_preferences_t frameOptions = preferences();
+        return std::max(StepBytes, LZ4F_compressBound(StepBytes, &frameOptions));
+    }();
+    thread_local std::vector<kj::byte> output(size);
+    return output;
+}
+
+void append(std::string &result, const std::vector<kj::byte> &bytes, std::size_t count)
+{
+    result.append(reinterpret_cast<const char *>(bytes.data()), count);
+}
+
 } // namespace
 
 CompressedStream::CompressedStream(kj::Own<kj::AsyncIoStream> inner)
@@ -46,30 +64,28 @@
 
 void CompressedStream::compress(kj::ArrayPtr<const kj::byte> bytes, std::string &result)
 {
-    const LZ4F_preferences_t frameOptions = preferences();
+    std::vector<kj::byte> &output = stepOutput();
     if (!m_isFrameHeaderWritten) {
-        const std::size_t at = result.size();
-        result.resize(at + LZ4F_HEADER_SIZE_MAX);
-        result.resize(at
-                      + checked(LZ4F_compressBegin(
-                          m_compression.get(), result.data() + at, LZ4F_HEADER_SIZE_MAX, &frameOptions)));
+        const LZ4F_preferences_t frameOptions = preferences();
+        append(result,
+               output,
+               checked(LZ4F_compressBegin(m_compression.get(), output.data(), output.size(), &frameOptions)));
         m_isFrameHeaderWritten = true;
     }
-    const std::size_t at = result.size();
-    const std::size_t bound = LZ4F_compressBound(bytes.size(), &frameOptions);
-    result.resize(at + bound);
-    result.resize(at
-                  + checked(LZ4F_compressUpdate(
-                      m_compression.get(), result.data() + at, bound, bytes.begin(), bytes.size(), nullptr)));
+    while (bytes.size() > 0) {
+        const std::size_t count = std::min(bytes.size(), StepBytes);
+        append(result,
+               output,
+               checked(LZ4F_compressUpdate(
+                   m_compression.get(), output.data(), output.size(), bytes.begin(), count, nullptr)));
+        bytes = bytes.slice(count, bytes.size());
+    }
 }
 
 void CompressedStream::flush(std::string &result)
 {
-    const LZ4F_preferences_t frameOptions = preferences();
-    const std::size_t at = result.size();
-    const std::size_t bound = LZ4F_compressBound(0, &frameOptions);
-    result.resize(at + bound);
-    result.resize(at + checked(LZ4F_flush(m_compression.get(), result.data() + at, bound, nullptr)));
+    std::vector<kj::byte> &output = stepOutput();
+    append(result, output, checked(LZ4F_flush(m_compression.get(), output.data(), output.size(), nullptr)));
 }
 
 kj::Promise<void> CompressedStream::send(std::string bytes)
@@ -125,22 +141,16 @@
 
 void CompressedStream::decompress(std::size_t count)
 {
+    std::vector<kj::byte> &output = stepOutput();
     std::size_t at = 0;
-    std::size_t produced = DecompressBufferBytes;
-    // If the block was filled, the library may hold more output.
-    while (at < count || produced == DecompressBufferBytes) {
-        const std::size_t end = m_decompressed.size();
-        m_decompressed.resize(end + DecompressBufferBytes);
-        produced = DecompressBufferBytes;
+    std::size_t produced = output.size();
+    // If the output was filled, the library may hold more.
+    while (at < count || produced == output.size()) {
+        produced = output.size();
         std::size_t consumed = count - at;
-        const std::size_t result = LZ4F_decompress(m_decompression.get(),
-                                                   m_decompressed.data() + end,
-                                                   &produced,
-                                                   m_compressed.data() + at,
-                                                   &consumed,
-                                                   nullptr);
-        m_decompressed.resize(end + produced);
-        checked(result);
+        checked(LZ4F_decompress(
+            m_decompression.get(), output.data(), &produced, m_compressed.data() + at, &consumed, nullptr));
+        append(m_decompressed, output, produced);
         at += consumed;
         if (consumed == 0 && produced == 0) {
             return;
