Move temporary values instead of copying them, and share headers and contexts between copies of a call

Cause: each `with` function copied all strings and headers of its value, also in chains of ten on a temporary object, and a call was copied whole at each stage that kept it. In profiles malloc and free came first.

Change: `with` functions of temporary objects move them; headers and the context of a call are shared by its copies; admission, path limits and classification keep only what they need of a call that runs.

--- a/core/pipeline/callsinflight.cpp
+++ b/core/pipeline/callsinflight.cpp
@@ -66,6 +66,7 @@
 {
     return m_table.locked([&](const Table &table) {
         DeadlineMatch match;
+        const CallContext *nearest = nullptr;
         Duration nearestDistance = DeadlineTolerance;
         double nearbyCount = 0;
         for (const auto &[callId, entry] : table) {
@@ -74,10 +75,13 @@
             const Duration distance = std::chrono::abs(difference);
             nearbyCount += distance > DeadlineTolerance && distance <= DensityWindow ? 1 : 0;
             if (distance <= nearestDistance) {
-                match.nearest = entry.m_context;
+                nearest = &entry.m_context;
                 nearestDistance = distance;
             }
         }
+        if (nearest != nullptr) {
+            match.nearest = *nearest;
+        }
         const double expectedCount =
             nearbyCount * std::chrono::duration<double>(DeadlineTolerance) / (DensityWindow - DeadlineTolerance);
         match.coincidenceProbability = 1 - std::exp(-expectedCount);
--- a/core/settings/nodesettings.h
+++ b/core/settings/nodesettings.h
@@ -24,42 +24,42 @@
 /// table with settingRows().
 class NodeSettings
 {
-    FESCUEPOND_FIELD(std::string, name, withName);
-    FESCUEPOND_FIELD(std::string, service, withService);
-    FESCUEPOND_FIELD(std::string, zone, withZone);
-    FESCUEPOND_FIELD(std::string, region, withRegion);
-    FESCUEPOND_FIELD(std::string, frontAddress, withFrontAddress);
-    FESCUEPOND_FIELD(std::string, localAddress, withLocalAddress);
-    FESCUEPOND_FIELD(std::string, peerAddress, withPeerAddress);
-    FESCUEPOND_FIELD(std::string, peerAdvertisedAddress, withPeerAdvertisedAddress);
-    FESCUEPOND_FIELD(std::string, operatorAddress, withOperatorAddress);
-    FESCUEPOND_FIELD(std::string, backendAddress, withBackendAddress);
-    FESCUEPOND_FIELD(std::string, platformAddress, withPlatformAddress);
-    FESCUEPOND_FIELD(StringList, seedPeers, withSeedPeers);
-    FESCUEPOND_FIELD(std::size_t, backendSlots, withBackendSlots);
-    FESCUEPOND_FIELD(std::string, environment, withEnvironment);
-    FESCUEPOND_FIELD(bool, backendReports, withBackendReports);
-    FESCUEPOND_FIELD(std::string, entryAddress, withEntryAddress);
-    FESCUEPOND_FIELD(std::string, readinessAddress, withReadinessAddress);
-    FESCUEPOND_FIELD(std::string, registrationAddress, withRegistrationAddress);
-    FESCUEPOND_FIELD(double, retryRatio, withRetryRatio);
-    FESCUEPOND_FIELD(double, retrySlack, withRetrySlack);
-    FESCUEPOND_FIELD(Seconds, retryWindow, withRetryWindow);
-    FESCUEPOND_FIELD(Seconds, backendDrain, withBackendDrain);
-    FESCUEPOND_FIELD(Seconds, backendReportInterval, withBackendReportInterval);
-    FESCUEPOND_FIELD(Seconds, stopLimit, withStopLimit); ///< 0: none.
-    FESCUEPOND_FIELD(Seconds, changeBound, withChangeBound);
-    FESCUEPOND_FIELD(Seconds, recoveryTime, withRecoveryTime);
-    FESCUEPOND_FIELD(std::size_t, logLinesPerSecond, withLogLinesPerSecond);
-    FESCUEPOND_FIELD(std::size_t, httpThreads, withHttpThreads);
-    FESCUEPOND_FIELD(std::size_t, backendThreads, withBackendThreads);
-    FESCUEPOND_FIELD(std::size_t, maxBodyBytes, withMaxBodyBytes);
-    FESCUEPOND_FIELD(std::size_t, maxHeaderBytes, withMaxHeaderBytes);
-    FESCUEPOND_FIELD(std::size_t, memoryLimitMb, withMemoryLimitMb); ///< 0: none.
-    FESCUEPOND_FIELD(Milliseconds, requestReadTimeout, withRequestReadTimeout);
-    FESCUEPOND_FIELD(Milliseconds, drainTimeout, withDrainTimeout);
-    FESCUEPOND_FIELD(Milliseconds, leaveGrace, withLeaveGrace);
-    FESCUEPOND_FIELD(Milliseconds, platformTimeout, withPlatformTimeout);
+    FESCUEPOND_LISTED_FIELD(std::string, name, withName);
+    FESCUEPOND_LISTED_FIELD(std::string, service, withService);
+    FESCUEPOND_LISTED_FIELD(std::string, zone, withZone);
+    FESCUEPOND_LISTED_FIELD(std::string, region, withRegion);
+    FESCUEPOND_LISTED_FIELD(std::string, frontAddress, withFrontAddress);
+    FESCUEPOND_LISTED_FIELD(std::string, localAddress, withLocalAddress);
+    FESCUEPOND_LISTED_FIELD(std::string, peerAddress, withPeerAddress);
+    FESCUEPOND_LISTED_FIELD(std::string, peerAdvertisedAddress, withPeerAdvertisedAddress);
+    FESCUEPOND_LISTED_FIELD(std::string, operatorAddress, withOperatorAddress);
+    FESCUEPOND_LISTED_FIELD(std::string, backendAddress, withBackendAddress);
+    FESCUEPOND_LISTED_FIELD(std::string, platformAddress, withPlatformAddress);
+    FESCUEPOND_LISTED_FIELD(StringList, seedPeers, withSeedPeers);
+    FESCUEPOND_LISTED_FIELD(std::size_t, backendSlots, withBackendSlots);
+    FESCUEPOND_LISTED_FIELD(std::string, environment, withEnvironment);
+    FESCUEPOND_LISTED_FIELD(bool, backendReports, withBackendReports);
+    FESCUEPOND_LISTED_FIELD(std::string, entryAddress, withEntryAddress);
+    FESCUEPOND_LISTED_FIELD(std::string, readinessAddress, withReadinessAddress);
+    FESCUEPOND_LISTED_FIELD(std::string, registrationAddress, withRegistrationAddress);
+    FESCUEPOND_LISTED_FIELD(double, retryRatio, withRetryRatio);
+    FESCUEPOND_LISTED_FIELD(double, retrySlack, withRetrySlack);
+    FESCUEPOND_LISTED_FIELD(Seconds, retryWindow, withRetryWindow);
+    FESCUEPOND_LISTED_FIELD(Seconds, backendDrain, withBackendDrain);
+    FESCUEPOND_LISTED_FIELD(Seconds, backendReportInterval, withBackendReportInterval);
+    FESCUEPOND_LISTED_FIELD(Seconds, stopLimit, withStopLimit); ///< 0: none.
+    FESCUEPOND_LISTED_FIELD(Seconds, changeBound, withChangeBound);
+    FESCUEPOND_LISTED_FIELD(Seconds, recoveryTime, withRecoveryTime);
+    FESCUEPOND_LISTED_FIELD(std::size_t, logLinesPerSecond, withLogLinesPerSecond);
+    FESCUEPOND_LISTED_FIELD(std::size_t, httpThreads, withHttpThreads);
+    FESCUEPOND_LISTED_FIELD(std::size_t, backendThreads, withBackendThreads);
+    FESCUEPOND_LISTED_FIELD(std::size_t, maxBodyBytes, withMaxBodyBytes);
+    FESCUEPOND_LISTED_FIELD(std::size_t, maxHeaderBytes, withMaxHeaderBytes);
+    FESCUEPOND_LISTED_FIELD(std::size_t, memoryLimitMb, withMemoryLimitMb); ///< 0: none.
+    FESCUEPOND_LISTED_FIELD(Milliseconds, requestReadTimeout, withRequestReadTimeout);
+    FESCUEPOND_LISTED_FIELD(Milliseconds, drainTimeout, withDrainTimeout);
+    FESCUEPOND_LISTED_FIELD(Milliseconds, leaveGrace, withLeaveGrace);
+    FESCUEPOND_LISTED_FIELD(Milliseconds, platformTimeout, withPlatformTimeout);
 
 public:
     friend auto operator<=>(const NodeSettings &, const NodeSettings &) = default;
--- a/core/values/call.h
+++ b/core/values/call.h
@@ -57,12 +57,12 @@
 /// A request to a service, with its context.
 class CallRequest
 {
-    FESCUEPOND_FIELD(CallContext, context, withContext);
+    FESCUEPOND_SHARED_FIELD(CallContext, context, withContext);
     FESCUEPOND_FIELD(std::string, service, withService); ///< Empty until a route has determined it.
     FESCUEPOND_FIELD(std::string, host, withHost); ///< As given by the caller; empty: the service's name.
     FESCUEPOND_FIELD(std::string, method, withMethod);
     FESCUEPOND_FIELD(std::string, path, withPath); ///< Includes the query string.
-    FESCUEPOND_FIELD(Headers, headers, withHeaders);
+    FESCUEPOND_SHARED_FIELD(Headers, headers, withHeaders);
     FESCUEPOND_FIELD(Body, body, withBody);
 
 public:
@@ -110,7 +110,7 @@
     /// One sentence, sent to the caller as the detail of the error response.
     FESCUEPOND_FIELD(std::string, detail, withDetail);
     FESCUEPOND_FIELD(int, status, withStatus); ///< HTTP status of the answer; 0: no answer.
-    FESCUEPOND_FIELD(Headers, headers, withHeaders);
+    FESCUEPOND_SHARED_FIELD(Headers, headers, withHeaders);
     FESCUEPOND_FIELD(Body, body, withBody);
     FESCUEPOND_FIELD(int, unusedAllowance, withUnusedAllowance); ///< Retries granted to the call and not used.
     /// Concurrency limit of the target that answered; 0: not reported.
--- a/core/values/declaration.h
+++ b/core/values/declaration.h
@@ -24,15 +24,17 @@
 /// One kind of work that a service accepts.
 class KindDeclaration
 {
-    FESCUEPOND_FIELD(std::string, name, withName);
-    FESCUEPOND_FIELD(std::string, method, withMethod); ///< HTTP method, or "*".
-    FESCUEPOND_FIELD(std::string, path, withPath); ///< Exact path, or a prefix that ends in "*".
-    FESCUEPOND_FIELD(Rank, rank, withRank);
-    FESCUEPOND_FIELD(bool, idempotent, withIdempotent);
-    FESCUEPOND_FIELD(std::chrono::milliseconds, deadline, withDeadline);
+    FESCUEPOND_LISTED_FIELD(std::string, name, withName);
+    FESCUEPOND_LISTED_FIELD(std::string, method, withMethod); ///< HTTP method, or "*".
+    FESCUEPOND_LISTED_FIELD(std::string, path, withPath); ///< Exact path, or a prefix that ends in "*".
+    FESCUEPOND_LISTED_FIELD(Rank, rank, withRank);
+    FESCUEPOND_LISTED_FIELD(bool, idempotent, withIdempotent);
+    FESCUEPOND_LISTED_FIELD(std::chrono::milliseconds, deadline, withDeadline);
     /// Retries for one root request, over its whole call tree.
-    FESCUEPOND_FIELD(int, retryAllowance, withRetryAllowance);
-    FESCUEPOND_FIELD(double, keptShare, withKeptShare); ///< Fraction of the capacity reserved for this kind, 0 to 1.
+    FESCUEPOND_LISTED_FIELD(int, retryAllowance, withRetryAllowance);
+    FESCUEPOND_LISTED_FIELD(double,
+                            keptShare,
+                            withKeptShare); ///< Fraction of the capacity reserved for this kind, 0 to 1.
 
 public:
     bool matches(std::string_view requestMethod, std::string_view requestPath) const;
--- a/modules/admission/admissionplugin.cpp
+++ b/modules/admission/admissionplugin.cpp
@@ -93,13 +93,13 @@
         const TimePoint now = m_kernel->clock().now();
         const double slots = m_backend->slots();
         const double rate = m_backend->notice().rate();
-        const DecidedCalls decided = m_table->locked([&](AdmissionTable &table) {
+        DecidedCalls decided = m_table->locked([&](AdmissionTable &table) {
             table.controller.setSlots(slots);
             table.controller.setRate(rate);
             const AdmissionEntry entry = table.waiting.add(call, next, std::move(done), now);
             return collect(table, table.controller.submit(entry, now));
         });
-        apply(decided);
+        apply(std::move(decided));
     }
 
 private:
@@ -134,11 +134,11 @@
         }));
     }
 
-    void apply(const DecidedCalls &decided)
+    void apply(DecidedCalls decided)
     {
-        for (const DecidedCall &call : decided) {
+        for (DecidedCall &call : decided) {
             if (call.rejection == Reason::None) {
-                run(call.waiting);
+                run(std::move(call.waiting));
             } else {
                 reject(call);
             }
@@ -172,31 +172,36 @@
         waiting.done(withLoadReport(outcome, load, context.depth()).withNotice(m_backend->notice()));
     }
 
-    void run(const WaitingCall &waiting)
+    void run(WaitingCall waiting)
     {
         const TimePoint startedAt = m_kernel->clock().now();
         m_kernel->metrics().observe("fescuepond_admission_wait_seconds",
                                     {{"kind", waiting.call.context().rootKind()}},
                                     startedAt - waiting.submittedAt);
-        const auto finish = [this, waiting, startedAt](const CallOutcome &outcome) {
-            finished(waiting, startedAt, outcome);
-        };
-        waiting.next(waiting.call, finish);
+        waiting.next(waiting.call,
+                     [this,
+                      entry = std::move(waiting.entry),
+                      depth = waiting.call.context().depth(),
+                      done = std::move(waiting.done),
+                      startedAt](const CallOutcome &outcome) {
+                         done(finished(entry, depth, startedAt, outcome));
+                     });
     }
 
-    void finished(const WaitingCall &waiting, TimePoint startedAt, const CallOutcome &outcome)
+    /// Releases the slot of a call that ran, and returns its outcome with the load of the target.
+    CallOutcome finished(const AdmissionEntry &entry, int depth, TimePoint startedAt, const CallOutcome &outcome)
     {
         const TimePoint now = m_kernel->clock().now();
         const double rate = m_backend->notice().rate();
         const RunSample sample = RunSample().withServiceTime(now - startedAt).withIsFailed(isBackendFailure(outcome));
         std::optional<LoadReport> load;
-        const DecidedCalls decided = m_table->locked([&](AdmissionTable &table) {
+        DecidedCalls decided = m_table->locked([&](AdmissionTable &table) {
             table.controller.setRate(rate);
-            load = loadReportOf(table.controller, waiting.entry);
-            return collect(table, table.controller.finished(waiting.entry.id(), sample, now));
+            load = loadReportOf(table.controller, entry);
+            return collect(table, table.controller.finished(entry.id(), sample, now));
         });
-        apply(decided);
-        waiting.done(withLoadReport(outcome, *load, waiting.call.context().depth()).withNotice(m_backend->notice()));
+        apply(std::move(decided));
+        return withLoadReport(outcome, *load, depth).withNotice(m_backend->notice());
     }
 
     Kernel *m_kernel = nullptr;
--- a/modules/http/httpmessage.cpp
+++ b/modules/http/httpmessage.cpp
@@ -90,12 +90,12 @@
 
 std::string HttpRequest::header(std::string_view name) const
 {
-    return valueOf(m_headers, name);
+    return valueOf(headers(), name);
 }
 
 HttpResponse::HttpResponse(int status, std::string contentType, std::string body)
     : m_status(status)
-    , m_headers{{"Content-Type", std::move(contentType)}}
+    , m_headers(Headers{{"Content-Type", std::move(contentType)}})
     , m_body(std::move(body))
 {
 }
--- a/modules/http/httpmessage.h
+++ b/modules/http/httpmessage.h
@@ -20,7 +20,7 @@
     FESCUEPOND_FIELD(std::string, method, withMethod);
     FESCUEPOND_FIELD(std::string, target, withTarget); ///< Path and query.
     FESCUEPOND_FIELD(std::string, host, withHost); ///< Without a port.
-    FESCUEPOND_FIELD(Headers, headers, withHeaders);
+    FESCUEPOND_SHARED_FIELD(Headers, headers, withHeaders);
     FESCUEPOND_FIELD(Body, body, withBody);
 
 public:
@@ -32,7 +32,7 @@
 class HttpResponse
 {
     FESCUEPOND_FIELD(int, status, withStatus);
-    FESCUEPOND_FIELD(Headers, headers, withHeaders);
+    FESCUEPOND_SHARED_FIELD(Headers, headers, withHeaders);
     FESCUEPOND_FIELD(Body, body, withBody);
 
 public:
--- a/modules/pathlimit/pathlimitplugin.cpp
+++ b/modules/pathlimit/pathlimitplugin.cpp
@@ -65,11 +65,11 @@
             return;
         }
         const TimePoint now = m_kernel->clock().now();
-        const DecidedCalls decided = m_table.locked([&](PathTable &table) {
+        DecidedCalls decided = m_table.locked([&](PathTable &table) {
             const AdmissionEntry entry = table.waiting.add(call, next, std::move(done), now);
             return collect(table, table.limiter.submit(pathOf(call), entry, now));
         });
-        apply(decided);
+        apply(std::move(decided));
     }
 
 private:
@@ -94,11 +94,11 @@
         }));
     }
 
-    void apply(const DecidedCalls &decided)
+    void apply(DecidedCalls decided)
     {
-        for (const DecidedCall &call : decided) {
+        for (DecidedCall &call : decided) {
             if (call.rejection == Reason::None) {
-                admit(call.waiting);
+                admit(std::move(call.waiting));
             } else {
                 reject(call);
             }
@@ -127,25 +127,27 @@
                                  .withRetryAfter(std::min(retryAfter, MaxRetryAfter)));
     }
 
-    void admit(const WaitingCall &waiting)
+    void admit(WaitingCall waiting)
     {
         const TimePoint startedAt = m_kernel->clock().now();
-        waiting.next(waiting.call, [this, waiting, startedAt](const CallOutcome &outcome) {
-            finished(waiting, startedAt, outcome);
-        });
+        waiting.next(
+            waiting.call,
+            [this, path = pathOf(waiting.call), id = waiting.entry.id(), done = std::move(waiting.done), startedAt](
+                const CallOutcome &outcome) {
+                finished(path, id, startedAt, outcome);
+                done(outcome);
+            });
     }
 
-    void finished(const WaitingCall &waiting, TimePoint startedAt, const CallOutcome &outcome)
+    /// Adjusts the limit of the path to the outcome, and admits waiting calls.
+    void finished(const PathKey &path, EntryId id, TimePoint startedAt, const CallOutcome &outcome)
     {
         const TimePoint now = m_kernel->clock().now();
         const auto serviceTime = outcome.state() == CallState::Answered ? std::optional(now - startedAt) : std::nullopt;
-        const DecidedCalls decided = m_table.locked([&](PathTable &table) {
-            const PathKey path = pathOf(waiting.call);
-            return collect(table,
-                           table.limiter.finished(path, waiting.entry.id(), outcome.pathHeadroom(), serviceTime, now));
+        DecidedCalls decided = m_table.locked([&](PathTable &table) {
+            return collect(table, table.limiter.finished(path, id, outcome.pathHeadroom(), serviceTime, now));
         });
-        apply(decided);
-        waiting.done(outcome);
+        apply(std::move(decided));
     }
 
     Kernel *m_kernel = nullptr;
--- a/servers/settlement/attempttable.cpp
+++ b/servers/settlement/attempttable.cpp
@@ -110,7 +110,7 @@
     const auto found = m_records.find(id);
     const bool isWaiting = found != m_records.end() && found->second.phase() == AttemptPhase::Waiting;
     if (isWaiting) {
-        found->second = found->second.withPhase(AttemptPhase::Running);
+        found->second = std::move(found->second).withPhase(AttemptPhase::Running);
     }
     return isWaiting;
 }
@@ -125,7 +125,8 @@
         return;
     }
     invariant(found->second.phase() != AttemptPhase::Finished, "an attempt finishes once");
-    found->second = found->second.withPhase(AttemptPhase::Finished)
+    found->second = std::move(found->second)
+                        .withPhase(AttemptPhase::Finished)
                         .withOutcome(outcome)
                         .withOutcomeExpiresAt(now + m_limits.outcomeRetention());
     m_finished.emplace(retentionEnd(found->second.deadline()), id);
