--- a/modules/peer/peersender.cpp
+++ b/modules/peer/peersender.cpp
@@ -63,15 +63,10 @@
 
 void PeerSender::send(const Member &target, const CallRequest &call, Done done)
 {
-    m_loop.post([this,
-                 address = target.peerAddress(),
-                 incarnation = target.incarnation(),
-                 call,
-                 done = std::move(done)]() mutable {
-        sendOnLoop(
-            std::make_shared<PendingCall>(PendingCall{std::move(address), incarnation, std::move(call), std::nullopt}),
-            done);
-    });
+    m_loop.post(
+        [this, address = target.peerAddress(), incarnation = target.incarnation(), call, done = std::move(done)] {
+            sendOnLoop(std::make_shared<PendingCall>(PendingCall{address, incarnation, call, std::nullopt}), done);
+        });
 }
 
 void PeerSender::sendOnLoop(const PendingCallPtr &pending, const Done &done)
