Refuse the least important calls while the node's own processor is the bottleneck

Cause: admission and path limits count slots of backend servers. A node without processor time has free slots, takes on every call, and the work for calls that end too late displaces that for the others.

Change: every 50 ms a task is posted to the thread that receives calls. If the least delay of 200 ms exceeds 33 ms, the node accepts a share of calls, by rank and then by the hash of the root request; requests of clients are refused right after they are classified, calls from other nodes before they are recorded, queued or run. Outcomes report the shortage as a lower limit and as headroom.

Evidence: the model of a node with one processor serves less than a tenth of what it can in time at twice its load without the decision (LoadShedder.ModelWithoutItServesHardlyAnyCallInTime), and more than two thirds at 1.2, 2 and 3 times with it.

--- a/core/kernel/lockorder.h
+++ b/core/kernel/lockorder.h
@@ -25,6 +25,7 @@
     Retries,
     PathLimit,
     PathHeadroom,
+    ProcessorLoad,
     Admission,
     CallsInFlight,
     Routing,
--- a/core/pipeline/callpipeline.h
+++ b/core/pipeline/callpipeline.h
@@ -29,6 +29,7 @@
 /// Positions in the entry pipeline, in processing order.
 enum class EntryStage {
     Classify,
+    ProcessorLoad, ///< Refuses requests of clients while this node has no processor time for them.
     Key, ///< Forwards calls that may run at most once to the owner of their key.
     PathLimit, ///< Limits the calls in flight per path; queues or rejects calls beyond the limit.
     PathHeadroom, ///< Records the path headroom reported by outcomes of calls without a known parent.
@@ -39,6 +40,7 @@
 /// Positions in the target pipeline, in processing order.
 enum class TargetStage {
     Leaving, ///< Rejects new calls once the node's grace period for leaving is over.
+    ProcessorLoad, ///< Refuses calls while this node has no processor time for them.
     Fence, ///< Rejects attempts whose sender has been promised that they never run.
     Quarantine,
     PathHeadroom, ///< Adds the recorded path headroom to outcomes if child calls don't name their parent.
--- a/core/pipeline/interfaces.h
+++ b/core/pipeline/interfaces.h
@@ -106,6 +106,14 @@
     virtual void send(const Member &target, const CallRequest &call, Done done) = 0;
 };
 
+/// Runs tasks on the thread that receives calls from other nodes, behind what has arrived there.
+class CallReceiver
+{
+public:
+    virtual ~CallReceiver() = default;
+    virtual void post(std::function<void()> task) = 0;
+};
+
 /// Issues tickets: keys, owned by this node, for requests that may run at most once.
 class TicketIssuer
 {
--- a/modules/peer/peerplugin.cpp
+++ b/modules/peer/peerplugin.cpp
@@ -17,7 +17,11 @@
 namespace
 {
 
-class PeerPlugin final : public Plugin, public CallSender, public CallCancellation, public PeerMessages
+class PeerPlugin final : public Plugin,
+                         public CallSender,
+                         public CallReceiver,
+                         public CallCancellation,
+                         public PeerMessages
 {
 public:
     Result<void> start(Kernel &kernel) override
@@ -37,6 +41,7 @@
             return failure("cannot listen for peers on " + kernel.settings().peerAddress() + ": " + error);
         }
         kernel.provide<CallSender>(*this);
+        kernel.provide<CallReceiver>(*this);
         kernel.provide<CallCancellation>(*this);
         kernel.provide<PeerMessages>(*this);
         return {};
@@ -79,6 +84,11 @@
         m_sender->send(target, call, std::move(completed));
     }
 
+    void post(std::function<void()> task) override
+    {
+        m_loop.post(std::move(task));
+    }
+
     void cancelCallsOf(const AttemptId &parent) override
     {
         for (const OutgoingCall &call : m_outgoing.abandon(parent)) {
--- a/servers/explanation/requesttrace.cpp
+++ b/servers/explanation/requesttrace.cpp
@@ -51,6 +51,7 @@
                                          "attempt_failed",
                                          "admission_refused",
                                          "path_refused",
+                                         "processor_refused",
                                          "backend_call_failed"};
 
 std::int64_t numberField(const LogLine &line, const std::string &key)
--- a/servers/pathlimit/pathshare.h
+++ b/servers/pathlimit/pathshare.h
@@ -6,7 +6,8 @@
 // headroom reports, so the shares become about equal without messages between the entry nodes, and each request that is
 // admitted finds slots in all services on its path.
 //
-// This decision answers overload of a service that many entry nodes reach, each with few requests a second.
+// This decision answers overload of a service that many entry nodes reach, each with few requests a second. A node
+// whose processor is the bottleneck accepts a share of all its calls in the same way (servers/processorload).
 
 #pragma once
 
