Refuse calls for lack of processor time behind the fences, and test more incomplete requests

A refusal says that the attempt is not run. Before the stage with the fences, a copy of an attempt that runs could have been refused with that promise; found by reading, not seen in a run. Now the refusal is recorded for the attempt.

IncompleteRequestsDoNotDelayOneThatHasArrivedWhole now leaves six kinds of incomplete requests open, each of which the polling thread must leave to a worker.

--- a/core/pipeline/callpipeline.h
+++ b/core/pipeline/callpipeline.h
@@ -40,8 +40,8 @@
 /// Positions in the target pipeline, in processing order.
 enum class TargetStage {
     Leaving, ///< Rejects new calls once the node's grace period for leaving is over.
-    ProcessorLoad, ///< Refuses calls while this node has no processor time for them.
     Fence, ///< Rejects attempts whose sender has been promised that they never run.
+    ProcessorLoad, ///< Refuses calls while this node has no processor time for them.
     Quarantine,
     PathHeadroom, ///< Adds the recorded path headroom to outcomes if child calls don't name their parent.
     Admission,
--- a/tests/platform/fleetenvironmenttest.cpp
+++ b/tests/platform/fleetenvironmenttest.cpp
@@ -39,14 +39,27 @@
 TEST_F(FleetEnvironment, IncompleteRequestsDoNotDelayOneThatHasArrivedWhole)
 {
     EXPECT_EQ(report(1, "ready").status, 200);
+    const std::string head = "POST /read/slow HTTP/1.1\r\nHost: a.example\r\nFescuepond-Attempt-Id: a2\r\n";
+    const std::vector<std::string> incomplete = {
+        head,
+        "\r\n\r\n" + head,
+        head + "Content-Length: 10\r\n\r\n12345",
+        head + "content-length:10\r\n\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\n4\r\n12",
+        head + "Expect: 100-continue\r\nContent-Length: 10\r\n\r\n",
+    };
+    constexpr int ConnectionsEach = 12;
     std::vector<std::unique_ptr<RawConnection>> slow;
-    for (int i = 0; i < 64; ++i) {
-        slow.push_back(std::make_unique<RawConnection>(m_entry));
-        slow.back()->send("GET /read/slow HTTP/1.1\r\n");
+    for (const std::string &bytes : incomplete) {
+        for (int i = 0; i < ConnectionsEach; ++i) {
+            slow.push_back(std::make_unique<RawConnection>(m_entry));
+            slow.back()->send(bytes);
+        }
     }
     std::this_thread::sleep_for(milliseconds(100));
     // The incomplete requests hold all workers for 5 s, which is longer than the caller of this one waits.
     EXPECT_EQ(send("/read/x", "body").status, 200);
+    EXPECT_EQ(m_target.m_requests, 1);
 }
 
 TEST_F(FleetEnvironment, ARequestReachesTheTargetOnceItHasReported)
