--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -329,10 +329,8 @@
     /// Starts reading the request behind the open ones if bytes of it are held and it may run now.
     bool readNextIfPossible(Tracked &tracked)
     {
-        const bool isBeingRead =
-            tracked.pipeline.input() == InputOwner::Reader || tracked.pipeline.input() == InputOwner::Loop;
-        const bool canRead =
-            !m_isDraining && !isBeingRead && tracked.pipeline.canReadNext() && tracked.connection->hasHeldInput();
+        const bool canRead = !m_isDraining && !tracked.pipeline.isBeingRead() && tracked.pipeline.canReadNext()
+            && tracked.connection->hasHeldInput();
         if (canRead) {
             startReading(tracked, tracked.connection->nextArrivedAt());
         }
@@ -589,7 +587,7 @@
     void allResponsesWritten(Connections &table, Connections::iterator entry)
     {
         Tracked &tracked = entry->second;
-        if (tracked.pipeline.input() == InputOwner::Reader || tracked.pipeline.input() == InputOwner::Loop) {
+        if (tracked.pipeline.isBeingRead()) {
             return;
         }
         if (tracked.pipeline.isEnding() || m_isStopped) {
--- a/modules/http/requestpipeline.cpp
+++ b/modules/http/requestpipeline.cpp
@@ -46,7 +46,7 @@
     }
     const OpenRequest request = std::move(m_requests.front());
     m_requests.pop_front();
-    const bool isLast = m_requests.empty() && m_input != InputOwner::Reader && m_input != InputOwner::Loop;
+    const bool isLast = m_requests.empty() && !isBeingRead();
     const bool keepAlive = request.wantsKeepAlive && !(isLast && (isDraining || m_isEnding));
     m_isEnding = m_isEnding || !keepAlive;
     return ResponseToWrite{*request.response, request.isHead, keepAlive};
--- a/modules/http/requestpipeline.h
+++ b/modules/http/requestpipeline.h
@@ -56,6 +56,10 @@
     {
         m_input = owner;
     }
+    bool isBeingRead() const
+    {
+        return m_input == InputOwner::Reader || m_input == InputOwner::Loop;
+    }
     /// No further request is read, and the connection is closed after the last response.
     void end()
     {
