Set the time-outs of calls to the backend server again, so that a node that stops ends

Callers would have seen: nothing, but a node with a call that its backend server doesn't answer didn't end at a planned stop and had to be killed.

Cause: left the end of such a call to a timer alone, and timers end before the workers do. The two time-outs of the socket are set again for each call.

PlannedStop.ProcessEndsAlthoughItsBackendServerDoesNotRespond failed after 15.2 s without this and passes in 3.2 s with it.

--- a/modules/backend/backendclient.cpp
+++ b/modules/backend/backendclient.cpp
@@ -133,8 +133,12 @@
 CallOutcome
 BackendClient::sendAndReceive(const CallRequest &call, const std::string &instance, BackendConnection &connection)
 {
-    // The guard alone ends the exchange: time-outs of the socket would cost two system calls for each call.
-    const DeadlineGuard guard(m_timers, call.context().deadline(), connection.stream());
+    const TimePoint deadline = call.context().deadline();
+    // While the node stops, no timer runs, so the guard alone wouldn't end the exchange.
+    const Poco::Timespan remaining = toPoco(std::max(deadline - now(), MinTimeout));
+    connection.stream().setSendTimeout(remaining);
+    connection.stream().setReceiveTimeout(remaining);
+    const DeadlineGuard guard(m_timers, deadline, connection.stream());
     if (call.context().idempotent()) {
         setExchangeSocket(call.context().attemptId(), guard.socket());
     }
--- a/tests/system/plannedstoptest.cpp
+++ b/tests/system/plannedstoptest.cpp
@@ -1,8 +1,10 @@
 // Planned stops with real processes. Guards against requests that fail during a rolling restart under load, against
 // nodes that go on calling a target that is leaving, and against requests that arrive late in the grace period, are
-// passed on, and get no response because the process ends first.
+// passed on, and get no response because the process ends first, and against a process that doesn't end because its
+// backend server doesn't respond.
 
 #include "tests/support/callers.h"
+#include "tests/support/eventually.h"
 #include "tests/support/fleet.h"
 #include "tests/support/rawconnection.h"
 
@@ -169,4 +171,29 @@
     EXPECT_GE(responses, passedOn) << "requests that were passed on got no response";
 }
 
+TEST(PlannedStop, ProcessEndsAlthoughItsBackendServerDoesNotRespond)
+{
+    constexpr const char *SilentYard = R"(
+service: yard
+kinds:
+  - {name: stock, method: GET, path: /stock/*, rank: 5, idempotent: false, deadline_ms: 3000, retries: 0}
+)";
+    Fleet fleet;
+    fleet.publish({SilentYard});
+    FleetNode &yard = fleet.addNode({.name = "yard-1",
+                                     .service = "yard",
+                                     .backendFlags = {"--service_ms=60000", "--fixed"},
+                                     .settings = {"leave_grace_ms: 100", "drain_timeout_ms: 300"}});
+    ASSERT_TRUE(fleet.waitUntilReady(1));
+    RawConnection connection(yard.front);
+    connection.send("GET /stock/sleepers HTTP/1.1\r\nHost: yard\r\n\r\n");
+    ASSERT_TRUE(eventually(StopLimit, [&] {
+        return !yard.journalLines("begin").empty();
+    }));
+
+    yard.process->signal(SIGTERM);
+    // Work was still in flight.
+    EXPECT_EQ(yard.process->wait(StopLimit), 1) << yard.process->output();
+}
+
 } // namespace fescuepond::test
