--- a/modules/classification/classificationplugin.cpp
+++ b/modules/classification/classificationplugin.cpp
@@ -73,16 +73,13 @@
     {
         const TimePoint startedAt = m_kernel->clock().now();
         const auto version = m_source->configuration()->version();
-        // Without the headers and the body: the continuation may be copied on its way.
-        const auto observed = CallRequest().withContext(call.context()).withService(call.service());
-        next(call, [this, startedAt, observed, version, done = std::move(done)](const CallOutcome &outcome) {
+        next(call, [this, startedAt, call, version, done = std::move(done)](const CallOutcome &outcome) {
             const Duration elapsed = m_kernel->clock().now() - startedAt;
-            const Labels labels = {{"service", observed.service()},
-                                   {"kind", observed.context().kind()},
-                                   {"outcome", toString(outcome.state())}};
+            const Labels labels = {
+                {"service", call.service()}, {"kind", call.context().kind()}, {"outcome", toString(outcome.state())}};
             m_kernel->metrics().observe("fescuepond_call_seconds", labels, elapsed);
-            if (isLogged(observed.context(), outcome)) {
-                log(observed, outcome, elapsed, version);
+            if (isLogged(call.context(), outcome)) {
+                log(call, outcome, elapsed, version);
             }
             done(outcome);
         });
