Keep a connection to the backend server that carried a rejection naming its call

Each new connection costs the node a connect and its target 1 ms.

Cause: since each rejection by the backend server closes its connection, because a repeated one can't be told from the rejection of the next call.

Class: a cost for each message of a kind that is rare in calm and common under overload.

Fix: a rejection that names its call, as the platform's targets do, leaves the connection in use: a late copy of it names a call that isn't the current one and is dropped like any other stray response. The connection isn't used for the same attempt again, so that the copy can't be taken for that attempt's response either; and a rejection without a name on such a connection counts as a lost answer (found by the review of this fix). Rejections that name no call close the connection as before. A response without Keep-Alive, such as a rejection, no longer makes the node forget the time that the backend server stated.

Ruled out: looking for surplus bytes before reuse only, since a copy may arrive later than that.

Tests: with the former decisions put back, BackendClientTest.RejectedCallsDoNotCostAConnectionEach and CallsThatRunAtOnceReuseTheirConnectionsWhenTheyRunAgain fail. RepeatedRejectionIsNeverTakenForTheResponseToAnotherCall holds as it was; three more cases of repeated rejections are new.

Connections opened and closed, by cause, are a metric and a log line every 10 s.

--- a/core/pipeline/backenddialect.h
+++ b/core/pipeline/backenddialect.h
@@ -13,6 +13,13 @@
 namespace fescuepond
 {
 
+/// Which call an answer belongs to, as far as its headers tell.
+enum class AnswerMatch {
+    Named, ///< The answer names the call.
+    Unnamed, ///< The answer names no call; it is taken for that of the call that waits.
+    OtherCall, ///< The answer names another call.
+};
+
 class BackendDialect
 {
 public:
@@ -22,7 +29,7 @@
     /// server that the call is meant for; empty: any.
     virtual Headers requestHeaders(const CallRequest &call, const std::string &instance, TimePoint now) const = 0;
     /// Whether an answer with these headers belongs to `call`. If not, the client discards it and reads the next one.
-    virtual bool isAnswerTo(const CallRequest &call, const Headers &headers) const = 0;
+    virtual AnswerMatch matchAnswer(const CallRequest &call, const Headers &headers) const = 0;
     /// Converts a complete HTTP answer of `instance` to the outcome that it stands for, with the notice that it holds.
     virtual CallOutcome interpret(const CallOutcome &answer, const std::string &instance) const = 0;
     /// Whether the calls that a backend server makes carry the identifier of the call that they are made for.
--- a/modules/backend/backendclient.cpp
+++ b/modules/backend/backendclient.cpp
@@ -16,7 +16,10 @@
 namespace
 {
 
-constexpr std::size_t IdleConnectionLimit = 64;
+/// Above the slots of usual backend servers, which bound the connections in use: as the load varies, a connection that
+/// is idle for a moment is needed again.
+constexpr std::size_t IdleConnectionLimit = 256;
+constexpr Duration MaxIdleTime = std::chrono::seconds(10);
 /// A backend server may close an idle connection at the moment when a request is sent on it. It is unknown then whether
 /// the request was run, so a non-idempotent one is sent only on a connection that was used within this time.
 constexpr Duration NonIdempotentIdleLimit = std::chrono::seconds(1);
@@ -122,6 +125,7 @@
     } catch (const Poco::Exception &error) {
         const bool isAborted = call.context().idempotent() && isExchangeAborted(call.context().attemptId());
         const std::string text = error.displayText();
+        add(ConnectionEvent::ClosedAfterFailure);
         if (!isAborted) {
             // The cause of the failure, such as a network fault, may affect every connection that was open then.
             closeIdleSinceBefore(begin);
@@ -225,11 +229,12 @@
     });
 }
 
-BackendClient::ConnectionPtr BackendClient::connect(TimePoint deadline) const
+BackendClient::ConnectionPtr BackendClient::connect(TimePoint deadline)
 {
     Poco::Net::StreamSocket socket;
     socket.connect(Poco::Net::SocketAddress(m_address), toPoco(std::max(deadline - now(), MinTimeout)));
     socket.setNoDelay(true);
+    add(ConnectionEvent::Opened);
     return std::make_unique<BackendConnection>(socket);
 }
 
@@ -239,16 +244,20 @@
     const TimePoint time = now();
     while (true) {
         ConnectionPtr last = m_idle.locked([&](std::vector<IdleConnection> &idle) -> ConnectionPtr {
-            if (idle.empty() || time - idle.back().since > idleLimit(*idle.back().connection, isIdempotent)) {
+            const auto found = std::find_if(idle.rbegin(), idle.rend(), [&](const IdleConnection &entry) {
+                return entry.connection->canCarry(call);
+            });
+            if (found == idle.rend() || time - found->since > idleLimit(*found->connection, isIdempotent)) {
                 return nullptr;
             }
-            ConnectionPtr connection = std::move(idle.back().connection);
-            idle.pop_back();
+            ConnectionPtr connection = std::move(found->connection);
+            idle.erase(std::next(found).base());
             return connection;
         });
         if (!last || last->isReusable()) {
             return last;
         }
+        add(ConnectionEvent::ClosedByServer);
     }
 }
 
@@ -263,23 +272,29 @@
         std::move(idle.begin(), end, std::back_inserter(closed));
         idle.erase(idle.begin(), end);
     });
+    add(ConnectionEvent::ClosedAfterFailure, closed.size());
 }
 
 void BackendClient::returnToIdle(ConnectionPtr connection)
 {
     // Whether the server has closed it is checked when it is taken.
     if (!connection->allowsReuse()) {
+        add(connection->wasRejected() ? ConnectionEvent::ClosedAfterRejection : ConnectionEvent::ClosedByServer);
         return;
     }
     const TimePoint since = now();
     ConnectionPtr oldest;
     m_idle.locked([&](std::vector<IdleConnection> &idle) {
-        if (idle.size() >= IdleConnectionLimit) {
+        // The least recently used one. One for each that is returned is enough to close all that are not needed.
+        if (!idle.empty() && (idle.size() >= IdleConnectionLimit || since - idle.front().since > MaxIdleTime)) {
             oldest = std::move(idle.front().connection);
             idle.erase(idle.begin());
         }
         idle.push_back({std::move(connection), since});
     });
+    if (oldest) {
+        add(ConnectionEvent::ClosedAsSurplus);
+    }
 }
 
 } // namespace fescuepond
--- a/modules/backend/backendclient.h
+++ b/modules/backend/backendclient.h
@@ -12,7 +12,10 @@
 #include "modules/backend/backendconnection.h"
 #include "modules/backend/deadlineguard.h"
 
+#include <array>
+#include <atomic>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,6 +25,16 @@
 namespace fescuepond
 {
 
+/// What happens to connections to the backend server.
+enum class ConnectionEvent {
+    Opened,
+    ClosedAfterFailure, ///< The exchange failed, timed out or was cancelled, or another one's failure suggests it.
+    ClosedAfterRejection, ///< A late copy of the rejection couldn't be told from the response to another call.
+    ClosedByServer, ///< The backend server closed the connection or announced it.
+    ClosedAsSurplus, ///< Not used for MaxIdleTime, or too many are idle.
+};
+constexpr std::size_t ConnectionEventCount = 5;
+
 class BackendClient
 {
 public:
@@ -34,6 +47,11 @@
     /// Keeps a call that isn't sent yet from being sent, and shuts down the connection of an idempotent call that was
     /// sent, so that the backend server can stop working on it.
     void abort(const AttemptId &attempt);
+    /// How often `event` has happened so far.
+    std::uint64_t count(ConnectionEvent event) const
+    {
+        return m_counts.at(static_cast<std::size_t>(event));
+    }
 
 private:
     using ConnectionPtr = std::unique_ptr<BackendConnection>;
@@ -69,12 +87,16 @@
     void setExchangeSocket(const AttemptId &attempt, const std::shared_ptr<AbortableSocket> &socket);
     void unregisterExchange(const AttemptId &attempt);
     bool isExchangeAborted(const AttemptId &attempt);
-    ConnectionPtr connect(TimePoint deadline) const;
+    ConnectionPtr connect(TimePoint deadline);
     /// The most recently used idle connection, or null if none may be used for the call.
     ConnectionPtr takeIdle(const CallRequest &call);
     void returnToIdle(ConnectionPtr connection);
     /// Closes the connections that have been idle since before `time`.
     void closeIdleSinceBefore(TimePoint time);
+    void add(ConnectionEvent event, std::uint64_t times = 1)
+    {
+        m_counts.at(static_cast<std::size_t>(event)) += times;
+    }
     TimePoint now() const
     {
         return m_timers.clock().now();
@@ -88,6 +110,7 @@
     SharedTable<std::vector<IdleConnection>> m_idle{LockRank::BackendConnections};
     /// Of the calls in run(). The exchange of a non-idempotent call has no socket: once sent, it isn't aborted.
     SharedTable<AbortableExchanges> m_abortable{LockRank::BackendConnections};
+    std::array<std::atomic<std::uint64_t>, ConnectionEventCount> m_counts{}; ///< Indexed by ConnectionEvent.
 };
 
 } // namespace fescuepond
--- a/modules/backend/backendconnection.cpp
+++ b/modules/backend/backendconnection.cpp
@@ -5,6 +5,8 @@
 #include "core/kernel/eventlog.h"
 #include "core/pipeline/headernames.h"
 
+#include <algorithm>
+
 namespace fescuepond
 {
 
@@ -13,6 +15,8 @@
 
 /// Responses to other requests that are skipped before the connection is given up.
 constexpr int MaxStrayResponses = 3;
+/// A connection with more rejections is closed.
+constexpr std::size_t MaxRejectedAttempts = 64;
 
 RequestHeader headerOf(const CallRequest &call, const Headers &headers)
 {
@@ -49,10 +53,18 @@
 {
     for (int dropped = 0; dropped <= MaxStrayResponses; ++dropped) {
         const CallOutcome response = answerOf(HttpClientConnection::receive(call.method(), maxBodyBytes));
-        if (dialect.isAnswerTo(call, response.headers())) {
+        const AnswerMatch match = dialect.matchAnswer(call, response.headers());
+        if (match != AnswerMatch::OtherCall) {
             CallOutcome outcome = dialect.interpret(response, instance);
-            // A faulty backend server may repeat a rejection, which would pass for the rejection of another call.
-            if (dropped > 0 || outcome.state() == CallState::NotRun) {
+            m_wasRejected = outcome.state() == CallState::NotRun;
+            if (m_wasRejected && match == AnswerMatch::Unnamed && !m_rejectedAttempts.empty()) {
+                forbidReuse();
+                return CallOutcome::unknown(Reason::AnswerLost, "a rejection doesn't name its call as those before it");
+            }
+            if (m_wasRejected) {
+                rejected(call, match, outcome.reason());
+            }
+            if (dropped > 0) {
                 forbidReuse();
             }
             return outcome;
@@ -65,4 +77,21 @@
     throw Poco::Net::MessageException("the backend server sent only responses to other requests");
 }
 
+void BackendConnection::rejected(const CallRequest &call, AnswerMatch match, Reason reason)
+{
+    // A faulty backend server may repeat a rejection. One that names no call would pass for that of the next call.
+    const bool isRecognisable = match == AnswerMatch::Named && reason == Reason::BackendBusy;
+    if (isRecognisable && m_rejectedAttempts.size() < MaxRejectedAttempts) {
+        m_rejectedAttempts.push_back(call.context().callerAttempt());
+    } else {
+        forbidReuse();
+    }
+}
+
+bool BackendConnection::canCarry(const CallRequest &call) const
+{
+    const std::string &attempt = call.context().callerAttempt();
+    return std::find(m_rejectedAttempts.begin(), m_rejectedAttempts.end(), attempt) == m_rejectedAttempts.end();
+}
+
 } // namespace fescuepond
--- a/modules/backend/backendconnection.h
+++ b/modules/backend/backendconnection.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <string>
+#include <vector>
 
 namespace fescuepond
 {
@@ -26,6 +27,22 @@
                         const std::string &instance,
                         const BackendDialect &dialect,
                         std::size_t maxBodyBytes);
+
+    /// Whether the response to `call` can be told from copies of earlier rejections that arrive late.
+    bool canCarry(const CallRequest &call) const;
+    /// Whether the latest response was a rejection.
+    bool wasRejected() const
+    {
+        return m_wasRejected;
+    }
+
+private:
+    /// Keeps the connection in use after a rejection if the rejection names `call`: a late copy of it is recognised.
+    void rejected(const CallRequest &call, AnswerMatch match, Reason reason);
+
+    /// Caller attempts that were rejected on this connection, MaxRejectedAttempts at most.
+    std::vector<std::string> m_rejectedAttempts;
+    bool m_wasRejected = false;
 };
 
 } // namespace fescuepond
--- a/modules/backend/backendplugin.cpp
+++ b/modules/backend/backendplugin.cpp
@@ -8,6 +8,8 @@
 #include "core/pipeline/interfaces.h"
 #include "modules/backend/backendclient.h"
 
+#include <array>
+#include <atomic>
 #include <memory>
 
 namespace fescuepond
@@ -16,6 +18,9 @@
 namespace
 {
 
+/// How often the node logs how many connections to the backend server were opened and closed, if any were opened.
+constexpr Duration ConnectionLogInterval = std::chrono::seconds(10);
+
 class BackendPlugin final : public Plugin, public CallStage
 {
 public:
@@ -29,6 +34,7 @@
         BOOST_LEAF_ASSIGN(m_dialect, makeStrategy<BackendDialect>(kernel.settings().environment()));
         m_client = std::make_unique<BackendClient>(
             kernel.settings().backendAddress(), kernel.settings().maxBodyBytes(), *m_dialect, kernel.timers());
+        registerGauges();
         m_settlement->setAbortHandler([this](const AttemptId &attempt) {
             m_client->abort(attempt);
         });
@@ -50,6 +56,34 @@
     }
 
 private:
+    void registerGauges()
+    {
+        static constexpr std::array<const char *, ConnectionEventCount> Events = {
+            "opened", "closed_after_failure", "closed_after_rejection", "closed_by_server", "closed_as_surplus"};
+        for (std::size_t i = 0; i < ConnectionEventCount; ++i) {
+            m_kernel->metrics().gauge("fescuepond_backend_connections", {{"event", Events.at(i)}}, [this, i] {
+                return static_cast<double>(m_client->count(static_cast<ConnectionEvent>(i)));
+            });
+        }
+        m_kernel->timers().every(ConnectionLogInterval, [this] {
+            logConnections();
+        });
+    }
+
+    void logConnections()
+    {
+        const std::uint64_t opened = m_client->count(ConnectionEvent::Opened);
+        if (opened == m_loggedOpened.exchange(opened)) {
+            return;
+        }
+        Event("backend_connections", EventSeverity::Routine)
+            .with("opened", opened)
+            .with("closed_after_failure", m_client->count(ConnectionEvent::ClosedAfterFailure))
+            .with("closed_after_rejection", m_client->count(ConnectionEvent::ClosedAfterRejection))
+            .with("closed_by_server", m_client->count(ConnectionEvent::ClosedByServer))
+            .with("closed_as_surplus", m_client->count(ConnectionEvent::ClosedAsSurplus));
+    }
+
     CallOutcome run(const CallRequest &call)
     {
         // Checked as late as possible: the call may have been cancelled while it waited for a worker.
@@ -96,6 +130,7 @@
     BackendReports *m_reports = nullptr;
     std::unique_ptr<BackendDialect> m_dialect;
     std::unique_ptr<BackendClient> m_client;
+    std::atomic<std::uint64_t> m_loggedOpened = 0;
 };
 
 const auto registration = registerPlugin<BackendPlugin>("backend", {"pipelines", "settlement", "registration"});
--- a/modules/backend/plaindialect.cpp
+++ b/modules/backend/plaindialect.cpp
@@ -20,9 +20,9 @@
         headers[std::string(header::Call)] = call.context().callId().toString();
         return headers;
     }
-    bool isAnswerTo(const CallRequest &, const Headers &) const override
+    AnswerMatch matchAnswer(const CallRequest &, const Headers &) const override
     {
-        return true;
+        return AnswerMatch::Unnamed;
     }
     CallOutcome interpret(const CallOutcome &response, const std::string &) const override
     {
--- a/modules/http/httpclientconnection.cpp
+++ b/modules/http/httpclientconnection.cpp
@@ -78,7 +78,10 @@
     std::string body = (this->*reader)(maxBodyBytes);
     m_endsWithConnection = reader == &HttpClientConnection::bodyUntilEnd;
     m_isReuseAllowed = isKeptAlive(header.minorVersion(), headers) && !m_endsWithConnection;
-    m_keepAliveTime = keepAliveTimeout(headers);
+    // A response without the header, such as a rejection, changes nothing.
+    if (const Duration stated = keepAliveTimeout(headers); stated > Duration::zero()) {
+        m_keepAliveTime = stated;
+    }
     return HttpResponse().withStatus(header.status()).withHeaders(std::move(headers)).withBody(Body(std::move(body)));
 }
 
--- a/tests/modules/backend/backendclienttest.cpp
+++ b/tests/modules/backend/backendclienttest.cpp
@@ -16,6 +16,7 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <condition_variable>
 #include <deque>
 #include <functional>
 #include <future>
@@ -159,9 +160,9 @@
     {
         return call.headers();
     }
-    bool isAnswerTo(const CallRequest &, const Headers &) const override
+    AnswerMatch matchAnswer(const CallRequest &, const Headers &) const override
     {
-        return true;
+        return AnswerMatch::Unnamed;
     }
     CallOutcome interpret(const CallOutcome &answer, const std::string &) const override
     {
@@ -173,6 +174,47 @@
     }
 };
 
+/// As RejectionDialect, but answers name the call that they belong to.
+class NamingDialect final : public BackendDialect
+{
+public:
+    Headers requestHeaders(const CallRequest &call, const std::string &, TimePoint) const override
+    {
+        return call.headers();
+    }
+    AnswerMatch matchAnswer(const CallRequest &call, const Headers &headers) const override
+    {
+        const std::string name = valueOf(headers, "call");
+        if (name.empty()) {
+            return AnswerMatch::Unnamed;
+        }
+        return name == call.context().callerAttempt() ? AnswerMatch::Named : AnswerMatch::OtherCall;
+    }
+    CallOutcome interpret(const CallOutcome &answer, const std::string &) const override
+    {
+        return answer.status() == 503 ? CallOutcome::notRun(Reason::BackendBusy, "") : answer;
+    }
+    bool propagatesCallId() const override
+    {
+        return false;
+    }
+};
+
+std::string rejectionOf(const std::string &name)
+{
+    return "HTTP/1.1 503 Service Unavailable\r\nCall: " + name + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+std::string answerTo(const std::string &name)
+{
+    return "HTTP/1.1 200 OK\r\nCall: " + name + "\r\nContent-Length: 6\r\n\r\nsecond";
+}
+
+CallRequest named(const CallRequest &call, const std::string &name)
+{
+    return call.withContext(call.context().withCallerAttempt(name));
+}
+
 class BackendClientTest : public testing::Test
 {
 protected:
@@ -532,6 +574,103 @@
     EXPECT_EQ(server.requests(), 2);
 }
 
+TEST_F(BackendClientTest, RejectedCallsDoNotCostAConnectionEach)
+{
+    constexpr int Calls = 60;
+    std::deque<Script> scripts;
+    for (int i = 0; i < Calls; ++i) {
+        scripts.push_back(sendBytes(rejectionOf("a" + std::to_string(i))));
+    }
+    ScriptedServer server(scripts);
+    const NamingDialect dialect;
+    BackendClient client(server.address(), MaxBodyBytes, dialect, m_timers);
+    for (int i = 0; i < Calls; ++i) {
+        EXPECT_EQ(client.run(named(call(), "a" + std::to_string(i)), {}).state(), CallState::NotRun);
+    }
+    EXPECT_EQ(server.requests(), Calls);
+    EXPECT_EQ(server.connections(), 1);
+    EXPECT_EQ(client.count(ConnectionEvent::Opened), 1);
+    EXPECT_EQ(client.count(ConnectionEvent::ClosedAfterRejection), 0);
+}
+
+TEST_F(BackendClientTest, RepeatedRejectionThatNamesItsCallIsNeverTakenForTheResponseToAnother)
+{
+    ScriptedServer server({sendBytes(rejectionOf("a")), sendBytes(rejectionOf("a") + answerTo("b"))});
+    const NamingDialect dialect;
+    BackendClient client(server.address(), MaxBodyBytes, dialect, m_timers);
+    EXPECT_EQ(client.run(named(call(), "a"), {}).state(), CallState::NotRun);
+    const CallOutcome second = client.run(named(call(), "b"), {});
+    EXPECT_EQ(second.state(), CallState::Answered);
+    EXPECT_EQ(second.body().bytes(), "second");
+    EXPECT_EQ(server.connections(), 1);
+}
+
+TEST_F(BackendClientTest, RepeatedRejectionIsNeverTakenForTheResponseToTheSameCallSentAgain)
+{
+    std::optional<StreamSocket> rejectedOn;
+    const auto reject = [&](StreamSocket &socket) {
+        rejectedOn = socket;
+        sendBytes(rejectionOf("a"))(socket);
+    };
+    const auto run = [&](StreamSocket &socket) {
+        sendBytes(socket == *rejectedOn ? rejectionOf("a") + answerTo("a") : answerTo("a"))(socket);
+    };
+    ScriptedServer server({reject, run});
+    const NamingDialect dialect;
+    BackendClient client(server.address(), MaxBodyBytes, dialect, m_timers);
+    EXPECT_EQ(client.run(named(call(), "a"), {}).state(), CallState::NotRun);
+    EXPECT_EQ(client.run(named(call(), "a"), {}).body().bytes(), "second");
+    EXPECT_EQ(server.requests(), 2);
+}
+
+TEST_F(BackendClientTest, StrayRejectionWithoutANameIsNeverTakenForTheRejectionOfAnotherCall)
+{
+    const std::string unnamed = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+    ScriptedServer server({sendBytes(rejectionOf("a")), sendBytes(unnamed + answerTo("b"))});
+    const NamingDialect dialect;
+    BackendClient client(server.address(), MaxBodyBytes, dialect, m_timers);
+    EXPECT_EQ(client.run(named(call(), "a"), {}).state(), CallState::NotRun);
+    EXPECT_EQ(client.run(named(call(), "b"), {}).state(), CallState::OutcomeUnknown);
+    EXPECT_EQ(server.connections(), 1);
+    // The connection isn't used again.
+    client.run(named(call(), "c"), {});
+    EXPECT_EQ(server.connections(), 2);
+}
+
+TEST_F(BackendClientTest, CallsThatRunAtOnceReuseTheirConnectionsWhenTheyRunAgain)
+{
+    constexpr int Calls = 100;
+    constexpr int Rounds = 3;
+    // Answers only once all calls of a round are there, so that each has a connection.
+    std::mutex mutex;
+    std::condition_variable arrived;
+    int waiting = 0;
+    const auto answerTogether = [&](StreamSocket &socket) {
+        std::unique_lock lock(mutex);
+        const int round = waiting++ / Calls;
+        arrived.notify_all();
+        arrived.wait(lock, [&] {
+            return waiting >= (round + 1) * Calls;
+        });
+        lock.unlock();
+        sendBytes(firstResponse)(socket);
+    };
+    ScriptedServer server({answerTogether});
+    BackendClient client = clientOf(server);
+    for (int round = 0; round < Rounds; ++round) {
+        std::vector<std::future<CallOutcome>> outcomes;
+        for (int i = 0; i < Calls; ++i) {
+            outcomes.push_back(std::async(std::launch::async, [&] {
+                return client.run(call(), {});
+            }));
+        }
+        for (auto &outcome : outcomes) {
+            EXPECT_EQ(outcome.get().body().bytes(), "first");
+        }
+    }
+    EXPECT_EQ(server.connections(), Calls);
+}
+
 TEST_F(BackendClientTest, LateResponseToAnAbandonedCallIsNeverTakenForAnother)
 {
     const auto late = [](StreamSocket &socket) {
--- a/tests/platform/targetdialecttest.cpp
+++ b/tests/platform/targetdialecttest.cpp
@@ -97,9 +97,9 @@
 TEST_F(TargetDialectTest, AnAnswerToAnotherRequestIsRecognisedByItsAttemptId)
 {
     const CallRequest call = CallRequest().withContext(CallContext().withCallerAttempt("a1"));
-    EXPECT_TRUE(m_dialect->isAnswerTo(call, m_signed));
-    EXPECT_TRUE(m_dialect->isAnswerTo(call, {}));
-    EXPECT_FALSE(m_dialect->isAnswerTo(call, {{"fescuepond-attempt-id", "a2"}}));
+    EXPECT_EQ(m_dialect->matchAnswer(call, m_signed), AnswerMatch::Named);
+    EXPECT_EQ(m_dialect->matchAnswer(call, {}), AnswerMatch::Unnamed);
+    EXPECT_EQ(m_dialect->matchAnswer(call, {{"fescuepond-attempt-id", "a2"}}), AnswerMatch::OtherCall);
 }
 
 } // namespace fescuepond
