Choose a target without copying the records of all targets of its service

Cause: each choice copied the member record and the load of every target of the service (up to 39, six texts each), up to three times.

Class: work for each call that grows with the size of the fleet.

Fix: the candidates of a service are made once for each change of its members and share the records; a choice works on references and allocates the same for any number of targets.

Evidence: with copies put back, Router.ChoiceAllocatesNoMoreForManyTargetsThanForFew fails.

--- a/benchmarks/routing/routing.cpp
+++ b/benchmarks/routing/routing.cpp
@@ -79,7 +79,7 @@
     for (std::size_t i = 0; i < loads.size(); ++i) {
         candidates.push_back(RouteCandidate().withTarget(Member().withName(std::to_string(i))).withLoad(loads[i]));
     }
-    return std::stoul(chooseTarget(candidates, RouteOrigin(), now, random)->name());
+    return std::stoul(chooseTarget(candidates, RouteOrigin(), now, random)->target().name());
 }
 
 struct Call {
--- a/modules/routing/routingplugin.cpp
+++ b/modules/routing/routingplugin.cpp
@@ -14,7 +14,9 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 
@@ -60,8 +62,17 @@
     }
 
 private:
-    /// By incarnation: a restarted target starts without failures.
-    using Loads = std::unordered_map<Incarnation, TargetLoad>;
+    /// The targets of one service with their loads, so that a choice copies nothing.
+    struct ServiceTargets {
+        std::shared_ptr<const Members> m_members; ///< From which the candidates were made.
+        RouteCandidates m_candidates;
+        std::unordered_map<Incarnation, std::size_t> m_indexes; ///< In m_candidates.
+    };
+    struct Loads {
+        /// By incarnation: a restarted target starts without failures. Outlasts changes of the members.
+        std::unordered_map<Incarnation, TargetLoad> m_byTarget;
+        std::map<std::string, ServiceTargets> m_services; ///< The candidates' loads are those in m_byTarget.
+    };
     struct KnownNotice {
         BackendNotice m_notice;
         TimePoint m_receivedAt;
@@ -72,46 +83,83 @@
     void route(const RoutedCallPtr &routed)
     {
         const AttemptId attempt = AttemptId::random();
-        const auto target = pickTarget(*routed, attempt.low());
-        if (!target) {
+        const auto chosen = pickTarget(*routed, attempt.low());
+        if (!chosen) {
             const std::string detail = fmt::format("service '{}' has no target", routed->m_call.service());
             routed->m_done(CallOutcome::notRun(Reason::NoTarget, detail)
                                .withUnusedAllowance(routed->m_call.context().retryAllowance()));
             return;
         }
-        routed->m_triedTargets.insert(target->incarnation());
+        const Member &target = chosen->target();
+        routed->m_triedTargets.insert(target.incarnation());
         const CallRequest call = routed->m_call.withContext(
-            routed->m_call.context().withAttemptId(attempt).withKnownNotice(knownNotice(*target)));
-        m_sender->send(*target, call, [this, routed, target = *target](const CallOutcome &outcome) {
-            completed(routed, target, outcome);
+            routed->m_call.context().withAttemptId(attempt).withKnownNotice(knownNotice(target)));
+        m_sender->send(target, call, [this, routed, chosen = *chosen](const CallOutcome &outcome) {
+            completed(routed, chosen.target(), outcome);
         });
     }
 
     /// Chooses an untried target for the call and counts the call as in flight there.
-    std::optional<Member> pickTarget(const RoutedCall &routed, std::uint64_t random)
+    std::optional<RouteCandidate> pickTarget(const RoutedCall &routed, std::uint64_t random)
     {
-        const auto targets = m_membership->targetsOf(routed.m_call.service());
+        const auto members = m_membership->targetsOf(routed.m_call.service());
         const TimePoint now = m_kernel->clock().now();
-        return m_loads.locked([&](Loads &loads) {
-            RouteCandidates candidates;
-            for (const Member &target : *targets) {
-                if (routed.m_triedTargets.contains(target.incarnation())) {
-                    continue;
-                }
-                const auto found = loads.find(target.incarnation());
-                const TargetLoad load = found == loads.end() ? TargetLoad() : found->second;
-                candidates.push_back(RouteCandidate().withTarget(target).withLoad(load));
+        return m_loads.locked([&](Loads &loads) -> std::optional<RouteCandidate> {
+            const ServiceTargets &targets = targetsOf(loads, routed.m_call.service(), members);
+            const bool isFirst = routed.m_triedTargets.empty() && routed.m_call.context().failedTarget().isNone();
+            const RouteCandidates untried = isFirst ? RouteCandidates() : untriedOf(targets.m_candidates, routed);
+            const RouteCandidate *chosen =
+                chooseTarget(isFirst ? targets.m_candidates : untried, m_origin, now, random);
+            if (chosen == nullptr) {
+                return std::nullopt;
             }
-            const Incarnation &failed = routed.m_call.context().failedTarget();
-            auto chosen = chooseTarget(withoutFailedTarget(std::move(candidates), failed), m_origin, now, random);
-            if (chosen) {
-                TargetLoad &load = loads[chosen->incarnation()];
-                load = afterSend(load, now);
-            }
-            return chosen;
+            const RouteCandidate result = *chosen;
+            setLoad(loads, result.target(), afterSend(result.load(), now));
+            return result;
         });
     }
 
+    /// The candidates of a service; made anew if its members have changed.
+    static const ServiceTargets &
+    targetsOf(Loads &loads, const std::string &service, const std::shared_ptr<const Members> &members)
+    {
+        ServiceTargets &targets = loads.m_services[service];
+        if (targets.m_members == members) {
+            return targets;
+        }
+        targets = ServiceTargets{members, {}, {}};
+        for (const Member &member : *members) {
+            const auto found = loads.m_byTarget.find(member.incarnation());
+            const TargetLoad load = found == loads.m_byTarget.end() ? TargetLoad() : found->second;
+            targets.m_indexes.emplace(member.incarnation(), targets.m_candidates.size());
+            targets.m_candidates.push_back(RouteCandidate().withTarget(member).withLoad(load));
+        }
+        return targets;
+    }
+
+    static RouteCandidates untriedOf(RouteCandidates candidates, const RoutedCall &routed)
+    {
+        std::erase_if(candidates, [&](const RouteCandidate &candidate) {
+            return routed.m_triedTargets.contains(candidate.target().incarnation());
+        });
+        return withoutFailedTarget(std::move(candidates), routed.m_call.context().failedTarget());
+    }
+
+    static void setLoad(Loads &loads, const Member &target, const TargetLoad &load)
+    {
+        loads.m_byTarget.insert_or_assign(target.incarnation(), load);
+        const auto service = loads.m_services.find(target.service());
+        if (service == loads.m_services.end()) {
+            return;
+        }
+        ServiceTargets &targets = service->second;
+        const auto index = targets.m_indexes.find(target.incarnation());
+        if (index != targets.m_indexes.end()) {
+            RouteCandidate &candidate = targets.m_candidates.at(index->second);
+            candidate = std::move(candidate).withLoad(load);
+        }
+    }
+
     void completed(const RoutedCallPtr &routed, const Member &target, const CallOutcome &outcome)
     {
         const TimePoint now = m_kernel->clock().now();
@@ -183,10 +231,10 @@
     void recordOutcome(const Member &target, const CallOutcome &outcome, TimePoint now)
     {
         const bool isNewlyEjected = m_loads.locked([&](Loads &loads) {
-            TargetLoad &load = loads[target.incarnation()];
-            const int before = load.ejections();
-            load = afterOutcome(load, outcome, now);
-            return load.ejections() > before;
+            const TargetLoad before = loads.m_byTarget[target.incarnation()];
+            const TargetLoad after = afterOutcome(before, outcome, now);
+            setLoad(loads, target, after);
+            return after.ejections() > before.ejections();
         });
         if (isNewlyEjected) {
             m_kernel->metrics().count("fescuepond_ejections_total", {{"service", target.service()}});
@@ -198,9 +246,10 @@
     {
         const TimePoint now = m_kernel->clock().now();
         m_loads.locked([&](Loads &loads) {
-            std::erase_if(loads, [&](const auto &entry) {
+            std::erase_if(loads.m_byTarget, [&](const auto &entry) {
                 return entry.second.inFlight() == 0 && now - entry.second.lastUsedAt() > LoadMaxAge;
             });
+            loads.m_services.clear();
         });
         m_notices.locked([&](Notices &notices) {
             std::erase_if(notices, [&](const auto &entry) {
--- a/servers/routing/router.cpp
+++ b/servers/routing/router.cpp
@@ -43,27 +43,42 @@
     return member.state() == MemberState::Alive || member.state() == MemberState::Suspect;
 }
 
+using CandidateRefs = std::vector<const RouteCandidate *>;
+
 /// The candidates that are alive, or all of them if none is.
-RouteCandidates withoutSuspects(const RouteCandidates &candidates)
+CandidateRefs withoutSuspects(const RouteCandidates &candidates)
 {
-    RouteCandidates alive;
+    CandidateRefs alive;
+    alive.reserve(candidates.size());
     for (const RouteCandidate &candidate : candidates) {
         if (candidate.target().state() == MemberState::Alive) {
-            alive.push_back(candidate);
+            alive.push_back(&candidate);
         }
     }
-    return alive.empty() ? candidates : alive;
+    if (alive.empty()) {
+        std::transform(
+            candidates.begin(), candidates.end(), std::back_inserter(alive), [](const RouteCandidate &candidate) {
+                return &candidate;
+            });
+    }
+    return alive;
 }
 
 /// Removes ejected candidates, but at most half of all: if most of them seem to fail, the fault is likely elsewhere.
 /// Keeps those whose ejection ends first.
-RouteCandidates withoutEjected(RouteCandidates candidates, TimePoint now)
+CandidateRefs withoutEjected(CandidateRefs candidates, TimePoint now)
 {
-    std::stable_sort(candidates.begin(), candidates.end(), [&](const RouteCandidate &a, const RouteCandidate &b) {
-        return std::max(a.load().ejectedUntil(), now) < std::max(b.load().ejectedUntil(), now);
+    const bool hasEjected = std::any_of(candidates.begin(), candidates.end(), [&](const RouteCandidate *candidate) {
+        return isEjected(candidate->load(), now);
+    });
+    if (!hasEjected) {
+        return candidates;
+    }
+    std::stable_sort(candidates.begin(), candidates.end(), [&](const RouteCandidate *a, const RouteCandidate *b) {
+        return std::max(a->load().ejectedUntil(), now) < std::max(b->load().ejectedUntil(), now);
     });
     const std::size_t kept = (candidates.size() + 1) / 2;
-    while (candidates.size() > kept && isEjected(candidates.back().load(), now)) {
+    while (candidates.size() > kept && isEjected(candidates.back()->load(), now)) {
         candidates.pop_back();
     }
     return candidates;
@@ -73,11 +88,11 @@
 class UtilisationComparison
 {
 public:
-    UtilisationComparison(const RouteCandidates &candidates, TimePoint now)
+    UtilisationComparison(const CandidateRefs &candidates, TimePoint now)
         : m_now(now)
     {
-        for (const RouteCandidate &candidate : candidates) {
-            m_minFailureRatio = std::min(m_minFailureRatio, failureRatioAt(candidate.load(), now));
+        for (const RouteCandidate *candidate : candidates) {
+            m_minFailureRatio = std::min(m_minFailureRatio, failureRatioAt(candidate->load(), now));
         }
     }
     double utilisationOf(const RouteCandidate &candidate) const
@@ -90,11 +105,9 @@
     double m_minFailureRatio = 1;
 };
 
-using Tier = std::vector<const RouteCandidate *>;
-
 /// Draws a random candidate and removes it. One that has named a rate is drawn less often than the others, in
 /// proportion to what it takes.
-const RouteCandidate *draw(Tier &tier, TimePoint now, std::uint32_t random)
+const RouteCandidate *draw(CandidateRefs &tier, TimePoint now, std::uint32_t random)
 {
     double highestLimit = 0;
     for (const RouteCandidate *candidate : tier) {
@@ -120,7 +133,7 @@
 
 /// The less utilised of two random candidates; null if there is none.
 const RouteCandidate *
-chooseOfTwo(Tier tier, const UtilisationComparison &comparison, TimePoint now, std::uint64_t random)
+chooseOfTwo(CandidateRefs tier, const UtilisationComparison &comparison, TimePoint now, std::uint64_t random)
 {
     if (tier.empty()) {
         return nullptr;
@@ -135,14 +148,17 @@
 
 } // namespace
 
-std::optional<Member>
+const RouteCandidate *
 chooseTarget(const RouteCandidates &candidates, const RouteOrigin &origin, TimePoint now, std::uint64_t random)
 {
-    const RouteCandidates usable = withoutEjected(withoutSuspects(candidates), now);
-    std::array<Tier, OtherRegion + 1> tiers;
-    for (const RouteCandidate &candidate : usable) {
-        invariant(acceptsWork(candidate.target()), "a member that leaves or is dead gets no call");
-        tiers.at(distanceTo(candidate.target(), origin)).push_back(&candidate);
+    const CandidateRefs usable = withoutEjected(withoutSuspects(candidates), now);
+    std::array<CandidateRefs, OtherRegion + 1> tiers;
+    for (CandidateRefs &tier : tiers) {
+        tier.reserve(usable.size());
+    }
+    for (const RouteCandidate *candidate : usable) {
+        invariant(acceptsWork(candidate->target()), "a member that leaves or is dead gets no call");
+        tiers.at(distanceTo(candidate->target(), origin)).push_back(candidate);
     }
     const UtilisationComparison comparison(usable, now);
     const RouteCandidate *best = nullptr;
@@ -163,7 +179,7 @@
             break;
         }
     }
-    return best == nullptr ? std::nullopt : std::optional(best->target());
+    return best;
 }
 
 RouteCandidates withoutFailedTarget(RouteCandidates candidates, const Incarnation &failed)
--- a/servers/routing/router.h
+++ b/servers/routing/router.h
@@ -8,7 +8,6 @@
 #include "servers/routing/targetload.h"
 
 #include <cstdint>
-#include <optional>
 #include <vector>
 
 namespace fescuepond
@@ -17,7 +16,7 @@
 /// A target of the called service, with its load as this node knows it.
 class RouteCandidate
 {
-    FESCUEPOND_FIELD(Member, target, withTarget);
+    FESCUEPOND_SHARED_FIELD(Member, target, withTarget);
     FESCUEPOND_FIELD(TargetLoad, load, withLoad);
 
 public:
@@ -36,12 +35,13 @@
     friend auto operator<=>(const RouteOrigin &, const RouteOrigin &) = default;
 };
 
-/// Chooses a target; nothing if there is none.
+/// Chooses one of `candidates`; null if there is none. The cost of a choice hardly grows with their number: nothing of
+/// them is copied.
 ///
 /// Takes the less utilised of two random targets in the caller's availability zone (power of two choices). If that one
 /// is nearly full, two targets in the rest of the region, and then two in other regions, are considered too. Ejected
 /// and suspect targets are used only if too few others are left.
-std::optional<Member>
+const RouteCandidate *
 chooseTarget(const RouteCandidates &candidates, const RouteOrigin &origin, TimePoint now, std::uint64_t random);
 
 /// Removes the target at which an earlier attempt failed, unless it is the only one.
--- a/tests/servers/admission/namedratemodeltest.cpp
+++ b/tests/servers/admission/namedratemodeltest.cpp
@@ -167,13 +167,13 @@
             candidates.push_back(
                 RouteCandidate().withTarget(target.member).withLoad(m_loads[node][target.member.incarnation()]));
         }
-        const auto chosen = chooseTarget(candidates, RouteOrigin().withZone("a"), m_now, m_random());
-        const auto index = static_cast<std::size_t>(chosen->name().at(1) - '0');
-        TargetLoad &load = m_loads[node][chosen->incarnation()];
+        const Member chosen = chooseTarget(candidates, RouteOrigin().withZone("a"), m_now, m_random())->target();
+        const auto index = static_cast<std::size_t>(chosen.name().at(1) - '0');
+        TargetLoad &load = m_loads[node][chosen.incarnation()];
         load = afterSend(load, m_now);
         at(m_now + NetworkDelay,
            [this,
-            call = Call{node, index, chosen->incarnation(), m_notices[node][index]},
+            call = Call{node, index, chosen.incarnation(), m_notices[node][index]},
             life = m_targets[index].life] {
                receive(call, life);
            });
--- a/tests/servers/routing/routertest.cpp
+++ b/tests/servers/routing/routertest.cpp
@@ -2,6 +2,8 @@
 
 #include "servers/routing/router.h"
 
+#include "tests/support/allocationcount.h"
+
 #include <gtest/gtest.h>
 
 #include <map>
@@ -28,8 +30,8 @@
     std::mt19937_64 random(1);
     std::map<std::string, int> counts;
     for (int i = 0; i < times; ++i) {
-        const auto target = chooseTarget(candidates, origin, now, random());
-        ++counts[target ? target->name() : ""];
+        const RouteCandidate *candidate = chooseTarget(candidates, origin, now, random());
+        ++counts[candidate != nullptr ? candidate->target().name() : ""];
     }
     return counts;
 }
@@ -83,6 +85,21 @@
     EXPECT_FALSE(chooseTarget({}, origin, now, 1));
 }
 
+TEST(Router, ChoiceAllocatesNoMoreForManyTargetsThanForFew)
+{
+    const auto allocationsOfAChoice = [](int targets) {
+        RouteCandidates candidates;
+        for (int i = 0; i < targets; ++i) {
+            candidates.push_back(
+                candidate("a name too long to be stored in place " + std::to_string(i), "a", 10, i % 8));
+        }
+        const std::size_t before = test::allocationsOfThisThread();
+        chooseTarget(candidates, origin, now, 7);
+        return test::allocationsOfThisThread() - before;
+    };
+    EXPECT_EQ(allocationsOfAChoice(40), allocationsOfAChoice(4));
+}
+
 TEST(RouterDeathTest, ALeavingTargetIsNeverChosen)
 {
     const auto a = candidate("a", "a", 10, 0);
@@ -137,7 +154,7 @@
         for (const auto &[name, load] : loads) {
             candidates.push_back(candidate(name, "a", 0, 0).withLoad(load));
         }
-        const std::string target = chooseTarget(candidates, origin, time, random())->name();
+        const std::string target = chooseTarget(candidates, origin, time, random())->target().name();
         TargetLoad &load = loads[target];
         load = afterSend(load, time);
         if (target == "grey" && fraction(random) < RejectedRatio) {
