Refuse requests where they enter while hardly any of their kind ends well

Cause: entry nodes learn of a short path by its headroom only. Targets that reject at once have headroom, and at 80 nodes the deepest calls lose their root, so nothing is reported at all.

Class: work that is begun though it can't succeed.

Fix: an entry stage counts how the requests of clients end, by path. Each server error lowers a credit, each success raises it four times, so it stays where one request in eight succeeds; below 1 it is the share that is admitted, a tenth or one request a second at least. The others are refused at once, as not run, with a Retry-After. Only kinds that certainly come from clients are limited: a call of the backend server that is refused wastes what was done for its request, and refusals at each hop would multiply.

Ruled out: throttling at half of the accepted calls (stops work that is cheap and often succeeds); counting lost and late answers too (EndlessResponses.ManyAtOnceKeepTheNodeWithinItsMemory failed with it: callers of a service whose own answers are lost were refused).

--- a/core/kernel/lockorder.h
+++ b/core/kernel/lockorder.h
@@ -23,6 +23,7 @@
     Quarantine,
     Attempts,
     Retries,
+    PathCompletion,
     PathLimit,
     PathHeadroom,
     ProcessorLoad,
--- a/core/pipeline/callpipeline.h
+++ b/core/pipeline/callpipeline.h
@@ -29,6 +29,7 @@
 /// Positions in the entry pipeline, in processing order.
 enum class EntryStage {
     Classify,
+    PathCompletion, ///< Refuses requests of clients while hardly any of their kind ends well.
     ProcessorLoad, ///< Refuses requests of clients while this node has no processor time for them.
     Key, ///< Forwards calls that may run at most once to the owner of their key.
     PathLimit, ///< Limits the calls in flight per path; queues or rejects calls beyond the limit.
--- a/core/pipeline/interfaces.h
+++ b/core/pipeline/interfaces.h
@@ -96,6 +96,8 @@
     virtual std::optional<CallContext> parentOf(const CallRequest &call, TimePoint deadline) = 0;
     /// Whether calls of this kind are made by the backend server rather than by clients.
     virtual bool isFromBackend(const std::string &kind) const = 0;
+    /// Whether calls of this kind certainly come from clients. Both are false while neither is known.
+    virtual bool isFromClients(const std::string &kind) const = 0;
 };
 
 /// Sends calls to targets, including the local one.
--- a/modules/parentinference/parentinferenceplugin.cpp
+++ b/modules/parentinference/parentinferenceplugin.cpp
@@ -51,6 +51,13 @@
         });
     }
 
+    bool isFromClients(const std::string &kind) const override
+    {
+        return m_kinds.locked([&](const BackendCallKinds &kinds) {
+            return kinds.isFromClients(kind);
+        });
+    }
+
 private:
     ConfigurationSource *m_source = nullptr;
     CallsInFlight *m_calls = nullptr;
--- a/servers/explanation/requesttrace.cpp
+++ b/servers/explanation/requesttrace.cpp
@@ -51,6 +51,7 @@
                                          "attempt_failed",
                                          "admission_refused",
                                          "path_refused",
+                                         "path_incomplete",
                                          "processor_refused",
                                          "backend_call_failed"};
 
--- a/servers/parentinference/backendcallkinds.cpp
+++ b/servers/parentinference/backendcallkinds.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 constexpr double MinCalls = 8; ///< With fewer calls, a kind is attributed to clients.
+/// After a start of the node alone, the parents of the first calls that arrive may be unknown.
+constexpr double MinCallsOfClients = 32;
 /// Fraction of a kind's calls. Above 0: a call whose parent was cancelled, or started before this process, looks like a
 /// client's.
 constexpr double MaxClientRatio = 0.1;
@@ -46,4 +48,11 @@
         && counts.m_matches >= MinMatchesOverChance * counts.m_expectedMatches;
 }
 
+bool BackendCallKinds::isFromClients(const std::string &kind) const
+{
+    const auto found = m_kinds.find(kind);
+    return found != m_kinds.end() && found->second.m_calls >= MinCallsOfClients
+        && found->second.m_clientCalls > MaxClientRatio * found->second.m_calls;
+}
+
 } // namespace fescuepond
--- a/servers/parentinference/backendcallkinds.h
+++ b/servers/parentinference/backendcallkinds.h
@@ -28,6 +28,8 @@
     void observeArrival(const std::string &kind, const DeadlineCorrelation &correlation);
     /// Whether the backend server makes the calls of this kind; false while too few have arrived.
     bool isFromBackend(const std::string &kind) const;
+    /// Whether clients send the calls of this kind: many can't be children of a running call. A kind may be neither.
+    bool isFromClients(const std::string &kind) const;
 
 private:
     struct Counts {
--- a/tests/servers/parentinference/backendcallkindstest.cpp
+++ b/tests/servers/parentinference/backendcallkindstest.cpp
@@ -35,6 +35,7 @@
         kinds.observeArrival("count", i % 3 == 0 ? Child : ChildWithAShorterLimit);
     }
     EXPECT_TRUE(kinds.isFromBackend("count"));
+    EXPECT_FALSE(kinds.isFromClients("count"));
 }
 
 TEST(BackendCallKinds, KindThatOftenOutlivesAllRunningCallsIsTheClients)
@@ -44,6 +45,7 @@
     for (int i = 0; i < 2000; ++i) {
         kinds.observeArrival("stock", i % 5 == 0 ? OutlivesAll : Child);
         EXPECT_FALSE(kinds.isFromBackend("stock")) << i;
+        EXPECT_EQ(kinds.isFromClients("stock"), i >= 31) << i;
     }
 }
 
@@ -54,6 +56,7 @@
     for (int i = 0; i < 2000; ++i) {
         kinds.observeArrival("stock", {true, i % 10 < 4, 0.4});
         EXPECT_FALSE(kinds.isFromBackend("stock")) << i;
+        EXPECT_FALSE(kinds.isFromClients("stock")) << i;
     }
 }
 
--- a/tests/system/retrytest.cpp
+++ b/tests/system/retrytest.cpp
@@ -55,4 +55,35 @@
     EXPECT_LE(executions, 3 + RetryAllowance);
 }
 
+TEST(PathCompletionSystem, RequestsWhoseChainNeverSucceedsAreRefusedWhereTheyEnter)
+{
+    constexpr int Requests = 120;
+    constexpr int MaxBegun = 60;
+    Fleet fleet;
+    ASSERT_EQ(fleet.publish({declaration("top"), declaration("bottom")}), 0);
+    FleetNode &top = fleet.addNode({.name = "top", .service = "top", .backendFlags = {"--downstream=GET bottom /x"}});
+    FleetNode &bottom = fleet.addNode({.name = "bottom", .service = "bottom"});
+    ASSERT_TRUE(fleet.waitUntilReady(2));
+    for (const FleetNode *node : {&top, &bottom}) {
+        setBackend(*node, "fail=1");
+    }
+    int refused = 0;
+    for (int i = 0; i < Requests; ++i) {
+        const HttpReply reply = sendHttp(bottom.front, {.path = "/x", .host = "top"});
+        EXPECT_TRUE(reply.status == 500 || reply.outcome() == "not-run") << reply.status;
+        refused += reply.outcome() == "not-run" ? 1 : 0;
+    }
+    EXPECT_LT(top.journalLines("begin").size(), MaxBegun);
+    EXPECT_EQ(top.journalLines("begin").size() + static_cast<std::size_t>(refused), Requests);
+
+    for (const FleetNode *node : {&top, &bottom}) {
+        setBackend(*node, "fail=0");
+    }
+    int served = 0;
+    for (int i = 0; i < Requests; ++i) {
+        served += sendHttp(bottom.front, {.path = "/x", .host = "top"}).status == 200 ? 1 : 0;
+    }
+    EXPECT_GT(served, Requests / 2);
+}
+
 } // namespace fescuepond::test
