--- a/core/pipeline/interfaces.h
+++ b/core/pipeline/interfaces.h
@@ -42,6 +42,8 @@
     /// Members of a service that may be sent new calls.
     virtual std::shared_ptr<const Members> targetsOf(const std::string &service) const = 0;
     virtual Members all() const = 0;
+    /// The number of members in all(), without the cost of copying them.
+    virtual std::size_t size() const = 0;
     /// Marks this node as leaving and broadcasts its record to the other members.
     virtual void leave() = 0;
 };
--- a/modules/membership/membershipplugin.cpp
+++ b/modules/membership/membershipplugin.cpp
@@ -70,6 +70,13 @@
         });
     }
 
+    std::size_t size() const override
+    {
+        return m_members->read([](const MemberView &view) {
+            return view.recordCount();
+        });
+    }
+
     void leave() override
     {
         m_members->update([](MemberView view) {
--- a/modules/retry/retryplugin.cpp
+++ b/modules/retry/retryplugin.cpp
@@ -104,7 +104,7 @@
                                  .withElapsed(now - retried.m_sentAt)
                                  .withRemaining(context.deadline() - now)
                                  .withCrashCount(context.crashCount());
-        const RetryRules rules = m_rules.withNodes(m_membership->all().size());
+        const RetryRules rules = m_rules.withNodes(m_membership->size());
         return m_budgets.locked([&](Budgets &budgets) {
             RetryBudget &budget = budgets[retried.m_call.service()];
             const RetryVerdict verdict = decideRetry(attempt, budget.permitsRetry(rules, now));
--- a/servers/membership/memberview.h
+++ b/servers/membership/memberview.h
@@ -61,6 +61,11 @@
     Members others() const;
     /// All records, including dead members and this node.
     Members all() const;
+    /// The number of records in all().
+    std::size_t recordCount() const
+    {
+        return m_entries.size() + 1;
+    }
 
     /// Replaces this node's own record; `self` must not be older than the current one.
     MemberView withSelf(Member self) &&;
