Send messages between nodes together, in memory of their size, and releases with the next message

Cause: Cap'n Proto sends three messages for a call, each compressed, flushed and written on its own, and built in 8 KiB that are cleared first, since it wasn't told their size.

Fix: what is written in one turn of the loop is sent together; a message that only releases a reply waits for the next one on its connection, 10 s at most; calls and replies are built in memory of the size that they need.

Tests: CompressedStream.MessagesWrittenInOneTurnOfTheEventLoopAreSentTogether and ControlMessageIsSentWithTheNextMessageOrAfterItsDelay fail with one write for each message; WireEncoding guards the sizes.

--- a/modules/peer/compressedstream.cpp
+++ b/modules/peer/compressedstream.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <utility>
 #include <vector>
 
 namespace fescuepond
@@ -16,6 +17,11 @@
 
 /// Input that is compressed, and output that is decompressed, in one step.
 constexpr std::size_t StepBytes = 65'536;
+/// While more bytes than this wait to be sent, further writes wait too.
+constexpr std::size_t MaxPendingBytes = 65'536;
+/// Cap'n Proto's messages without content that only release a resource of the other side have this size; requests and
+/// replies are longer.
+constexpr std::size_t ControlMessageBytes = 40;
 
 LZ4F_preferences_t preferences()
 {
@@ -62,6 +68,25 @@
     m_decompression.reset(decompression);
 }
 
+CompressedStream::CompressedStream(kj::Own<kj::AsyncIoStream> inner, kj::Timer &timer)
+    : CompressedStream(kj::mv(inner))
+{
+    m_timer = &timer;
+}
+
+CompressedStream::~CompressedStream()
+{
+    if (m_pendingBytes == 0 || m_isWriting || m_writeError != nullptr) {
+        return;
+    }
+    // A write tries to send at once, so what fits into the socket's buffer is still sent. Nobody is left to be told if
+    // that fails.
+    kj::runCatchingExceptions([this] {
+        flush(m_outgoing);
+        const auto unfinished = send(std::move(m_outgoing));
+    });
+}
+
 void CompressedStream::compress(kj::ArrayPtr<const kj::byte> bytes, std::string &result)
 {
     std::vector<kj::byte> &output = stepOutput();
@@ -103,12 +128,79 @@
 
 kj::Promise<void> CompressedStream::write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces)
 {
-    std::string bytes;
+    KJ_IF_MAYBE (error, m_writeError) {
+        return kj::cp(*error);
+    }
+    std::size_t size = 0;
     for (const auto &piece : pieces) {
-        compress(piece, bytes);
+        compress(piece, m_outgoing);
+        size += piece.size();
+    }
+    m_pendingBytes += size;
+    if (m_timer == nullptr || size > ControlMessageBytes) {
+        scheduleFlush();
+    } else if (!m_isSending && !m_isFlushDelayed) {
+        m_isFlushDelayed = true;
+        m_delayedFlush = m_timer->afterDelay(ControlMessageDelay)
+                             .then([this] {
+                                 m_isFlushDelayed = false;
+                                 scheduleFlush();
+                             })
+                             .eagerlyEvaluate(nullptr);
+    }
+    if (m_pendingBytes <= MaxPendingBytes) {
+        return kj::READY_NOW;
+    }
+    auto pair = kj::newPromiseAndFulfiller<void>();
+    m_waitingWrites.push_back(kj::mv(pair.fulfiller));
+    return kj::mv(pair.promise);
+}
+
+void CompressedStream::scheduleFlush()
+{
+    if (m_isSending || m_pendingBytes == 0) {
+        return;
+    }
+    m_isSending = true;
+    m_sending = kj::evalLater([this] {
+                    return sendPending();
+                }).eagerlyEvaluate([this](kj::Exception &&error) {
+        m_writeError = kj::mv(error);
+        m_isSending = false;
+        m_pendingBytes = 0;
+        endWaitingWrites();
+    });
+}
+
+kj::Promise<void> CompressedStream::sendPending()
+{
+    if (m_pendingBytes == 0) {
+        m_isSending = false;
+        if (m_isShutDown) {
+            m_inner->shutdownWrite();
+        }
+        return kj::READY_NOW;
+    }
+    flush(m_outgoing);
+    m_pendingBytes = 0;
+    m_isWriting = true;
+    return send(std::exchange(m_outgoing, {})).then([this] {
+        m_isWriting = false;
+        endWaitingWrites();
+        return sendPending();
+    });
+}
+
+void CompressedStream::endWaitingWrites()
+{
+    auto waitingWrites = std::exchange(m_waitingWrites, {});
+    for (auto &waiting : waitingWrites) {
+        KJ_IF_MAYBE (error, m_writeError) {
+            waiting->reject(kj::cp(*error));
+        } else {
+            waiting->fulfill();
+        }
     }
-    flush(bytes);
-    return send(std::move(bytes));
 }
 
 kj::Promise<size_t> CompressedStream::tryRead(void *buffer, size_t minBytes, size_t maxBytes)
@@ -165,7 +257,11 @@
 
 void CompressedStream::shutdownWrite()
 {
-    m_inner->shutdownWrite();
+    m_isShutDown = true;
+    scheduleFlush();
+    if (!m_isSending) {
+        m_inner->shutdownWrite();
+    }
 }
 
 void CompressedStream::abortRead()
--- a/modules/peer/peerconnection.cpp
+++ b/modules/peer/peerconnection.cpp
@@ -31,7 +31,7 @@
                                std::uint64_t maxMessageBytes)
     : m_timer(timer)
     , m_clock(clock)
-    , m_stream(kj::heap<CompressedStream>(kj::mv(stream)))
+    , m_stream(kj::heap<CompressedStream>(kj::mv(stream), timer))
     , m_network(*m_stream, capnp::rpc::twoparty::Side::CLIENT, readerOptions(maxMessageBytes))
     , m_rpc(capnp::makeRpcClient(m_network))
     , m_peer(peerOf(m_rpc))
--- a/modules/peer/peerlistener.cpp
+++ b/modules/peer/peerlistener.cpp
@@ -42,8 +42,11 @@
 
 /// One accepted connection. Each member depends on the ones before.
 struct IncomingConnection {
-    IncomingConnection(kj::Own<kj::AsyncIoStream> stream, std::uint64_t maxMessageBytes, kj::Own<PeerServer> server)
-        : m_stream(kj::heap<CompressedStream>(kj::mv(stream)))
+    IncomingConnection(kj::Own<kj::AsyncIoStream> stream,
+                       kj::Timer &timer,
+                       std::uint64_t maxMessageBytes,
+                       kj::Own<PeerServer> server)
+        : m_stream(kj::heap<CompressedStream>(kj::mv(stream), timer))
         , m_network(*m_stream, capnp::rpc::twoparty::Side::SERVER, readerOptions(maxMessageBytes))
         , m_server(*server)
         , m_rpc(capnp::makeRpcServer(m_network, wire::Peer::Client(kj::mv(server))))
@@ -88,8 +91,8 @@
         --m_connectionCount;
     });
     keepAlive(*stream);
-    auto incoming =
-        kj::heap<IncomingConnection>(kj::mv(stream), m_maxMessageBytes, kj::heap<PeerServer>(m_services, m_timer));
+    auto incoming = kj::heap<IncomingConnection>(
+        kj::mv(stream), m_timer, m_maxMessageBytes, kj::heap<PeerServer>(m_services, m_timer));
     auto disconnected = incoming->m_network.onDisconnect();
     auto noHello = m_timer.afterDelay(HelloTimeout).then([&server = incoming->m_server]() -> kj::Promise<void> {
         if (server.hasReceivedHello()) {
--- a/modules/peer/peersender.cpp
+++ b/modules/peer/peersender.cpp
@@ -128,7 +128,7 @@
         return *std::move(rejection);
     }
     pending->sentToIncarnation = connection->incarnation();
-    auto message = connection->peer().callRequest();
+    auto message = connection->peer().callRequest(sizeOf(pending->call));
     encode(pending->call, m_kernel.clock().now(), connection->calleeClock(), message.initCall());
     const AttemptId attemptId = pending->call.context().attemptId();
     auto responsePromise = message.send().then([attemptId](auto response) {
--- a/modules/peer/peerserver.cpp
+++ b/modules/peer/peerserver.cpp
@@ -118,7 +118,7 @@
         (*fulfiller)->fulfill(CallOutcome(outcome));
     });
     return pair.promise.then([context, attemptId](const CallOutcome &outcome) mutable {
-        auto results = context.getResults();
+        auto results = context.getResults(sizeOf(outcome));
         encode(outcome, results.initOutcome());
         encode(attemptId, results.initAttemptId());
     });
--- a/modules/peer/wireencoding.cpp
+++ b/modules/peer/wireencoding.cpp
@@ -78,8 +78,53 @@
         .withBody(std::move(body));
 }
 
+/// Words of a message besides texts, headers and bodies.
+constexpr std::size_t FixedWords = 96;
+constexpr std::size_t WordsOfHeader = 2; ///< The pointers to its texts.
+
+std::size_t wordsOf(std::size_t bytes)
+{
+    // With the zero that ends a text.
+    return bytes / sizeof(capnp::word) + 1;
+}
+
+std::size_t wordsOf(const Headers &headers)
+{
+    std::size_t words = 1;
+    for (const auto &[name, value] : headers) {
+        words += WordsOfHeader + wordsOf(name.size()) + wordsOf(value.size());
+    }
+    return words;
+}
+
 } // namespace
 
+capnp::MessageSize sizeOf(const CallRequest &call)
+{
+    const CallContext &context = call.context();
+    std::size_t words = FixedWords + wordsOf(call.headers()) + wordsOf(call.body().size());
+    for (const std::string *text : {&context.kind(),
+                                    &context.rootKind(),
+                                    &context.key(),
+                                    &context.callerAttempt(),
+                                    &context.callerService(),
+                                    &context.knownNotice().leavingInstance(),
+                                    &call.service(),
+                                    &call.method(),
+                                    &call.path(),
+                                    &call.host()}) {
+        words += wordsOf(text->size());
+    }
+    return {words, 0};
+}
+
+capnp::MessageSize sizeOf(const CallOutcome &outcome)
+{
+    const std::size_t words = FixedWords + wordsOf(outcome.headers()) + wordsOf(outcome.body().size())
+        + wordsOf(outcome.detail().size()) + wordsOf(outcome.notice().leavingInstance().size());
+    return {words, 0};
+}
+
 void encode(const BackendNotice &notice, wire::Notice::Builder builder)
 {
     builder.setRate(notice.rate());
--- a/modules/peer/wireencoding.h
+++ b/modules/peer/wireencoding.h
@@ -39,6 +39,10 @@
 /// The same if the sender's clock is unknown: the decoded deadline is late by the message's transmission delay.
 std::optional<CallRequest> decode(wire::Call::Reader reader, TimePoint now);
 
+/// Enough room for the message with the call or the outcome. Without it, each message takes 8 KiB, filled with zeros.
+capnp::MessageSize sizeOf(const CallRequest &call);
+capnp::MessageSize sizeOf(const CallOutcome &outcome);
+
 void encode(const CallOutcome &outcome, wire::Outcome::Builder builder);
 /// Returns nothing if the body does not match its digest or an enumerator is unknown.
 std::optional<CallOutcome> decode(wire::Outcome::Reader reader);
--- a/tests/modules/peer/compressedstreamtest.cpp
+++ b/tests/modules/peer/compressedstreamtest.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <random>
 #include <string>
 
@@ -62,6 +63,61 @@
     }
 }
 
+TEST(CompressedStream, MessagesWrittenInOneTurnOfTheEventLoopAreSentTogether)
+{
+    constexpr int Messages = 10;
+    Connection connection;
+    CompressedStream sender(kj::mv(connection.m_pipe.ends[0]));
+    const std::string message = "a message that is long enough to be no control message";
+    for (int i = 0; i < Messages; ++i) {
+        sender.write(message.data(), message.size()).wait(connection.m_io.waitScope);
+    }
+    std::array<char, 4096> bytes{};
+    auto &raw = *connection.m_pipe.ends[1];
+    EXPECT_GT(raw.tryRead(bytes.data(), 1, bytes.size()).wait(connection.m_io.waitScope), 0U);
+    EXPECT_FALSE(raw.tryRead(bytes.data(), 1, bytes.size()).poll(connection.m_io.waitScope));
+}
+
+TEST(CompressedStream, ControlMessageIsSentWithTheNextMessageOrAfterItsDelay)
+{
+    Connection connection;
+    kj::TimerImpl timer(kj::origin<kj::TimePoint>());
+    CompressedStream sender(kj::mv(connection.m_pipe.ends[0]), timer);
+    CompressedStream receiver(kj::mv(connection.m_pipe.ends[1]));
+    const std::string control(40, 'c');
+    const std::string request(41, 'r');
+    sender.write(control.data(), control.size()).wait(connection.m_io.waitScope);
+    std::string received(control.size() + request.size(), '\0');
+    auto read = receiver.tryRead(received.data(), received.size(), received.size());
+    EXPECT_FALSE(read.poll(connection.m_io.waitScope));
+    sender.write(request.data(), request.size()).wait(connection.m_io.waitScope);
+    EXPECT_EQ(read.wait(connection.m_io.waitScope), received.size());
+    EXPECT_EQ(received, control + request);
+    // The first delay ends without anything to send.
+    auto last = receiver.tryRead(received.data(), control.size(), control.size());
+    timer.advanceTo(timer.now() + ControlMessageDelay);
+    EXPECT_FALSE(last.poll(connection.m_io.waitScope));
+    sender.write(control.data(), control.size()).wait(connection.m_io.waitScope);
+    EXPECT_FALSE(last.poll(connection.m_io.waitScope));
+    timer.advanceTo(timer.now() + ControlMessageDelay);
+    EXPECT_EQ(last.wait(connection.m_io.waitScope), control.size());
+}
+
+TEST(CompressedStream, BytesWrittenRightBeforeTheEndOfTheStreamArrive)
+{
+    Connection connection;
+    CompressedStream receiver(kj::mv(connection.m_pipe.ends[1]));
+    std::string received(3, '\0');
+    auto read = receiver.tryRead(received.data(), received.size(), received.size());
+    EXPECT_FALSE(read.poll(connection.m_io.waitScope));
+    {
+        CompressedStream sender(kj::mv(connection.m_pipe.ends[0]));
+        sender.write("abc", 3).wait(connection.m_io.waitScope);
+    }
+    EXPECT_EQ(read.wait(connection.m_io.waitScope), received.size());
+    EXPECT_EQ(received, "abc");
+}
+
 TEST(CompressedStream, RepeatedMessagesAreCompressedBetter)
 {
     Connection connection;
