Ping a connection between nodes only if a request on it waits

Cause: a connection that had been idle for 250 ms was pinged together with its next request. With 80 nodes each of the 79 connections of a node is idle most of the time, so nearly each call cost a second request. A reading of the other node's clock that took over 20 ms was renewed every 250 ms, which under load is always.

Class: work for each call that appears only in a large fleet, where connections are many and thin.

Fix: silence counts from the first request after the latest reply; an inexact reading is renewed once a second. A silent connection that was idle is found up to 250 ms later than before.

Tests: Path.CallsThatAreAnsweredSoonCauseNoHealthCheckOfAConnectionThatWasIdle fails with the former rule put back. The SilentConnection tests hold as they were.

--- a/modules/peer/peerconnection.cpp
+++ b/modules/peer/peerconnection.cpp
@@ -8,6 +8,8 @@
 
 #include <capnp/message.h>
 
+#include <algorithm>
+
 namespace fescuepond
 {
 
@@ -36,6 +38,7 @@
     , m_rpc(capnp::makeRpcClient(m_network))
     , m_peer(peerOf(m_rpc))
     , m_lastReceived(timer.now())
+    , m_pendingSince(timer.now())
     , m_unresponsive(nullptr)
     , m_livenessCheck(nullptr)
     , m_disconnect(nullptr)
@@ -62,12 +65,15 @@
 bool PeerConnection::isReadingDue() const
 {
     const bool isExact = !m_calleeClock || m_calleeClock->receivedAt() - m_calleeClock->sentAt() <= MaxExactRoundTrip;
-    return !isExact || m_clock.now() - m_lastReadingAt >= ReadingInterval;
+    return m_clock.now() - m_lastReadingAt >= (isExact ? ReadingInterval : InexactReadingInterval);
 }
 
 void PeerConnection::countRequest()
 {
-    ++m_pendingRequests;
+    // Unless a reply has arrived since, the silence goes on, whatever became of the requests before.
+    if (m_pendingRequests++ == 0 && m_lastReceived >= m_pendingSince) {
+        m_pendingSince = m_timer.now();
+    }
     if (m_isLivenessCheckRunning) {
         return;
     }
@@ -83,9 +89,8 @@
         m_isLivenessCheckRunning = false;
         return kj::READY_NOW;
     }
-    // A connection that was idle is pinged at once, together with the first request.
-    const bool hasReceivedRecently = m_timer.now() - m_lastReceived < PingInterval;
-    auto nextCheck = hasReceivedRecently && !isReadingDue() ? m_timer.afterDelay(PingInterval) : ping();
+    const bool isSilent = m_timer.now() - std::max(m_lastReceived, m_pendingSince) >= PingInterval;
+    auto nextCheck = !isSilent && !isReadingDue() ? m_timer.afterDelay(PingInterval) : ping();
     return nextCheck.then([this] {
         return checkLiveness();
     });
--- a/modules/peer/peerconnection.h
+++ b/modules/peer/peerconnection.h
@@ -1,6 +1,7 @@
 // One open connection to another node, with detection of an unresponsive peer.
 //
-// If requests are pending and no reply has arrived for PingInterval, a ping is sent. If it isn't answered within
+// If a request is pending and no reply has arrived for PingInterval, a ping is sent. A request that is answered sooner
+// costs none, also on a connection that was idle before. If a ping isn't answered within
 // PingTimeout, the connection counts as unresponsive: all pending requests fail at once, and no new one uses it. The
 // replies to pings carry the other node's clock, so a connection with requests is also pinged once in ReadingInterval,
 // and more often until that clock is known well.
@@ -26,8 +27,9 @@
 constexpr kj::Duration PingInterval = 250 * kj::MILLISECONDS;
 constexpr kj::Duration PingTimeout = 500 * kj::MILLISECONDS;
 constexpr Duration ReadingInterval = std::chrono::seconds(10);
-/// A reading of the other node's clock with a longer round trip is renewed at each PingInterval.
+/// A reading of the other node's clock with a longer round trip is renewed after InexactReadingInterval.
 constexpr Duration MaxExactRoundTrip = std::chrono::milliseconds(20);
+constexpr Duration InexactReadingInterval = std::chrono::seconds(1);
 
 /// May be used only on the event loop's thread.
 class PeerConnection : public kj::Refcounted
@@ -122,6 +124,8 @@
     bool m_isUsable = true;
     std::size_t m_pendingRequests = 0;
     kj::TimePoint m_lastReceived;
+    /// When the first request after the latest reply was sent while no other was pending.
+    kj::TimePoint m_pendingSince;
     bool m_isLivenessCheckRunning = false; ///< True while requests are pending.
     kj::Own<kj::PromiseFulfiller<void>> m_unresponsiveFulfiller;
     kj::ForkedPromise<void> m_unresponsive;
--- a/modules/peer/peerserver.cpp
+++ b/modules/peer/peerserver.cpp
@@ -183,6 +183,7 @@
 
 kj::Promise<void> PeerServer::ping(PingContext context)
 {
+    m_services.kernel.metrics().count("fescuepond_pings_received_total");
     context.getResults().setClockNs(toWireClock(m_services.kernel.clock().now()));
     return kj::READY_NOW;
 }
--- a/tests/system/pathtest.cpp
+++ b/tests/system/pathtest.cpp
@@ -5,6 +5,10 @@
 
 #include <gtest/gtest.h>
 
+#include <chrono>
+#include <string>
+#include <thread>
+
 namespace fescuepond::test
 {
 
@@ -45,6 +49,27 @@
     EXPECT_EQ(yard.journalLines("begin").size(), 1);
 }
 
+TEST(Path, CallsThatAreAnsweredSoonCauseNoHealthCheckOfAConnectionThatWasIdle)
+{
+    constexpr int Calls = 8;
+    constexpr auto Pause = std::chrono::milliseconds(400);
+    Fleet fleet;
+    ASSERT_EQ(fleet.publish({Dispatch, Yard}), 0);
+    const FleetNode &yard = fleet.addNode({.name = "yard-a", .service = "yard"});
+    const FleetNode &dispatch = fleet.addNode({.name = "dispatch-a", .service = "dispatch"});
+    ASSERT_TRUE(fleet.waitUntilReady(2));
+    for (int i = 0; i < Calls; ++i) {
+        EXPECT_EQ(sendHttp(dispatch.front, {.path = "/stock/sleepers", .host = "yard"}).status, 200);
+        std::this_thread::sleep_for(Pause);
+    }
+    const std::string metrics = sendHttp(yard.operatorAddress, {.path = "/metrics"}).body;
+    const std::string name = "\nfescuepond_pings_received_total ";
+    const std::size_t found = metrics.find(name);
+    // Some may be due to read the clock of the other node.
+    const int pings = found == std::string::npos ? 0 : std::stoi(metrics.substr(found + name.size()));
+    EXPECT_LT(pings, Calls / 2);
+}
+
 TEST(Path, UnknownServiceAndUnknownKindAreRejectedAsNotRun)
 {
     Fleet fleet;
