--- a/modules/http/httpmessage.cpp
+++ b/modules/http/httpmessage.cpp
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <sstream>
 
 namespace fescuepond
@@ -61,9 +60,11 @@
 std::string toLower(std::string_view text)
 {
     std::string lower(text);
-    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char c) {
-        return static_cast<char>(std::tolower(c));
-    });
+    // Names in HTTP are ASCII; std::tolower() would ask the locale for each character.
+    constexpr char ToLower = 'a' - 'A';
+    for (char &c : lower) {
+        c = c >= 'A' && c <= 'Z' ? static_cast<char>(c + ToLower) : c;
+    }
     return lower;
 }
 
--- a/modules/http/httpstream.cpp
+++ b/modules/http/httpstream.cpp
@@ -114,14 +114,17 @@
         const std::string_view piece = firstPiece();
         std::size_t taken = 0;
         while (taken < piece.size() && !text.ends_with(SectionEnd)) {
-            const char byte = piece[taken++];
-            if (byte == '\n' && !text.ends_with('\r')) {
-                throw MessageException("a header line ends without CR");
-            }
-            if (++bytes > MaxHeaderBytes) {
+            const std::size_t lineFeed = piece.find('\n', taken);
+            const std::size_t end = lineFeed == std::string_view::npos ? piece.size() : lineFeed + 1;
+            bytes += end - taken;
+            if (bytes > MaxHeaderBytes) {
                 throw MessageException("the header exceeds the size limit");
             }
-            text.push_back(byte);
+            text.append(piece, taken, end - taken);
+            taken = end;
+            if (lineFeed != std::string_view::npos && !text.ends_with(LineEnd)) {
+                throw MessageException("a header line ends without CR");
+            }
             if (text == LineEnd) {
                 text.clear();
             }
