Measure the processor time of each kind of message, also beside another build

callcost_benchmark now measures an idle second, a call, a call on a new connection, a rejection by a node for overload, a rejection by the backend server without and with a retry, and an idle second and a call with 20 more targets; the entry node and the target's nodes apart. The nodes run in the environment fleet, since only there a 503 of the backend server is a rejection and closes its connection.

The backend stand-in can reject, repeat a request header and add headers; nodes of a test fleet can share a stand-in.

61 tests that use the fleet or its policies pass; the whole of the tests was not run.

--- a/benchmarks/callcost/callcost.cpp
+++ b/benchmarks/callcost/callcost.cpp
@@ -1,128 +1,161 @@
-// Measures the cost of a call at its entry node and at its target's node: memory, and processor time per call, which is
-// the slope of a line fitted over several call rates.
+// Measures what each kind of message costs the nodes in processor time, and compares two builds in one run. With
+// --rates, measures the cost and memory of calls at several rates instead.
 
-#include "benchmarks/support/processusage.h"
-#include "benchmarks/support/timedconnection.h"
-#include "benchmarks/support/twoservicefleet.h"
+#include "benchmarks/callcost/messagebudget.h"
+#include "benchmarks/callcost/ratetable.h"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <array>
-#include <chrono>
 #include <cstdio>
+#include <exception>
 #include <memory>
-#include <thread>
+#include <string>
 #include <vector>
 
-DEFINE_int32(seconds, 8, "Seconds at each rate.");
+DEFINE_int32(seconds, 1, "Seconds for each kind of message, or at each rate.");
 DEFINE_int32(connections, 8, "Number of connections, each with its own thread.");
 DEFINE_int32(service_ms, 2, "Service time of the backend server, in milliseconds.");
-
-using fescuepond::benchmark::ProcessUsage;
-using fescuepond::benchmark::ReadPath;
-using fescuepond::benchmark::TimedConnection;
-using fescuepond::benchmark::TwoServiceFleet;
-using fescuepond::benchmark::usageOf;
-using fescuepond::test::FleetNode;
+DEFINE_int32(rate, 400, "Requests a second, for each kind of message.");
+DEFINE_int32(more_targets, 20, "Nodes that are added to the target's service for the kinds with many targets.");
+DEFINE_int32(rounds, 2, "Number of measurements of each kind of message, for each build.");
+DEFINE_string(compare, "", "Another build folder, whose nodes are measured in turn with the own ones.");
+DEFINE_bool(rates, false, "Measure calls at several rates instead.");
 
 namespace
 {
 
-using Clock = std::chrono::steady_clock;
+using fescuepond::benchmark::BudgetOptions;
+using fescuepond::benchmark::MessageBudget;
+using fescuepond::benchmark::MessageCost;
+using fescuepond::benchmark::messageNames;
+using fescuepond::benchmark::printRateTable;
+
+/// All processes of the fleets that run at once.
+constexpr int MaxProcesses = 40;
+/// Of each fleet before targets are added: the platform's stand-in, three nodes and three backend servers.
+constexpr int FirstProcesses = 7;
+
+/// A build and its measurements.
+struct MeasuredBuild {
+    const char *name;
+    std::string folder; ///< Empty: the own build folder.
+    std::vector<std::vector<MessageCost>> roundsByKind = {}; ///< For each kind of message, one for each round.
+};
+
+using CostReader = const double &(MessageCost::*)() const;
 
-/// Calls per second. In the fleet of the documented capacity estimate, a node carries 138 per second on average.
-constexpr std::array Rates = {0, 50, 100, 200, 400, 800};
+/// The measurements of one kind of message at one node, over the rounds.
+struct Samples {
+    double mean = 0;
+    double least = 0;
+    double greatest = 0;
+};
 
-/// Sends calls at `rate` per second for FLAGS_seconds; returns the number of calls.
-int sendCalls(const std::string &address, int rate)
+Samples samplesOf(const MeasuredBuild &build, std::size_t kind, CostReader reader)
 {
-    if (rate == 0) {
-        std::this_thread::sleep_for(std::chrono::seconds(FLAGS_seconds));
-        return 0;
-    }
-    const int requestsPerConnection = rate * FLAGS_seconds / FLAGS_connections;
-    const auto interval = std::chrono::duration_cast<Clock::duration>(
-        std::chrono::duration<double>(static_cast<double>(FLAGS_connections) / rate));
-    std::vector<std::thread> threads;
-    threads.reserve(static_cast<std::size_t>(FLAGS_connections));
-    for (int i = 0; i < FLAGS_connections; ++i) {
-        threads.emplace_back([&] {
-            TimedConnection connection(address, "yard");
-            auto due = Clock::now();
-            for (int sent = 0; sent < requestsPerConnection; ++sent) {
-                due += interval;
-                std::this_thread::sleep_until(due);
-                connection.get(ReadPath);
-            }
-        });
+    std::vector<double> values;
+    double sum = 0;
+    for (const MessageCost &cost : build.roundsByKind[kind]) {
+        values.push_back((cost.*reader)());
+        sum += values.back();
     }
-    for (std::thread &thread : threads) {
-        thread.join();
-    }
-    return requestsPerConnection * FLAGS_connections;
+    const auto [least, greatest] = std::minmax_element(values.begin(), values.end());
+    return {sum / static_cast<double>(values.size()), *least, *greatest};
 }
 
-/// A straight line.
-struct Line {
-    double slope = 0;
-    double intercept = 0;
-};
+std::string textOf(const Samples &samples)
+{
+    return fmt::format("{:.0f} ({:.0f}-{:.0f})", samples.mean, samples.least, samples.greatest);
+}
 
-/// Fits a line by least squares.
-Line fitLine(const std::vector<double> &x, const std::vector<double> &y)
+std::string ratioText(const Samples &own, const Samples &other)
 {
-    const auto n = static_cast<double>(x.size());
-    double sumX = 0;
-    double sumY = 0;
-    double sumXX = 0;
-    double sumXY = 0;
-    for (std::size_t i = 0; i < x.size(); ++i) {
-        sumX += x[i];
-        sumY += y[i];
-        sumXX += x[i] * x[i];
-        sumXY += x[i] * y[i];
-    }
-    const double slope = (n * sumXY - sumX * sumY) / (n * sumXX - sumX * sumX);
-    return {slope, (sumY - slope * sumX) / n};
+    return other.mean > 0 ? fmt::format("{:.2f}", own.mean / other.mean) : "-";
 }
 
-/// Processor time of one node at each rate, as a fraction of a core.
-struct NodeSeries {
+struct Column {
     const char *role;
-    const FleetNode *node;
-    std::vector<double> coreFraction = {};
+    CostReader reader;
+};
+
+constexpr std::array Columns = {
+    Column{"entry node", &MessageCost::entryMicros},
+    Column{"target's node", &MessageCost::targetMicros},
 };
 
-void measure(NodeSeries &entry, NodeSeries &target, std::vector<double> &rates)
+/// The least share of the requests of a kind that ended as its name says, over all builds and rounds.
+double leastExpectedShare(const std::vector<MeasuredBuild> &builds, std::size_t kind)
+{
+    double least = 1;
+    for (const MeasuredBuild &build : builds) {
+        least = std::min(least, samplesOf(build, kind, &MessageCost::expectedShare).least);
+    }
+    return least;
+}
+
+void printTable(const std::vector<MeasuredBuild> &builds, const std::vector<std::string> &names)
+{
+    constexpr double PerCent = 100;
+    fmt::print("processor time (user and system), mean of {} rounds (least-greatest); of messages without idle time\n",
+               FLAGS_rounds);
+    std::string header = fmt::format("{:<44}", "kind of message");
+    for (const MeasuredBuild &build : builds) {
+        for (const Column &column : Columns) {
+            header += fmt::format("{:>20}", fmt::format("{}{}", build.name, column.role));
+        }
+    }
+    for (const Column &column : Columns) {
+        header += builds.size() > 1 ? fmt::format("{:>20}", fmt::format("ratio {}", column.role)) : "";
+    }
+    fmt::print("{}{:>12}\n", header, "as named %");
+    for (std::size_t kind = 0; kind < names.size(); ++kind) {
+        std::string line = fmt::format("{:<44}", names[kind]);
+        for (const MeasuredBuild &build : builds) {
+            for (const Column &column : Columns) {
+                line += fmt::format("{:>20}", textOf(samplesOf(build, kind, column.reader)));
+            }
+        }
+        for (const Column &column : Columns) {
+            line += builds.size() > 1 ? fmt::format(
+                        "{:>20}",
+                        ratioText(samplesOf(builds[0], kind, column.reader), samplesOf(builds[1], kind, column.reader)))
+                                      : "";
+        }
+        fmt::print("{}{:>12.0f}\n", line, PerCent * leastExpectedShare(builds, kind));
+    }
+}
+
+/// Measures each kind of message on all builds in turn and prints the table; returns the exit code.
+int printBudget()
 {
-    fmt::print("{:>8} {:>14} {:>14} {:>12} {:>12} {:>8}\n",
-               "calls/s",
-               "entry core %",
-               "target core %",
-               "entry MB",
-               "target MB",
-               "threads");
-    for (const int rate : Rates) {
-        const ProcessUsage entryBefore = usageOf(entry.node->process->id());
-        const ProcessUsage targetBefore = usageOf(target.node->process->id());
-        const auto begin = Clock::now();
-        const int sent = sendCalls(entry.node->front, rate);
-        const double seconds = std::chrono::duration<double>(Clock::now() - begin).count();
-        const ProcessUsage entryAfter = usageOf(entry.node->process->id());
-        const ProcessUsage targetAfter = usageOf(target.node->process->id());
-        rates.push_back(sent / seconds);
-        entry.coreFraction.push_back((entryAfter.processorSeconds - entryBefore.processorSeconds) / seconds);
-        target.coreFraction.push_back((targetAfter.processorSeconds - targetBefore.processorSeconds) / seconds);
-        fmt::print("{:>8.0f} {:>14.2f} {:>14.2f} {:>12.1f} {:>12.1f} {:>8}\n",
-                   rates.back(),
-                   100 * entry.coreFraction.back(),
-                   100 * target.coreFraction.back(),
-                   entryAfter.residentMegabytes,
-                   targetAfter.residentMegabytes,
-                   targetAfter.threads);
-        std::fflush(stdout);
+    std::vector<MeasuredBuild> builds = {{"", ""}};
+    if (!FLAGS_compare.empty()) {
+        builds = {{"own ", ""}, {"other ", FLAGS_compare}};
+    }
+    const int maxMoreTargets = MaxProcesses / static_cast<int>(builds.size()) - FirstProcesses;
+    const auto options = BudgetOptions()
+                             .withSeconds(FLAGS_seconds)
+                             .withRate(FLAGS_rate)
+                             .withCallers(FLAGS_connections)
+                             .withServiceMs(FLAGS_service_ms)
+                             .withMoreTargets(std::min(FLAGS_more_targets, maxMoreTargets));
+    std::vector<std::unique_ptr<MessageBudget>> budgets;
+    for (MeasuredBuild &build : builds) {
+        budgets.push_back(std::make_unique<MessageBudget>(options, build.folder));
+        build.roundsByKind.resize(messageNames(options).size());
+    }
+    for (std::size_t kind = 0; kind < messageNames(options).size(); ++kind) {
+        for (int round = 0; round < FLAGS_rounds; ++round) {
+            for (std::size_t build = 0; build < builds.size(); ++build) {
+                builds[build].roundsByKind[kind].push_back(budgets[build]->measure(kind));
+            }
+        }
     }
+    printTable(builds, messageNames(options));
+    return 0;
 }
 
 } // namespace
@@ -130,22 +163,10 @@
 int main(int argc, char **argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    const TwoServiceFleet services(FLAGS_service_ms);
-    if (!services.waitUntilReady()) {
-        fmt::print(stderr, "the nodes did not become ready within 10 s\n");
+    try {
+        return FLAGS_rates ? printRateTable(FLAGS_seconds, FLAGS_connections, FLAGS_service_ms) : printBudget();
+    } catch (const std::exception &error) {
+        fmt::print(stderr, "could not measure: {}\n", error.what());
         return 1;
     }
-    NodeSeries entry{"entry node", &services.desk()};
-    NodeSeries target{"target's node", &services.yard()};
-    std::vector<double> rates;
-    measure(entry, target, rates);
-    for (const NodeSeries *series : {&entry, &target}) {
-        const Line line = fitLine(rates, series->coreFraction);
-        constexpr double MicrosPerSecond = 1e6;
-        fmt::print("{}: {:.0f} us of processor time for each call, {:.2f}% of a core with no calls\n",
-                   series->role,
-                   line.slope * MicrosPerSecond,
-                   100 * line.intercept);
-    }
-    return 0;
 }
--- a/benchmarks/support/processusage.h
+++ b/benchmarks/support/processusage.h
@@ -15,6 +15,10 @@
     int threads = 0;
 };
 
+/// User and system time, in seconds, of all threads of the process `id` since it started, with the resolution of the
+/// scheduler's clock; 0 if there is no such process.
+double processorSecondsOf(pid_t id);
+
 /// Usage of the process `id`; all 0 if there is no such process.
 ProcessUsage usageOf(pid_t id);
 
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -9,3 +9,4 @@
 scripts/format.sh --check
 scripts/lint.sh
 scripts/test.sh
+scripts/budget.sh
--- a/tests/standins/backendstandin.cpp
+++ b/tests/standins/backendstandin.cpp
@@ -5,6 +5,7 @@
 // and "end CALL" when its response is ready. Special paths:
 //     /load         returns the load; the request takes no slot and is not in the journal
 //     /crash...     exits the process as soon as the request has started
+//     /reject...    responds with status 503 at once; the request takes no slot and is not in the journal
 // Control port, POST /set?NAME=VALUE:
 //     local=ADDRESS     the node's local listener; if empty, calls to other services wait until it is set
 //     service_ms=N      mean service time
@@ -51,6 +52,9 @@
 DEFINE_bool(fixed, false, "Give every request exactly the mean service time.");
 DEFINE_int32(cold_start_ms, 0, "Time in ms after the start during which the service time is ten times as long.");
 DEFINE_uint64(seed, 1, "Seed of the random service times.");
+DEFINE_string(copied_header, "", "Name of a request header that every response repeats; empty: none.");
+DEFINE_string(response_header, "", "Header of responses to requests that were run, 'NAME: VALUE'; empty: none.");
+DEFINE_string(rejection_header, "", "Header of responses to rejected requests, 'NAME: VALUE'; empty: none.");
 
 namespace
 {
@@ -86,6 +90,14 @@
     return calls;
 }
 
+/// Adds the header in `text`, 'NAME: VALUE', unless `text` is empty.
+void addHeader(HTTPResponse &response, const std::string &text)
+{
+    if (const auto colon = text.find(": "); colon != std::string::npos) {
+        response.set(text.substr(0, colon), text.substr(colon + 2));
+    }
+}
+
 /// Journal of the requests that were run. Each line is flushed, so that it survives a crash of the process.
 class Journal
 {
@@ -224,6 +236,13 @@
             sendLoad(response);
             return;
         }
+        if (!FLAGS_copied_header.empty() && request.has(FLAGS_copied_header)) {
+            response.set(FLAGS_copied_header, request.get(FLAGS_copied_header));
+        }
+        if (request.getURI().starts_with("/reject")) {
+            sendRejection(response);
+            return;
+        }
         const std::string callId = request.get(CallHeader, "-");
         m_backend.slots.acquire();
         m_backend.journal.write(fmt::format("begin {} {} {} {}", callId, request.getMethod(), request.getURI(), body));
@@ -252,10 +271,19 @@
             fmt::format("{} {} {} {}{}\n", FLAGS_name, request.getMethod(), request.getURI(), body, children);
         response.setStatusAndReason(status);
         response.setContentType("text/plain");
+        addHeader(response, FLAGS_response_header);
         response.sendBuffer(text.data(), text.size());
     }
 
 private:
+    static void sendRejection(HTTPServerResponse &response)
+    {
+        const std::string text = "rejected\n";
+        response.setStatusAndReason(HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
+        addHeader(response, FLAGS_rejection_header);
+        response.sendBuffer(text.data(), text.size());
+    }
+
     void sendLoad(HTTPServerResponse &response)
     {
         const int reported = m_backend.reportedLoad;
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -62,6 +62,18 @@
     return reply.status == 200 && hasConfiguration && occurrenceCount(reply.body, "\"state\": \"alive\"") == count + 1;
 }
 
+/// Names the node's local listener to its backend stand-in, if it has one.
+void setLocalAddress(const FleetNode &node, const std::string &address)
+{
+    if (!node.backendProcess) {
+        return;
+    }
+    HttpCall call;
+    call.method = "POST";
+    call.path = "/set?local=" + address;
+    sendHttp(node.backendControl, call);
+}
+
 /// Whether `node` has the record with which `member` advertises that it serves. The object at the platform is written
 /// before that, with sequence 0, and a call to a member known by it alone is rejected with no-target.
 bool hasServingRecord(const FleetNode &node, const std::string &member)
@@ -202,19 +214,27 @@
 {
     auto node = std::make_unique<FleetNode>();
     node->options = options;
-    node->journal = m_folder + "/" + options.name + ".journal";
-    std::vector<std::string> flags = {"--name=" + options.name, "--journal=" + node->journal};
-    flags.insert(flags.end(), options.backendFlags.begin(), options.backendFlags.end());
-    node->backendProcess = std::make_unique<Process>(
-        programPath("tests/backendstandin"), flags, m_folder + "/" + options.name + "-backend.log");
-    const std::string line = node->backendProcess->waitForLine("address=");
-    node->backend = valueIn(line, "address");
-    node->backendControl = valueIn(line, "control");
+    if (options.startsBackend) {
+        startBackend(*node);
+    }
     startNode(*node);
     m_nodes.push_back(std::move(node));
     return *m_nodes.back();
 }
 
+void Fleet::startBackend(FleetNode &node)
+{
+    const NodeOptions &options = node.options;
+    node.journal = m_folder + "/" + options.name + ".journal";
+    std::vector<std::string> flags = {"--name=" + options.name, "--journal=" + node.journal};
+    flags.insert(flags.end(), options.backendFlags.begin(), options.backendFlags.end());
+    node.backendProcess = std::make_unique<Process>(
+        programPath("tests/backendstandin"), flags, m_folder + "/" + options.name + "-backend.log");
+    const std::string line = node.backendProcess->waitForLine("address=");
+    node.backend = valueIn(line, "address");
+    node.backendControl = valueIn(line, "control");
+}
+
 void Fleet::restartNode(FleetNode &node)
 {
     node.process.reset();
@@ -239,10 +259,7 @@
     settings.close();
     // The new process listens on other ports. The backend stand-in holds back its own calls until the new address of
     // the local listener is set.
-    HttpCall call;
-    call.method = "POST";
-    call.path = "/set?local=";
-    sendHttp(node.backendControl, call);
+    setLocalAddress(node, "");
     node.process = std::make_unique<Process>(
         programPath("fescuepond"), std::vector<std::string>{"node", "--settings=" + base + ".yaml"}, base + ".log");
     node.process->waitForLine("event=node_started");
@@ -253,8 +270,7 @@
     node.local = addressOf("local");
     node.peer = addressOf("peer");
     node.operatorAddress = addressOf("operator");
-    call.path = "/set?local=" + node.local;
-    sendHttp(node.backendControl, call);
+    setLocalAddress(node, node.local);
 }
 
 bool Fleet::waitUntilReady(std::size_t count) const
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -40,6 +40,7 @@
     std::vector<std::string> backendFlags; ///< Additional flags of the backend stand-in.
     std::vector<std::string> settings; ///< Additional lines of the node's settings file.
     std::string backendAddress; ///< Address at which the node calls its backend server; empty: the stand-in's.
+    bool startsBackend = true; ///< Whether the node gets a stand-in of its own; if not, backendAddress is set.
     std::string platform; ///< Address of the platform; empty: the stand-in of the fleet.
     std::string peerAddress = "127.0.0.1:0"; ///< Address of the node's peer listener.
 };
@@ -92,7 +93,7 @@
     /// Publishes `declarations`, one text per service, as the whole configuration; returns the exit code.
     int publish(const std::vector<std::string> &declarations);
 
-    /// Starts a backend stand-in and its node.
+    /// Starts a node and, unless its options say otherwise, a backend stand-in for it.
     FleetNode &addNode(const NodeOptions &options);
     /// Kills the node's process if it runs, and starts it again with the same name and backend server.
     void restartNode(FleetNode &node);
@@ -101,6 +102,7 @@
     bool waitUntilReady(std::size_t count) const;
 
 private:
+    void startBackend(FleetNode &node);
     void startNode(FleetNode &node);
 
     std::string m_folder;
