--- a/tests/modules/backend/backendclienttest.cpp
+++ b/tests/modules/backend/backendclienttest.cpp
@@ -659,6 +659,7 @@
     BackendClient client = clientOf(server);
     for (int round = 0; round < Rounds; ++round) {
         std::vector<std::future<CallOutcome>> outcomes;
+        outcomes.reserve(Calls);
         for (int i = 0; i < Calls; ++i) {
             outcomes.push_back(std::async(std::launch::async, [&] {
                 return client.run(call(), {});
