--- a/tests/platform/desiredstateobject.cpp
+++ b/tests/platform/desiredstateobject.cpp
@@ -18,7 +18,9 @@
 constexpr auto WriteTimeout = std::chrono::seconds(2);
 constexpr int RoutePriority = 1;
 
-std::string textOf(const std::vector<RouteObject> &routes)
+} // namespace
+
+std::string desiredStateText(std::uint32_t version, const std::vector<RouteObject> &routes)
 {
     std::string rows;
     std::set<std::string> services;
@@ -39,16 +41,16 @@
     for (const std::string &service : services) {
         names += fmt::format(R"({}["{}"])", names.empty() ? "" : ",", service);
     }
-    return R"({"version":"00000001","routes":{"columns":["name","host","path_prefix","kind","timeout_s","aim_s",)"
-           R"("priority","traffic_split","max_attempts","service"],"rows":[)"
+    return fmt::format(R"({{"version":"{:08x}",)", version)
+        + R"("routes":{"columns":["name","host","path_prefix","kind","timeout_s","aim_s",)"
+          R"("priority","traffic_split","max_attempts","service"],"rows":[)"
         + rows + R"(]},"services":{"columns":["name"],"rows":[)" + names + R"(]},"limits":{}})";
 }
 
-} // namespace
-
 bool writeDesiredState(const std::string &address, const std::vector<RouteObject> &routes)
 {
-    return connectStore(address, WriteTimeout)->put("config", "main", textOf(routes), 0).status() == StoreStatus::Ok;
+    return connectStore(address, WriteTimeout)->put("config", "main", desiredStateText(1, routes), 0).status()
+        == StoreStatus::Ok;
 }
 
 } // namespace fescuepond::test
--- a/tests/platform/desiredstateobject.h
+++ b/tests/platform/desiredstateobject.h
@@ -4,6 +4,7 @@
 
 #include "core/value.h"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,9 @@
     friend auto operator<=>(const RouteObject &, const RouteObject &) = default;
 };
 
+/// The desired state at `version`, as JSON.
+std::string desiredStateText(std::uint32_t version, const std::vector<RouteObject> &routes);
+
 /// Writes the desired state for the first time to the store at `address`, an IP and a port; returns whether the store
 /// confirmed it.
 bool writeDesiredState(const std::string &address, const std::vector<RouteObject> &routes);
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -1,15 +1,19 @@
 // Stand-in for the platform's object store, for tests and the demo.
 //
 // Implements the protocol that platform/store/storeclient.h describes, with a short history. A control port injects
-// failures:
+// failures and restores:
 //     POST /mode?up                 ends all injected failures
 //     POST /mode?down=1             responds with 503 and ends waiting watches
 //     POST /mode?refuse=STATUS      responds with that status
 //     POST /mode?silent=1           accepts requests and never responds
-//     POST /mode?slow=MS            delays each response
+//     POST /mode?slow=MS            delays each response before the request is carried out
 //     POST /mode?lose=N             applies the next N writes but closes their connections without a response
 //     POST /mode?late=MS            closes the connections of writes without a response and applies them MS later
+//     POST /mode?hold=MS            delays each response after the request was carried out
 //     POST /compact                 drops the history and ends waiting watches
+//     POST /copy                    keeps a copy of the store
+//     POST /restore[?watches=keep]  returns to the copy, in the next era. Ends waiting watches, unless they are kept
+//     POST /advance?by=N            raises the revision by N, as changes of other kinds do
 //     GET  /counts                  number of calls by operation since the start, as text
 
 #include "tests/standins/standin.h"
@@ -76,12 +80,14 @@
     int status = 0; ///< 0: none.
     std::chrono::milliseconds delay{0};
     std::chrono::milliseconds writeDelay{0};
+    std::chrono::milliseconds holdTime{0};
     int responsesToLose = 0;
 };
 
 struct Response {
     int status;
     std::string body;
+    std::uint64_t era = 0; ///< Of the store when the request was carried out; 0: it was not.
 };
 
 std::string textOf(const JsonObject &object)
@@ -129,7 +135,7 @@
         root.set("items", items);
         root.set("has_more", entry != objects.end());
         root.set("at", m_revision);
-        return {200, textOf(root)};
+        return respond(200, textOf(root));
     }
 
     Response watch(const std::string &kind, std::uint64_t from, std::chrono::milliseconds wait)
@@ -140,10 +146,10 @@
             return m_watchResets != watchResets || from < m_historyFrom || m_failure.isDown || hasChange(kind, from);
         });
         if (m_watchResets != watchResets || m_failure.isDown) {
-            return {503, {}};
+            return respond(503);
         }
-        if (from < m_historyFrom) {
-            return {410, {}};
+        if (from < m_historyFrom || from > m_revision) {
+            return respond(410);
         }
         Array events;
         for (const Change &change : m_history) {
@@ -157,7 +163,7 @@
         JsonObject root;
         root.set("events", events);
         root.set("at", m_revision);
-        return {200, textOf(root)};
+        return respond(200, textOf(root));
     }
 
     Response create(const std::string &kind, const std::string &name, const Poco::Dynamic::Var &content)
@@ -177,7 +183,7 @@
         const std::lock_guard guard(m_mutex);
         const auto found = m_kinds[kind].find(name);
         if (found == m_kinds[kind].end()) {
-            return {404, {}};
+            return respond(404);
         }
         if (expected != 0 && found->second.revision != expected) {
             return conflict(kind, name);
@@ -193,7 +199,7 @@
         const std::lock_guard guard(m_mutex);
         const auto found = m_kinds[kind].find(name);
         if (found == m_kinds[kind].end()) {
-            return {404, {}};
+            return respond(404);
         }
         if (expected != 0 && found->second.revision != expected) {
             return conflict(kind, name);
@@ -202,7 +208,7 @@
         appendToHistory(kind, name, found->second, true);
         const std::string body = textOf(encodeObject(name, found->second));
         m_kinds[kind].erase(found);
-        return {200, body};
+        return respond(200, body);
     }
 
     void compact()
@@ -214,6 +220,33 @@
         m_changed.notify_all();
     }
 
+    void copy()
+    {
+        const std::lock_guard guard(m_mutex);
+        m_copy = {m_kinds, m_revision, m_history, m_historyFrom};
+    }
+
+    /// Changes after the copy are lost, and their revisions are given out again.
+    void restore(bool endsWatches)
+    {
+        const std::lock_guard guard(m_mutex);
+        m_kinds = m_copy.kinds;
+        m_revision = m_copy.revision;
+        m_history = m_copy.history;
+        m_historyFrom = m_copy.historyFrom;
+        ++m_era;
+        if (endsWatches) {
+            ++m_watchResets;
+            m_changed.notify_all();
+        }
+    }
+
+    void advance(std::uint64_t revisions)
+    {
+        const std::lock_guard guard(m_mutex);
+        m_revision += revisions;
+    }
+
     Failure failure()
     {
         const std::lock_guard guard(m_mutex);
@@ -250,6 +283,18 @@
     }
 
 private:
+    struct Copy {
+        std::map<std::string, std::map<std::string, StoredValue>> kinds;
+        std::uint64_t revision = 0;
+        std::deque<Change> history;
+        std::uint64_t historyFrom = 0;
+    };
+
+    Response respond(int status, std::string body = {}) const
+    {
+        return {status, std::move(body), m_era};
+    }
+
     bool hasChange(const std::string &kind, std::uint64_t from) const
     {
         for (const Change &change : m_history) {
@@ -263,13 +308,12 @@
     Response read(const std::string &kind, const std::string &name)
     {
         const auto found = m_kinds[kind].find(name);
-        return found == m_kinds[kind].end() ? Response{404, {}}
-                                            : Response{200, textOf(encodeObject(name, found->second))};
+        return found == m_kinds[kind].end() ? respond(404) : respond(200, textOf(encodeObject(name, found->second)));
     }
 
     Response conflict(const std::string &kind, const std::string &name)
     {
-        return {409, read(kind, name).body};
+        return respond(409, read(kind, name).body);
     }
 
     Response write(const std::string &kind, const std::string &name, const Poco::Dynamic::Var &content)
@@ -297,7 +341,9 @@
     std::uint64_t m_revision = 0;
     std::deque<Change> m_history; ///< All changes after m_historyFrom.
     std::uint64_t m_historyFrom = 0;
-    std::uint64_t m_watchResets = 0; ///< Counts calls of compact(). A waiting watch ends with 503 if it changes.
+    std::uint64_t m_era = 1; ///< Rises by one with each restore.
+    Copy m_copy;
+    std::uint64_t m_watchResets = 0; ///< A waiting watch ends with 503 if it changes.
     Failure m_failure;
     std::map<std::string, int> m_counts;
 };
@@ -336,7 +382,7 @@
             return;
         }
         if (failure.isDown || failure.status != 0) {
-            send(response, {failure.isDown ? 503 : failure.status, {}});
+            send(response, {failure.isDown ? 503 : failure.status, {}, 0});
             return;
         }
         std::this_thread::sleep_for(failure.delay);
@@ -358,6 +404,7 @@
             response.setKeepAlive(false);
             return;
         }
+        std::this_thread::sleep_for(failure.holdTime);
         send(response, answer);
     }
 
@@ -366,6 +413,9 @@
     {
         response.setStatusAndReason(static_cast<HTTPResponse::HTTPStatus>(answer.status));
         response.setContentType("application/json");
+        if (answer.era != 0) {
+            response.set("Store-Era", std::to_string(answer.era));
+        }
         response.sendBuffer(answer.body.data(), answer.body.size());
     }
 
@@ -374,7 +424,7 @@
         std::vector<std::string> segments;
         uri.getPathSegments(segments);
         if (segments.size() < 2 || segments.size() > 3 || segments[0] != "objects") {
-            return {400, {}};
+            return {400, {}, 0};
         }
         const std::string &kind = segments[1];
         const std::string name = segments.size() == 3 ? segments[2] : std::string();
@@ -395,7 +445,7 @@
             const std::uint64_t expected = header.isNull() ? 0 : header->optValue<Poco::UInt64>("revision", 0);
             return store.replace(kind, name, expected, root->get("spec"));
         } catch (const Poco::Exception &) {
-            return {400, {}};
+            return {400, {}, 0};
         }
     }
 
@@ -433,6 +483,12 @@
             text = m_store.counts();
         } else if (uri.getPath() == "/compact") {
             m_store.compact();
+        } else if (uri.getPath() == "/copy") {
+            m_store.copy();
+        } else if (uri.getPath() == "/restore") {
+            m_store.restore(queryValue(uri, "watches") != "keep");
+        } else if (uri.getPath() == "/advance") {
+            m_store.advance(numberIn(queryValue(uri, "by")));
         } else {
             setFailureMode(uri);
         }
@@ -448,6 +504,7 @@
         failure.status = static_cast<int>(numberIn(queryValue(uri, "refuse")));
         failure.delay = std::chrono::milliseconds(numberIn(queryValue(uri, "slow")));
         failure.writeDelay = std::chrono::milliseconds(numberIn(queryValue(uri, "late")));
+        failure.holdTime = std::chrono::milliseconds(numberIn(queryValue(uri, "hold")));
         failure.responsesToLose = static_cast<int>(numberIn(queryValue(uri, "lose")));
         m_store.setFailure(failure);
     }
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -2,6 +2,8 @@
 
 #include "tests/support/fleet.h"
 
+#include "tests/support/eventually.h"
+
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -14,7 +16,6 @@
 #include <filesystem>
 #include <fstream>
 #include <sstream>
-#include <thread>
 
 namespace fescuepond::test
 {
@@ -26,7 +27,6 @@
 constexpr const char *DefaultBuildFolder = "build";
 constexpr auto ReadyTimeout = std::chrono::seconds(10);
 constexpr auto VerbTimeout = std::chrono::seconds(30);
-constexpr auto PollInterval = std::chrono::milliseconds(50);
 
 /// Path of a program in the build folder, which the environment variable FESCUEPOND_BUILD can set.
 std::string programPath(const std::string &program)
@@ -166,10 +166,15 @@
 }
 
 void Fleet::setPlatformMode(const std::string &query) const
+{
+    controlPlatform("/mode?" + (query.empty() ? "up" : query));
+}
+
+void Fleet::controlPlatform(const std::string &command) const
 {
     HttpCall call;
     call.method = "POST";
-    call.path = "/mode?" + (query.empty() ? "up" : query);
+    call.path = command;
     sendHttp(m_platformControl, call);
 }
 
@@ -280,17 +285,25 @@
             return !node->process || hasServingRecord(observer, node->options.name);
         });
     };
-    const auto end = std::chrono::steady_clock::now() + ReadyTimeout;
-    while (std::chrono::steady_clock::now() < end) {
-        const bool allReady = std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto &node) {
-            return !node->process || (isReady(*node, count) && hasServingRecords(*node));
+    return waitForNodes([&](const FleetNode &node) {
+        return isReady(node, count) && hasServingRecords(node);
+    });
+}
+
+bool Fleet::waitUntilListed(std::size_t count) const
+{
+    return waitForNodes([&](const FleetNode &node) {
+        return isReady(node, count);
+    });
+}
+
+bool Fleet::waitForNodes(const std::function<bool(const FleetNode &node)> &condition) const
+{
+    return eventually(ReadyTimeout, [&] {
+        return std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto &node) {
+            return !node->process || condition(*node);
         });
-        if (allReady) {
-            return true;
-        }
-        std::this_thread::sleep_for(PollInterval);
-    }
-    return false;
+    });
 }
 
 } // namespace fescuepond::test
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -4,6 +4,7 @@
 
 #include "tests/support/process.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -80,6 +81,8 @@
     }
     /// Sets a fault of the platform's stand-in, such as "down=1" or "lose=1"; an empty query ends all faults.
     void setPlatformMode(const std::string &query) const;
+    /// Sends `command` to the control port of the platform's stand-in, for example "/copy" or "/restore".
+    void controlPlatform(const std::string &command) const;
     /// Number of calls that the platform received, by operation.
     std::map<std::string, int> platformCallCounts() const;
     Process &platformProcess()
@@ -100,8 +103,12 @@
     /// Waits until every running node lists `count` alive members and has a configuration; returns false after ten
     /// seconds.
     bool waitUntilReady(std::size_t count) const;
+    /// The same, whether or not the members serve.
+    bool waitUntilListed(std::size_t count) const;
 
 private:
+    /// Waits until the condition holds for each running node; returns false after ten seconds.
+    bool waitForNodes(const std::function<bool(const FleetNode &node)> &condition) const;
     void startBackend(FleetNode &node);
     void startNode(FleetNode &node);
 
