Write a node's own object again after a restore of the platform's store

What callers saw: a node that started after the store had come back from a copy without the objects of the others found nobody and was found by nobody, so that its requests to other services had no target.

Cause: a node wrote its object once and looked again after up to five minutes, and listed the others once. An object that was stored was taken for one that stays.

Change: a restore makes each node look within a second, write its object if it is gone, and then list the others, since a node that started meanwhile couldn't find it. Objects of dead nodes that come back with the copy are deleted again.

--- a/modules/membership/announcer.cpp
+++ b/modules/membership/announcer.cpp
@@ -42,6 +42,9 @@
 
 void Announcer::start()
 {
+    m_platform.onRestore([this] {
+        handleRestore();
+    });
     write(std::nullopt);
     m_kernel.timers().every(CheckInterval, [this] {
         check();
@@ -126,6 +129,8 @@
         handleStored();
         return;
     case AnnounceAction::Write:
+        // Nodes that have started while the object was missing didn't find this node.
+        m_hasListed = false;
         write(decision.expected());
         return;
     case AnnounceAction::RetryLater:
@@ -139,6 +144,16 @@
     }
 }
 
+void Announcer::handleRestore()
+{
+    m_table.locked([](Table &table) {
+        table.m_handledIncarnations.clear();
+    });
+    m_kernel.timers().once(m_kernel.clock().now() + restoreCheckDelay(randomWord()), [this] {
+        check();
+    });
+}
+
 void Announcer::setOwnRevision(const ExpectedRevision &revision)
 {
     m_table.locked([&](Table &table) {
--- a/modules/membership/announcer.h
+++ b/modules/membership/announcer.h
@@ -38,6 +38,8 @@
     /// Reads this node's object and writes it if it is missing or not this incarnation's.
     void check();
     void handleCheckReply(const StoreReply &reply);
+    /// This node's object may be lost, and objects of dead nodes may be back.
+    void handleRestore();
     void setOwnRevision(const ExpectedRevision &revision);
     void retryLater(const std::function<void()> &action);
     /// This node's object is stored: every node that lists from now on finds it.
--- a/servers/membership/announcement.cpp
+++ b/servers/membership/announcement.cpp
@@ -15,6 +15,7 @@
 constexpr Duration InitialRetryDelay = std::chrono::milliseconds(500);
 constexpr Duration MaxRetryDelay = std::chrono::seconds(30);
 constexpr int MaxDoublings = 6;
+constexpr Duration RestoreCheckSpread = std::chrono::seconds(1);
 /// How long a member has been dead before its object is deleted. One that was only partitioned is alive again by then.
 constexpr Duration StaleAfter = std::chrono::minutes(1);
 
@@ -62,6 +63,11 @@
     return half + Duration(static_cast<Duration::rep>(random % static_cast<std::uint64_t>(half.count())));
 }
 
+Duration restoreCheckDelay(std::uint64_t random)
+{
+    return Duration(static_cast<Duration::rep>(random % static_cast<std::uint64_t>(RestoreCheckSpread.count())));
+}
+
 Members staleObjectsFor(const MemberView &view, TimePoint now)
 {
     Members stale;
--- a/servers/membership/announcement.h
+++ b/servers/membership/announcement.h
@@ -41,6 +41,9 @@
 /// at the same moment.
 Duration announceRetryDelay(int failures, std::uint64_t random);
 
+/// Delay before this node checks its object after a restore of the store, so that not all nodes call it at once.
+Duration restoreCheckDelay(std::uint64_t random);
+
 /// Dead members whose objects this node deletes. One alive member is chosen by hash for each, so that not all nodes
 /// try; if the chosen member fails, the choice moves to another.
 Members staleObjectsFor(const MemberView &view, TimePoint now);
