Let the first watcher try again within the recovery time after an outage of the store

What callers saw: after the store had been away for some seconds, a change that it had confirmed was in force only up to 10 s after it was back.

Cause: a failed watch is tried again after 0.25 to 10 s, doubling, whatever the bounds; after an outage of 9 s all watchers of the fleet were in a pause of up to 8 s.

Change: the first watcher of a zone waits no longer than recovery time, call time-out and spread allow (1 s with the defaults). The second one keeps the growing delay, so that an outage costs three zones about three calls a second.

Evidence: with the former delay put back, ConfigurationSpread.ChangeIsFollowedInTimeAfterALongOutageOfThePlatform (9 s of outage, no restore) and the property Follower.FirstWatcherTriesAgainInTimeForTheNextChangeAfterAnOutageOfAnyLength fail.

--- a/modules/configuration/followerplugin.cpp
+++ b/modules/configuration/followerplugin.cpp
@@ -180,7 +180,7 @@
             if (role != WatcherRole::None) {
                 findStandIn();
             }
-            runAfter(retryDelay(failures, randomWord()), [this] {
+            runAfter(watchRetryDelay(failures, role, m_bounds, randomWord()), [this] {
                 watchOrWait();
             });
             return;
--- a/servers/configuration/follower.cpp
+++ b/servers/configuration/follower.cpp
@@ -55,6 +55,17 @@
     return std::clamp(whole - bounds.callTimeout() - InitialRetryDelay - SpreadTime, MinWatchWait, MaxWatchWait);
 }
 
+Duration watchRetryDelay(unsigned failures, WatcherRole role, const FollowBounds &bounds, std::uint64_t random)
+{
+    const Duration delay = retryDelay(failures, random);
+    if (role != WatcherRole::First) {
+        return delay;
+    }
+    // The attempt before may have begun just before the platform responded again, and fails at its time-out.
+    const Duration longest = bounds.recoveryTime() - bounds.callTimeout() - SpreadTime;
+    return std::min(delay, std::max(longest, InitialRetryDelay));
+}
+
 std::vector<std::string> choosePeers(const Members &members,
                                      const Member &self,
                                      const std::vector<std::string> &seeds,
--- a/servers/configuration/follower.h
+++ b/servers/configuration/follower.h
@@ -59,6 +59,10 @@
 /// within the recovery time and the change bound.
 Duration firstWatchWait(const FollowBounds &bounds);
 
+/// Delay before the next watch after `failures` consecutive failures: that of retryDelay(), but the first watcher waits
+/// no longer than lets a change be followed within the recovery time after the platform responds again.
+Duration watchRetryDelay(unsigned failures, WatcherRole role, const FollowBounds &bounds, std::uint64_t random);
+
 /// Chooses up to `count` distinct addresses of other members that are not dead. Seed peers are candidates too as long
 /// as fewer than `count` members are known.
 std::vector<std::string> choosePeers(const Members &members,
--- a/tests/servers/configuration/followertest.cpp
+++ b/tests/servers/configuration/followertest.cpp
@@ -201,6 +201,21 @@
     EXPECT_EQ(firstWatchWait(FollowBounds().withRecoveryTime(std::chrono::minutes(1))), MaxWatchWait);
 }
 
+RC_GTEST_PROP(Follower,
+              FirstWatcherTriesAgainInTimeForTheNextChangeAfterAnOutageOfAnyLength,
+              (std::uint64_t random, unsigned short failures))
+{
+    using std::chrono::milliseconds;
+    for (const int recoveryMs : {2500, 3000, 4000}) {
+        const FollowBounds bounds =
+            FollowBounds().withRecoveryTime(milliseconds(recoveryMs)).withCallTimeout(milliseconds(1000));
+        const Duration pause = watchRetryDelay(failures, WatcherRole::First, bounds, random);
+        RC_ASSERT(bounds.callTimeout() + pause + SpreadTime <= milliseconds(recoveryMs));
+        RC_ASSERT(pause >= milliseconds(125));
+        RC_ASSERT(watchRetryDelay(failures, WatcherRole::Standby, bounds, random) == retryDelay(failures, random));
+    }
+}
+
 TEST(Follower, StandInIsANodeOfTheZoneThatDoesNotWatch)
 {
     Members members = makeMembers(30);
--- a/tests/system/configurationtest.cpp
+++ b/tests/system/configurationtest.cpp
@@ -250,6 +250,29 @@
     }
 }
 
+TEST(ConfigurationSpread, ChangeIsFollowedInTimeAfterALongOutageOfThePlatform)
+{
+    // As by default: recovery_time_s 3.
+    constexpr auto RecoveryTime = std::chrono::milliseconds(3000);
+    constexpr auto OutageTime = std::chrono::seconds(9);
+    Fleet fleet;
+    ASSERT_EQ(fleet.publish({declaration("yard", 1000)}), 0);
+    std::vector<FleetNode *> nodes;
+    for (const std::string name : {"a", "b", "c"}) {
+        nodes.push_back(&fleet.addNode({.name = "yard-" + name, .service = "yard"}));
+    }
+    ASSERT_TRUE(fleet.waitUntilReady(nodes.size()));
+    const ConfigurationVersion before = versionOf(*nodes.front());
+    fleet.setPlatformMode("down=1");
+    std::this_thread::sleep_for(OutageTime);
+    fleet.setPlatformMode("");
+    ASSERT_EQ(fleet.publish({declaration("yard", 2000)}), 0);
+    std::this_thread::sleep_for(RecoveryTime);
+    for (const FleetNode *node : nodes) {
+        EXPECT_GT(versionOf(*node), before) << node->options.name;
+    }
+}
+
 TEST(ConfigurationSpread, NodeStandsInForWatchersThatAreCutOffFromThePlatform)
 {
     Fleet fleet;
