Write bindings of keys again after a restore of the platform's store

What callers saw: a request with a key of the caller's own was run a second time by another node, after the store had come back from a copy without the key's binding.

Cause: a successful create was taken for proof that the key had never been bound. It proves that only for the present life of the store. A binding was also removed after an hour by its revision, which may have been given out again to another binding.

Change: after a restore each node writes the bindings again that it has created in the last minute, and all nodes reject keys that they don't know for 15 s, as not run. A create whose own reply shows the restore is taken back. A binding is removed only if it is read back as the node's own.

Evidence: AtMostOnce.KeyWhoseBindingWasLostInARestoreOfThePlatformDoesNotRunAgain reports 'key lost was run 2 times' with the rejection taken out. A first form in which a node used a binding that it found during these 15 s failed in the same way: it was one that another node was about to take back.

--- a/modules/ledger/keybinder.cpp
+++ b/modules/ledger/keybinder.cpp
@@ -2,6 +2,7 @@
 
 #include "modules/ledger/keybinder.h"
 
+#include "core/kernel/eventlog.h"
 #include "core/pipeline/collections.h"
 #include "modules/ledger/ledgerencoding.h"
 
@@ -17,6 +18,13 @@
 constexpr Duration BindingLifetime = std::chrono::hours(1);
 constexpr Duration RemoveInterval = std::chrono::seconds(1);
 constexpr int MaxRemovalsPerInterval = 5;
+/// How old the copy may be from which the store is restored, with a margin.
+constexpr Duration MaxCopyAge = std::chrono::minutes(1);
+/// For how long new keys are rejected after a restore. The restore becomes known to all nodes within the interval at
+/// which they compare configurations.
+constexpr Duration WriteAgainTime = std::chrono::seconds(15);
+constexpr int MaxWrittenAgainPerInterval = 20;
+constexpr const char *RestoredDetail = "the platform was restored; the key may be bound by another node";
 /// Maximum number of keys that wait for the platform at once. More would only delay each other.
 constexpr std::size_t MaxBindingsInFlight = 256;
 
@@ -28,6 +36,10 @@
 {
     kernel.timers().every(RemoveInterval, [this] {
         removeOldObjects();
+        writeAgain();
+    });
+    platform.onRestore([this] {
+        handleRestore();
     });
 }
 
@@ -45,6 +57,10 @@
         finish(rejectBinding("too many keys wait for the platform"), callback);
         return;
     }
+    if (!acceptsNewKeys()) {
+        finish(rejectBinding(RestoredDetail), callback);
+        return;
+    }
     write(proposed, MaxBindingWrites, callback);
 }
 
@@ -76,7 +92,13 @@
                    std::nullopt,
                    [this, proposed, writesLeft, callback](const StoreReply &reply) {
                        if (reply.status() == StoreStatus::Ok) {
-                           recordCreatedObject(reply.objects().front());
+                           if (!acceptsNewKeys()) {
+                               // The reply itself has shown the restore.
+                               removeObject(proposed);
+                               finish(rejectBinding(RestoredDetail), callback);
+                               return;
+                           }
+                           recordCreatedObject(proposed);
                        }
                        perform(afterBindingWrite(reply.status(), proposed), proposed, writesLeft - 1, callback);
                    });
@@ -89,10 +111,15 @@
         collection::Keys,
         bindingObjectName(proposed.scopedKey()),
         [this, proposed, writesLeft, callback](const StoreReply &reply) {
+            if (!acceptsNewKeys()) {
+                // The binding may be one that its creator is about to remove.
+                finish(rejectBinding(RestoredDetail), callback);
+                return;
+            }
             const bool hasObject = reply.status() == StoreStatus::Ok;
             const auto found = hasObject ? bindingFromJson(reply.objects().front().value()) : std::nullopt;
             if (found && *found == proposed) {
-                recordCreatedObject(reply.objects().front());
+                recordCreatedObject(proposed);
             }
             perform(afterBindingRead(reply.status(), found, proposed, writesLeft), proposed, writesLeft, callback);
         });
@@ -117,11 +144,11 @@
     callback(decision);
 }
 
-void KeyBinder::recordCreatedObject(const StoredObject &object)
+void KeyBinder::recordCreatedObject(const KeyBinding &binding)
 {
     m_table.locked([&](Table &table) {
         if (table.m_createdObjects.size() < MaxCreatedObjects) {
-            table.m_createdObjects.push_back({m_kernel.clock().now(), object.name(), object.revision()});
+            table.m_createdObjects.push_back({m_kernel.clock().now(), binding});
         }
     });
 }
@@ -141,9 +168,107 @@
         if (!old) {
             return;
         }
-        m_kernel.metrics().count("fescuepond_key_platform_calls_total", {{"operation", "remove"}});
-        // A failed removal is not retried: the object only keeps its key in use for longer.
-        m_platform.remove(collection::Keys, old->m_name, old->m_revision, [](const StoreReply &) {});
+        removeObject(old->m_binding);
+    }
+}
+
+void KeyBinder::removeObject(const KeyBinding &binding)
+{
+    const std::string name = bindingObjectName(binding.scopedKey());
+    m_kernel.metrics().count("fescuepond_key_platform_calls_total", {{"operation", "remove"}});
+    // A failed removal is not retried: the object only keeps its key in use for longer. The key may be bound again
+    // since a restore, so only this binding is removed.
+    m_platform.get(collection::Keys, name, [this, binding, name](const StoreReply &reply) {
+        const bool isOwn =
+            reply.status() == StoreStatus::Ok && bindingFromJson(reply.objects().front().value()) == binding;
+        if (isOwn) {
+            m_platform.remove(collection::Keys, name, reply.objects().front().revision(), [](const StoreReply &) {});
+        }
+    });
+}
+
+bool KeyBinder::acceptsNewKeys() const
+{
+    const TimePoint now = m_kernel.clock().now();
+    return m_table.locked([&](const Table &table) {
+        return now >= table.m_newKeysFrom;
+    });
+}
+
+void KeyBinder::handleRestore()
+{
+    const TimePoint now = m_kernel.clock().now();
+    m_table.locked([&](Table &table) {
+        table.m_newKeysFrom = now + WriteAgainTime;
+        table.m_toWriteAgain.clear();
+        for (auto created = table.m_createdObjects.rbegin(); created != table.m_createdObjects.rend(); ++created) {
+            if (created->m_createdAt + MaxCopyAge < now) {
+                break;
+            }
+            table.m_toWriteAgain.push_back(created->m_binding);
+        }
+    });
+    writeAgain();
+}
+
+void KeyBinder::writeAgain()
+{
+    for (int i = 0; i < MaxWrittenAgainPerInterval; ++i) {
+        const auto next = m_table.locked([](Table &table) -> std::optional<KeyBinding> {
+            if (table.m_toWriteAgain.empty()) {
+                return std::nullopt;
+            }
+            KeyBinding front = std::move(table.m_toWriteAgain.front());
+            table.m_toWriteAgain.pop_front();
+            return front;
+        });
+        if (!next) {
+            return;
+        }
+        writeAgain(*next);
+    }
+}
+
+void KeyBinder::writeAgain(const KeyBinding &binding)
+{
+    m_kernel.metrics().count("fescuepond_key_platform_calls_total", {{"operation", "create"}});
+    m_platform.put(collection::Keys,
+                   bindingObjectName(binding.scopedKey()),
+                   toJson(binding),
+                   std::nullopt,
+                   [this, binding](const StoreReply &reply) {
+                       if (reply.status() == StoreStatus::Unavailable) {
+                           writeAgainLater(binding);
+                       } else if (reply.status() == StoreStatus::Conflict) {
+                           checkWrittenAgain(binding);
+                       }
+                   });
+}
+
+void KeyBinder::checkWrittenAgain(const KeyBinding &binding)
+{
+    m_platform.get(collection::Keys, bindingObjectName(binding.scopedKey()), [this, binding](const StoreReply &reply) {
+        const bool isStored =
+            reply.status() == StoreStatus::Ok && bindingFromJson(reply.objects().front().value()) == binding;
+        if (!isStored) {
+            // A node that hadn't heard of the restore has bound the key, and removes that binding.
+            writeAgainLater(binding);
+        }
+    });
+}
+
+void KeyBinder::writeAgainLater(const KeyBinding &binding)
+{
+    const TimePoint now = m_kernel.clock().now();
+    const bool isInTime = m_table.locked([&](Table &table) {
+        if (now >= table.m_newKeysFrom) {
+            return false;
+        }
+        table.m_toWriteAgain.push_back(binding);
+        return true;
+    });
+    if (!isInTime) {
+        Event("key_binding_lost").with("object", bindingObjectName(binding.scopedKey()));
     }
 }
 
--- a/tests/system/atmostoncetest.cpp
+++ b/tests/system/atmostoncetest.cpp
@@ -1,6 +1,7 @@
 // Requests with an idempotency key or ticket, with real processes. Guards against a second execution if the same key is
 // submitted again, to the same node or another, while nodes, connections or the platform fail.
 
+#include "tests/support/eventually.h"
 #include "tests/support/fleet.h"
 #include "tests/support/keyhistory.h"
 #include "tests/support/relay.h"
@@ -307,6 +308,21 @@
     EXPECT_EQ(m_history.outcomes()["answered"], 8);
 }
 
+TEST_F(AtMostOnce, KeyWhoseBindingWasLostInARestoreOfThePlatformDoesNotRunAgain)
+{
+    m_fleet.controlPlatform("/copy");
+    ASSERT_EQ(send(*m_nodes[0], withKey("lost")).outcome(), "answered");
+    m_fleet.controlPlatform("/restore");
+    // The other nodes are the first ones to call the restored platform.
+    sendConcurrently({m_nodes[1], m_nodes[2]}, withKey("lost"));
+    EXPECT_TRUE(eventually(std::chrono::seconds(30), [&] {
+        return send(*m_nodes[1], withKey("lost")).outcome() == "answered"
+            && send(*m_nodes[2], withKey("lost")).outcome() == "answered";
+    }));
+    EXPECT_EQ(send(*m_nodes[1], withKey("new")).outcome(), "answered") << "new keys are accepted again";
+    expectNoViolations();
+}
+
 /// Adds a fourth node, the owner of keys, which the others reach through a relay that can disconnect it.
 class AtMostOnceBehindRelay : public AtMostOnce
 {
