Refuse by the share of a path only requests that certainly come from clients

Cause: at 80 nodes the parents of the deepest calls can't be inferred. At their callers' nodes they look like root requests, and the share of a path without headroom refused them at random: the log of eleven nodes has 195 calls of route-lookup refused between 28.5 and 29.5 s with windows of 300 and more. A request makes several of them, so that it hardly ever succeeded.

Change: the share applies to kinds that certainly come from clients, as the refusal of paths that hardly ever complete does; where calls name their parents, these are all. Windows and queues apply to all calls without a parent, as before.

PathLimiter.CallThatMayBeTheBackendServersIsNotRefusedByTheShareOfItsPath; with the share applied it refuses more than half.

--- a/benchmarks/experiment/simulation.cpp
+++ b/benchmarks/experiment/simulation.cpp
@@ -239,7 +239,9 @@
     const EntryId id = m_nextEntryId++;
     entryTarget.m_queuedAtEntry.emplace(id, call);
     const AdmissionEntry entry = makeEntry(id, call->m_root->m_context);
-    applyPathDecisions(entryTarget, entryTarget.m_pathLimiter->submit(pathOf(*call->m_root), entry, m_events.now()));
+    applyPathDecisions(
+        entryTarget,
+        entryTarget.m_pathLimiter->submit(pathOf(*call->m_root), entry, ShareLimit::Applies, m_events.now()));
 }
 
 void Simulation::applyPathDecisions(Target &entryTarget, const AdmissionDecisions &decisions)
--- a/core/pipeline/interfaces.h
+++ b/core/pipeline/interfaces.h
@@ -98,7 +98,7 @@
     virtual std::optional<CallContext> parentOf(const CallRequest &call, TimePoint deadline) = 0;
     /// Whether calls of this kind are made by the backend server rather than by clients.
     virtual bool isFromBackend(const std::string &kind) const = 0;
-    /// Whether calls of this kind certainly come from clients. Both are false while neither is known.
+    /// Whether calls of this kind without a parent certainly come from clients. Both are false while neither is known.
     virtual bool isFromClients(const std::string &kind) const = 0;
 };
 
--- a/modules/parentinference/parentinferenceplugin.cpp
+++ b/modules/parentinference/parentinferenceplugin.cpp
@@ -6,6 +6,8 @@
 
 #include "core/kernel/kernel.h"
 #include "core/kernel/sharedtable.h"
+#include "core/kernel/strategy.h"
+#include "core/pipeline/backenddialect.h"
 #include "core/pipeline/callsinflight.h"
 #include "core/pipeline/interfaces.h"
 #include "servers/parentinference/backendcallkinds.h"
@@ -22,6 +24,8 @@
     Result<void> start(Kernel &kernel) override
     {
         m_source = &kernel.require<ConfigurationSource>();
+        BOOST_LEAF_AUTO(dialect, makeStrategy<BackendDialect>(kernel.settings().environment()));
+        m_callsNameTheirParents = dialect->propagatesCallId();
         m_calls = &kernel.require<CallsInFlight>();
         kernel.provide<ParentResolver>(*this);
         return {};
@@ -53,7 +57,7 @@
 
     bool isFromClients(const std::string &kind) const override
     {
-        return m_kinds.locked([&](const BackendCallKinds &kinds) {
+        return m_callsNameTheirParents || m_kinds.locked([&](const BackendCallKinds &kinds) {
             return kinds.isFromClients(kind);
         });
     }
@@ -61,6 +65,7 @@
 private:
     ConfigurationSource *m_source = nullptr;
     CallsInFlight *m_calls = nullptr;
+    bool m_callsNameTheirParents = false; ///< Every call without a parent is a client's.
     SharedTable<BackendCallKinds> m_kinds{LockRank::ParentInference};
 };
 
--- a/modules/pathcompletion/pathcompletionplugin.cpp
+++ b/modules/pathcompletion/pathcompletionplugin.cpp
@@ -6,8 +6,6 @@
 #include "core/kernel/eventlog.h"
 #include "core/kernel/kernel.h"
 #include "core/kernel/sharedtable.h"
-#include "core/kernel/strategy.h"
-#include "core/pipeline/backenddialect.h"
 #include "core/pipeline/callpipeline.h"
 #include "core/pipeline/interfaces.h"
 #include "servers/admission/admissionentry.h"
@@ -37,8 +35,6 @@
     {
         m_kernel = &kernel;
         m_parents = &kernel.require<ParentResolver>();
-        BOOST_LEAF_AUTO(dialect, makeStrategy<BackendDialect>(kernel.settings().environment()));
-        m_callsNameTheirParents = dialect->propagatesCallId();
         kernel.require<EntryPipeline>().add(EntryStage::PathCompletion, *this);
         return {};
     }
@@ -46,8 +42,7 @@
     void handle(const CallRequest &call, const Next &next, Done done) override
     {
         const CallContext &context = call.context();
-        const bool isFromClient = m_callsNameTheirParents || m_parents->isFromClients(context.kind());
-        if (context.depth() > 0 || !isFromClient) {
+        if (context.depth() > 0 || !m_parents->isFromClients(context.kind())) {
             next(call, std::move(done));
             return;
         }
@@ -92,7 +87,6 @@
 
     Kernel *m_kernel = nullptr;
     const ParentResolver *m_parents = nullptr;
-    bool m_callsNameTheirParents = false; ///< Every call without a parent is a client's.
     SharedTable<Paths> m_paths{LockRank::PathCompletion};
 };
 
--- a/modules/pathlimit/pathlimitplugin.cpp
+++ b/modules/pathlimit/pathlimitplugin.cpp
@@ -7,6 +7,7 @@
 #include "core/kernel/kernel.h"
 #include "core/kernel/sharedtable.h"
 #include "core/pipeline/callpipeline.h"
+#include "core/pipeline/interfaces.h"
 #include "modules/admission/waitingcalls.h"
 #include "servers/pathlimit/pathlimiter.h"
 
@@ -43,6 +44,7 @@
     Result<void> start(Kernel &kernel) override
     {
         m_kernel = &kernel;
+        m_parents = &kernel.require<ParentResolver>();
         kernel.require<EntryPipeline>().add(EntryStage::PathLimit, *this);
         kernel.metrics().gauge("fescuepond_path_queued", {}, [this] {
             return m_table.locked([](const PathTable &table) {
@@ -65,9 +67,13 @@
             return;
         }
         const TimePoint now = m_kernel->clock().now();
+        // A call of the backend server whose parent is unknown isn't refused at random: that wastes what was done for
+        // its root request, and a request with several such calls would hardly ever succeed.
+        const ShareLimit shareLimit =
+            m_parents->isFromClients(call.context().kind()) ? ShareLimit::Applies : ShareLimit::None;
         DecidedCalls decided = m_table.locked([&](PathTable &table) {
             const AdmissionEntry entry = table.waiting.add(call, next, std::move(done), now);
-            return collect(table, table.limiter.submit(pathOf(call), entry, now));
+            return collect(table, table.limiter.submit(pathOf(call), entry, shareLimit, now));
         });
         apply(std::move(decided));
     }
@@ -151,10 +157,11 @@
     }
 
     Kernel *m_kernel = nullptr;
+    const ParentResolver *m_parents = nullptr;
     SharedTable<PathTable> m_table{LockRank::PathLimit};
 };
 
-const auto registration = registerPlugin<PathLimitPlugin>("pathlimit", {"pipelines"});
+const auto registration = registerPlugin<PathLimitPlugin>("pathlimit", {"pipelines", "parentage"});
 
 } // namespace
 
--- a/servers/pathlimit/pathlimiter.cpp
+++ b/servers/pathlimit/pathlimiter.cpp
@@ -57,7 +57,8 @@
     return m_paths.try_emplace(path, m_rules.queue).first->second;
 }
 
-AdmissionDecisions PathLimiter::submit(const PathKey &key, const AdmissionEntry &entry, TimePoint now)
+AdmissionDecisions
+PathLimiter::submit(const PathKey &key, const AdmissionEntry &entry, ShareLimit shareLimit, TimePoint now)
 {
     Path &path = pathOf(key);
     const Duration minServiceTime =
@@ -66,7 +67,8 @@
     if (expiresAt <= now) {
         return {AdmissionDecision().withId(entry.id()).withRejection(Reason::DeadlineExceeded)};
     }
-    if (m_rules.limitShare && !path.m_share.admits(entry.order().rootHash(), now)) {
+    const bool isLimited = m_rules.limitShare && shareLimit == ShareLimit::Applies;
+    if (isLimited && !path.m_share.admits(entry.order().rootHash(), now)) {
         return {AdmissionDecision().withId(entry.id()).withRejection(Reason::Overload)};
     }
     AdmissionDecisions decisions;
--- a/servers/pathlimit/pathlimiter.h
+++ b/servers/pathlimit/pathlimiter.h
@@ -54,6 +54,12 @@
     double m_headroom = 1; ///< Moving average.
 };
 
+/// Whether a request may be refused by the share of its path.
+enum class ShareLimit {
+    Applies,
+    None,
+};
+
 struct PathRules {
     QueueRules queue;
     /// Rejects requests with less time left than the minimum service time of their path.
@@ -69,7 +75,7 @@
 public:
     explicit PathLimiter(PathRules rules);
 
-    AdmissionDecisions submit(const PathKey &path, const AdmissionEntry &entry, TimePoint now);
+    AdmissionDecisions submit(const PathKey &path, const AdmissionEntry &entry, ShareLimit shareLimit, TimePoint now);
     /// Removes an admitted call, adjusts the window of its path, and admits queued calls. `headroom` is 0 if the answer
     /// reported none; `serviceTime` is unset unless the call was answered.
     AdmissionDecisions
--- a/tests/servers/pathlimit/fleetoverloadmodeltest.cpp
+++ b/tests/servers/pathlimit/fleetoverloadmodeltest.cpp
@@ -105,7 +105,7 @@
                             .withRootKind("quarry/reserve")
                             .withDeadline(m_now + RequestTimeLimit);
         m_waiting.emplace(request.id, request);
-        decideAtEntry(m_entryNodes[request.entryNode].submit(m_path, request.entry, m_now));
+        decideAtEntry(m_entryNodes[request.entryNode].submit(m_path, request.entry, ShareLimit::Applies, m_now));
         after(exponential(perSecond), [this, perSecond] {
             arrive(perSecond);
         });
--- a/tests/servers/pathlimit/pathlimitertest.cpp
+++ b/tests/servers/pathlimit/pathlimitertest.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <cmath>
+#include <cstdint>
 #include <vector>
 
 namespace fescuepond
@@ -30,7 +31,7 @@
     constexpr EntryId FirstId = 1000;
     constexpr EntryId Count = 60;
     for (EntryId id = FirstId; id < FirstId + Count; ++id) {
-        ASSERT_TRUE(limiter.submit(path, entryOf(id), start).at(0).isAdmitted());
+        ASSERT_TRUE(limiter.submit(path, entryOf(id), ShareLimit::Applies, start).at(0).isAdmitted());
     }
     for (EntryId id = FirstId; id < FirstId + Count; ++id) {
         limiter.finished(path, id, 0.1, std::nullopt, start);
@@ -77,13 +78,33 @@
     std::size_t admittedCount = 0;
     EntryId id = 1;
     for (; id <= 100; ++id) {
-        for (const AdmissionDecision &decision : limiter.submit(path, entryOf(id), start)) {
+        for (const AdmissionDecision &decision : limiter.submit(path, entryOf(id), ShareLimit::Applies, start)) {
             admittedCount += decision.isAdmitted() ? 1 : 0;
         }
     }
     EXPECT_LT(admittedCount, 50U);
     EXPECT_GT(limiter.queued(), 0U);
-    EXPECT_TRUE(limiter.submit(other, entryOf(id), start).at(0).isAdmitted());
+    EXPECT_TRUE(limiter.submit(other, entryOf(id), ShareLimit::Applies, start).at(0).isAdmitted());
+}
+
+TEST(PathLimiter, CallThatMayBeTheBackendServersIsNotRefusedByTheShareOfItsPath)
+{
+    constexpr EntryId Count = 100;
+    const auto countRefused = [&](ShareLimit shareLimit) {
+        PathLimiter limiter{PathRules()};
+        limiter.submit(path, entryOf(Count), shareLimit, start);
+        limiter.finished(path, Count, 0.1, std::nullopt, start);
+        int refused = 0;
+        for (EntryId id = 0; id < Count; ++id) {
+            // Hashes of root requests are spread over their whole range.
+            const ShedOrder order = ShedOrder().withRootHash(id * (UINT64_MAX / Count)).withEntryId(id);
+            const AdmissionEntry entry = entryOf(id).withOrder(order);
+            refused += limiter.submit(path, entry, shareLimit, start).at(0).isAdmitted() ? 0 : 1;
+        }
+        return refused;
+    };
+    EXPECT_GT(countRefused(ShareLimit::Applies), 50);
+    EXPECT_EQ(countRefused(ShareLimit::None), 0);
 }
 
 TEST(PathLimiter, QueuedRequestIsRejectedAtItsDeadline)
@@ -92,7 +113,7 @@
     shrinkWindow(limiter);
     std::size_t decided = 0;
     for (EntryId id = 1; id <= 30; ++id) {
-        decided += limiter.submit(path, entryOf(id), start).size();
+        decided += limiter.submit(path, entryOf(id), ShareLimit::Applies, start).size();
     }
     EXPECT_EQ(decided + limiter.queued(), 30U);
     EXPECT_EQ(limiter.nextExpiry(), start + std::chrono::seconds(1));
