--- a/tests/servers/pathlimit/pathlimitertest.cpp
+++ b/tests/servers/pathlimit/pathlimitertest.cpp
@@ -103,7 +103,7 @@
         }
         return refused;
     };
-    EXPECT_GT(countRefused(ShareLimit::Applies), 50);
+    EXPECT_EQ(countRefused(ShareLimit::Applies), Count / 2) << "one report halves the share at most";
     EXPECT_EQ(countRefused(ShareLimit::None), 0);
 }
 
