--- a/platform/store/storesessions.cpp
+++ b/modules/store/storesessions.cpp
@@ -1,6 +1,6 @@
 // Pool of keep-alive HTTP connections to the platform.
 
-#include "platform/store/storesessions.h"
+#include "modules/store/storesessions.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
