Share what reads a revision and a binding from a reply of the store

The announcer and the publisher each had the same function for the revision, and the key binder read a binding in three places. No behaviour changes.

--- a/core/pipeline/objectstore.cpp
+++ b/core/pipeline/objectstore.cpp
@@ -18,6 +18,11 @@
 
 } // namespace
 
+ExpectedRevision revisionIn(const StoreReply &reply)
+{
+    return reply.objects().empty() ? std::nullopt : ExpectedRevision(reply.objects().front().revision());
+}
+
 StoreConnectorRegistration::StoreConnectorRegistration(StoreConnector connector)
 {
     invariant(!registeredConnector(), "only one connector to the object store is registered");
--- a/core/pipeline/objectstore.h
+++ b/core/pipeline/objectstore.h
@@ -68,6 +68,9 @@
 /// The revision that a write replaces; nothing: the object doesn't exist.
 using ExpectedRevision = std::optional<ObjectRevision>;
 
+/// The revision of the object that was read or written; nothing if the reply has none.
+ExpectedRevision revisionIn(const StoreReply &reply);
+
 /// Asynchronous interface to the object store.
 class ObjectStore
 {
--- a/modules/ledger/keybinder.cpp
+++ b/modules/ledger/keybinder.cpp
@@ -28,6 +28,12 @@
 /// Maximum number of keys that wait for the platform at once. More would only delay each other.
 constexpr std::size_t MaxBindingsInFlight = 256;
 
+/// The binding in a reply; empty if there is no object or its content can't be parsed.
+std::optional<KeyBinding> bindingIn(const StoreReply &reply)
+{
+    return reply.status() == StoreStatus::Ok ? bindingFromJson(reply.objects().front().value()) : std::nullopt;
+}
+
 } // namespace
 
 KeyBinder::KeyBinder(Kernel &kernel, ObjectStore &platform)
@@ -116,8 +122,7 @@
                 finish(rejectBinding(RestoredDetail), callback);
                 return;
             }
-            const bool hasObject = reply.status() == StoreStatus::Ok;
-            const auto found = hasObject ? bindingFromJson(reply.objects().front().value()) : std::nullopt;
+            const auto found = bindingIn(reply);
             if (found && *found == proposed) {
                 recordCreatedObject(proposed);
             }
@@ -179,9 +184,7 @@
     // A failed removal is not retried: the object only keeps its key in use for longer. The key may be bound again
     // since a restore, so only this binding is removed.
     m_platform.get(collection::Keys, name, [this, binding, name](const StoreReply &reply) {
-        const bool isOwn =
-            reply.status() == StoreStatus::Ok && bindingFromJson(reply.objects().front().value()) == binding;
-        if (isOwn) {
+        if (bindingIn(reply) == binding) {
             m_platform.remove(collection::Keys, name, reply.objects().front().revision(), [](const StoreReply &) {});
         }
     });
@@ -248,9 +251,7 @@
 void KeyBinder::checkWrittenAgain(const KeyBinding &binding)
 {
     m_platform.get(collection::Keys, bindingObjectName(binding.scopedKey()), [this, binding](const StoreReply &reply) {
-        const bool isStored =
-            reply.status() == StoreStatus::Ok && bindingFromJson(reply.objects().front().value()) == binding;
-        if (!isStored) {
+        if (bindingIn(reply) != binding) {
             // A node that hadn't heard of the restore has bound the key, and removes that binding.
             writeAgainLater(binding);
         }
--- a/modules/membership/announcer.cpp
+++ b/modules/membership/announcer.cpp
@@ -25,11 +25,6 @@
     return reply.objects().empty() ? std::nullopt : memberFromJson(reply.objects().front().value());
 }
 
-ExpectedRevision revisionIn(const StoreReply &reply)
-{
-    return reply.objects().empty() ? std::nullopt : ExpectedRevision(reply.objects().front().revision());
-}
-
 } // namespace
 
 Announcer::Announcer(Kernel &kernel, SharedMembers &members, std::function<void()> onListed)
--- a/modules/verbs/publishverb.cpp
+++ b/modules/verbs/publishverb.cpp
@@ -116,11 +116,6 @@
         return readPublishedConfiguration(reply.objects().front().value());
     }
 
-    static ExpectedRevision revisionIn(const StoreReply &reply)
-    {
-        return reply.objects().empty() ? std::nullopt : ExpectedRevision(reply.objects().front().revision());
-    }
-
     static ExitCode report(const PublishPlan &plan)
     {
         if (plan.verdict() == PublishVerdict::Unchanged) {
