--- a/review/support-2/harness.cpp
+++ b/review/support-2/harness.cpp
@@ -685,7 +685,8 @@
 void waitUntilReady(const std::vector<Machine> &machines)
 {
     for (const Machine &machine : machines) {
-        while (!machine.node->isReady()) {
+        // Another program may answer at the port of a node that could not start.
+        while (!machine.node->process().isRunning() || !machine.node->isReady()) {
             if (elapsed() > StartLimit) {
                 giveUp("a node doesn't become ready");
             }
