--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -8,7 +8,9 @@
 
 #include <cerrno>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
@@ -96,6 +98,28 @@
     return text.str();
 }
 
+std::size_t Process::peakMemoryMb() const
+{
+    constexpr std::size_t KilobytesPerMegabyte = 1024;
+    std::ifstream status("/proc/" + std::to_string(m_id) + "/status");
+    std::string word;
+    while (status >> word) {
+        if (word == "VmHWM:") {
+            std::size_t kilobytes = 0;
+            status >> kilobytes;
+            return kilobytes / KilobytesPerMegabyte;
+        }
+    }
+    return 0;
+}
+
+std::size_t Process::descriptorCount() const
+{
+    std::error_code error;
+    std::filesystem::directory_iterator entries("/proc/" + std::to_string(m_id) + "/fd", error);
+    return error ? 0 : static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 std::string Process::waitForLine(const std::string &text) const
 {
     const auto end = std::chrono::steady_clock::now() + LineTimeout;
@@ -112,6 +136,18 @@
     return {};
 }
 
+DescriptorLimit::DescriptorLimit(std::size_t count)
+{
+    getrlimit(RLIMIT_NOFILE, &m_former);
+    const rlimit lowered = {count, m_former.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &lowered);
+}
+
+DescriptorLimit::~DescriptorLimit()
+{
+    setrlimit(RLIMIT_NOFILE, &m_former);
+}
+
 std::string valueIn(const std::string &line, const std::string &key)
 {
     std::istringstream words(line);
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -2,9 +2,11 @@
 
 #pragma once
 
+#include <sys/resource.h>
 #include <sys/types.h>
 
 #include <chrono>
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
@@ -33,6 +35,10 @@
     /// signal that killed the process.
     std::optional<int> wait(std::chrono::milliseconds limit);
     std::string output() const;
+    /// The most memory that the process has used, in MiB; 0 if it has ended.
+    std::size_t peakMemoryMb() const;
+    /// Open descriptors of the process; 0 if it has ended.
+    std::size_t descriptorCount() const;
     /// Waits until a line of the output contains `text` and returns that line; an empty string after ten seconds.
     std::string waitForLine(const std::string &text) const;
 
@@ -42,6 +48,19 @@
     const std::string m_outputFile;
 };
 
+/// While it lives, processes that are started may open `count` descriptors at most.
+class DescriptorLimit
+{
+public:
+    explicit DescriptorLimit(std::size_t count);
+    ~DescriptorLimit();
+    DescriptorLimit(const DescriptorLimit &) = delete;
+    DescriptorLimit &operator=(const DescriptorLimit &) = delete;
+
+private:
+    rlimit m_former{};
+};
+
 /// Returns the value of `key` in a line of key=value pairs; empty if the line has no such key.
 std::string valueIn(const std::string &line, const std::string &key);
 
--- a/tests/system/endlessresponsetest.cpp
+++ b/tests/system/endlessresponsetest.cpp
@@ -11,7 +11,6 @@
 
 #include <atomic>
 #include <deque>
-#include <fstream>
 #include <future>
 #include <string>
 #include <thread>
@@ -89,22 +88,6 @@
     std::thread m_thread;
 };
 
-/// The most memory that the process has used, in MiB.
-std::size_t peakMemoryMb(int pid)
-{
-    constexpr std::size_t KilobytesPerMegabyte = 1024;
-    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
-    std::string word;
-    while (status >> word) {
-        if (word == "VmHWM:") {
-            std::size_t kilobytes = 0;
-            status >> kilobytes;
-            return kilobytes / KilobytesPerMegabyte;
-        }
-    }
-    return 0;
-}
-
 } // namespace
 
 TEST(EndlessResponses, ManyAtOnceKeepTheNodeWithinItsMemory)
@@ -131,7 +114,7 @@
         // The call may have run, so nothing else is promised.
         EXPECT_EQ(reply.get().outcome(), "outcome-unknown");
     }
-    const std::size_t peak = peakMemoryMb(node.process->id());
+    const std::size_t peak = node.process->peakMemoryMb();
     EXPECT_GT(peak, 0U);
     EXPECT_LT(peak, MemoryLimitMb);
     RecordProperty("peak_mb", static_cast<int>(peak));
