--- a/core/settings/nodesettings.cpp
+++ b/core/settings/nodesettings.cpp
@@ -126,9 +126,9 @@
          &NodeSettings::withMemoryLimitMb,
          "256",
          "MiB",
-         "Memory that the process may use; bodies may take a sixteenth of it, and large ones beyond it are given up; "
-         "0: "
-         "no limit."},
+         "Memory that the process may use. Large bodies may take a sixteenth of it, and all that is held for callers "
+         "and "
+         "the backend server an eighth; what exceeds that is rejected; 0: no limit."},
         {"request_read_timeout_ms",
          &NodeSettings::withRequestReadTimeout,
          "5000",
--- a/core/values/body.h
+++ b/core/values/body.h
@@ -20,6 +20,11 @@
         : m_content(std::make_shared<const Content>(std::move(bytes)))
     {
     }
+    /// `charge` is that of the bytes.
+    Body(std::string bytes, BodyCharge charge)
+        : m_content(std::make_shared<const Content>(std::move(bytes), std::move(charge)))
+    {
+    }
 
     const std::string &bytes() const
     {
@@ -49,6 +54,11 @@
             , charge(bytes.size())
         {
         }
+        Content(std::string content, BodyCharge contentCharge)
+            : bytes(std::move(content))
+            , charge(std::move(contentCharge))
+        {
+        }
         const std::string bytes;
         const BodyCharge charge; ///< For as long as any copy of the body exists.
     };
--- a/core/values/bodymemory.h
+++ b/core/values/bodymemory.h
@@ -1,36 +1,50 @@
-// Memory that the bodies of requests and responses take in this process, and the limit on it.
+// Memory that this process holds for its callers and backend server, and the limits on it.
 //
-// A backend server or a caller can send a body as fast as the network takes it, on many connections at once, so a limit
-// for each body doesn't bound their sum. Reading of a large body is given up if the sum is over the limit; small bodies
-// are read in any case, so that one sender of large ones doesn't end the others' calls.
+// Callers and backend servers can send as fast as the network takes it, on many connections at once, and read as slowly
+// as they like, so a limit for each body doesn't bound their sum. Whatever is held for them is charged before it is
+// taken in, and rejected if the sum would exceed a limit. Large charges together take half of what all may take, so
+// that senders and readers of large bodies don't end the calls of others.
 
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 
 namespace fescuepond
 {
 
-/// A body of at most this size is read whatever the sum is, in bytes.
+/// What one charge has at most to count as small, in bytes.
 constexpr std::size_t SmallBodyBytes = 65'536;
 
-/// Sets the limit for the whole process, in bytes. Without a call there is none.
+/// Sets the limit on the sum of the large charges, in bytes; the limit on the sum of all is twice that. Without a call
+/// there is none.
 void setBodyMemoryLimit(std::size_t bytes);
-/// Bytes of all bodies that are held or being read.
+/// Sum of all charges.
 std::size_t heldBodyBytes();
+/// How often a charge was rejected so far.
+std::uint64_t rejectedBodyCharges();
 
 /// Bytes that count towards heldBodyBytes() until they are released.
 class BodyCharge
 {
 public:
     BodyCharge() = default;
+    /// Charges `bytes` whatever the sum is.
     explicit BodyCharge(std::size_t bytes);
     ~BodyCharge();
+    BodyCharge(BodyCharge &&other) noexcept;
+    BodyCharge &operator=(BodyCharge &&other) noexcept;
     BodyCharge(const BodyCharge &) = delete;
     BodyCharge &operator=(const BodyCharge &) = delete;
 
-    /// Adds bytes; returns false if the body is large and the sum is over the limit. Its reader then gives it up.
+    std::size_t bytes() const
+    {
+        return m_bytes;
+    }
+    /// Adds bytes, or nothing if a sum would exceed its limit; returns whether it did.
     [[nodiscard]] bool add(std::size_t bytes);
+    /// Releases `bytes` of the charge; it must have as many.
+    void release(std::size_t bytes);
 
 private:
     std::size_t m_bytes = 0; ///< Part of heldBodyBytes().
--- a/modules/http/bodyreader.cpp
+++ b/modules/http/bodyreader.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <charconv>
 #include <optional>
+#include <thread>
 
 namespace fescuepond
 {
@@ -17,9 +18,6 @@
 constexpr int StatusBodyTooLarge = 413;
 constexpr int StatusUnavailable = 503;
 constexpr int Hexadecimal = 16;
-/// Applies to the line with a chunk's size and extensions, and to each trailer line.
-constexpr std::size_t MaxLineBytes = 1024;
-constexpr std::size_t MaxTrailerLines = 64;
 constexpr std::size_t BufferBytes = 16'384;
 
 std::size_t parseNumber(const std::string &text, int base, const char *message)
@@ -46,7 +44,7 @@
 std::string readLine(ByteSource &source)
 {
     std::string line;
-    while (line.size() <= MaxLineBytes) {
+    while (line.size() <= MaxBodyLineBytes) {
         const char byte = nextByte(source);
         if (byte == '\r') {
             if (nextByte(source) != '\n') {
@@ -82,13 +80,11 @@
     throw RequestError(StatusBadRequest, "the trailer of the chunked body has too many lines");
 }
 
-std::string readChunked(ByteSource &source, std::size_t limit)
+Body readChunked(ByteSource &source, std::size_t limit, NoRoom noRoom)
 {
-    BodyBuffer body;
+    BodyBuffer body(noRoom);
     while (true) {
-        const std::string line = readLine(source);
-        const std::string digits = line.substr(0, line.find_first_of("; \t"));
-        const std::size_t length = parseNumber(digits, Hexadecimal, "the size of a chunk is not a hexadecimal number");
+        const std::size_t length = chunkSize(readLine(source));
         if (length == 0) {
             skipTrailer(source);
             return body.take();
@@ -107,12 +103,38 @@
 
 void BodyBuffer::append(const char *bytes, std::size_t count)
 {
-    if (!m_charge.add(count)) {
-        throw BodyMemoryExceeded();
+    const std::size_t size = m_bytes.size() + count;
+    if (size > m_charge.bytes()) {
+        charge(size - m_charge.bytes());
     }
     m_bytes.append(bytes, count);
 }
 
+void BodyBuffer::expect(std::size_t bytes)
+{
+    if (m_noRoom == NoRoom::Wait) {
+        charge(bytes);
+    }
+    // Memory is used only as bytes arrive.
+    m_bytes.reserve(bytes);
+}
+
+Body BodyBuffer::take()
+{
+    return Body(std::move(m_bytes), std::move(m_charge));
+}
+
+void BodyBuffer::charge(std::size_t bytes)
+{
+    const auto end = std::chrono::steady_clock::now() + MaxRoomWait;
+    while (!m_charge.add(bytes)) {
+        if (m_noRoom == NoRoom::GiveUp || std::chrono::steady_clock::now() >= end) {
+            throw BodyMemoryExceeded();
+        }
+        std::this_thread::sleep_for(RoomRetryPause);
+    }
+}
+
 BodyMemoryExceeded::BodyMemoryExceeded()
     : RequestError(StatusUnavailable, "the bodies of all requests and responses take too much memory")
 {
@@ -145,15 +167,21 @@
     return BodyFraming().withIsChunked(isChunked).withLength(length.value_or(0));
 }
 
-std::string readBody(ByteSource &source, const BodyFraming &framing, std::size_t limit)
+std::size_t chunkSize(const std::string &line)
+{
+    const std::string digits = line.substr(0, line.find_first_of("; \t\r"));
+    return parseNumber(digits, Hexadecimal, "the size of a chunk is not a hexadecimal number");
+}
+
+Body readBody(ByteSource &source, const BodyFraming &framing, std::size_t limit, NoRoom noRoom)
 {
     if (framing.isChunked()) {
-        return readChunked(source, limit);
+        return readChunked(source, limit, noRoom);
     }
     if (framing.length() > limit) {
         throw RequestError(StatusBodyTooLarge, "the body exceeds the size limit");
     }
-    BodyBuffer body;
+    BodyBuffer body(noRoom);
     body.expect(framing.length());
     appendBytes(source, framing.length(), body);
     return body.take();
--- a/modules/http/bodyreader.h
+++ b/modules/http/bodyreader.h
@@ -5,6 +5,7 @@
 
 #pragma once
 
+#include "core/kernel/clock.h"
 #include "modules/http/httpmessage.h"
 #include "modules/http/messageheader.h"
 
@@ -50,29 +51,43 @@
     virtual std::size_t readSome(char *bytes, std::size_t count) = 0;
 };
 
-/// A body that is being read. Its bytes count towards the memory that all bodies take.
+/// What a body does that finds no room in the memory for bodies.
+enum class NoRoom {
+    GiveUp,
+    Wait, ///< Its sender is kept waiting for MaxRoomWait at most. Not for a thread that others wait for.
+};
+
+/// How long a body waits for room.
+constexpr Duration MaxRoomWait = std::chrono::seconds(2);
+/// Until a body that waits for room tries again.
+constexpr Duration RoomRetryPause = std::chrono::milliseconds(20);
+
+/// A body that is being read. Its bytes are charged before they are taken in.
 class BodyBuffer
 {
 public:
-    /// Throws BodyMemoryExceeded if the body is large and all bodies together are over their limit.
-    void append(const char *bytes, std::size_t count);
-    /// Avoids copies while the buffer grows. Memory is used only as bytes arrive.
-    void expect(std::size_t bytes)
+    explicit BodyBuffer(NoRoom noRoom)
+        : m_noRoom(noRoom)
     {
-        m_bytes.reserve(bytes);
     }
+    /// Throws BodyMemoryExceeded if there is no room.
+    void append(const char *bytes, std::size_t count);
+    /// Prepares for a body of this size. One that may wait is charged as a whole, so that bodies that have arrived in
+    /// part don't wait for each other.
+    void expect(std::size_t bytes);
     std::size_t size() const
     {
         return m_bytes.size();
     }
-    std::string take()
-    {
-        return std::move(m_bytes);
-    }
+    /// The body, which must be complete.
+    Body take();
 
 private:
+    void charge(std::size_t bytes);
+
+    const NoRoom m_noRoom;
     std::string m_bytes;
-    BodyCharge m_charge; ///< Of the size of m_bytes, until the buffer ends.
+    BodyCharge m_charge; ///< Of at least the size of m_bytes.
 };
 
 /// Reading of a body was given up, since all bodies together take too much memory.
@@ -96,7 +111,14 @@
 /// request smuggling: bytes that one implementation takes for a body, another might run as a request.
 BodyFraming framingOf(const HeaderFields &fields);
 
+/// Applies to the line with a chunk's size and extensions, and to each trailer line; without the line's end.
+constexpr std::size_t MaxBodyLineBytes = 1024;
+constexpr std::size_t MaxTrailerLines = 64;
+
+/// The size of a chunk from its first line. Throws a RequestError if it isn't a hexadecimal number.
+std::size_t chunkSize(const std::string &line);
+
 /// Reads the whole body. Throws a RequestError if it is longer than `limit` bytes, malformed or truncated.
-std::string readBody(ByteSource &source, const BodyFraming &framing, std::size_t limit);
+Body readBody(ByteSource &source, const BodyFraming &framing, std::size_t limit, NoRoom noRoom);
 
 } // namespace fescuepond
--- a/modules/http/httpclientconnection.cpp
+++ b/modules/http/httpclientconnection.cpp
@@ -14,6 +14,8 @@
 
 /// Informational responses (1xx) before the one to a request.
 constexpr int MaxInformationalResponses = 8;
+/// A longer body is sent on its own instead of in a copy behind the header.
+constexpr std::size_t MaxCombinedBytes = 16'384;
 constexpr int StatusSwitchingProtocols = 101;
 constexpr int StatusOk = 200;
 constexpr int StatusNoContent = 204;
@@ -65,9 +67,16 @@
     if (!hasNoBody) {
         fields.emplace_back("Content-Length", std::to_string(body.size()));
     }
-    sendAll(toText(header.withFields(std::move(fields))) + body, [this] {
+    const auto onProgress = [this] {
         m_hasSent = true;
-    });
+    };
+    const std::string text = toText(header.withFields(std::move(fields)));
+    if (body.size() <= MaxCombinedBytes) {
+        sendAll(text + body, onProgress);
+        return;
+    }
+    sendAll(text, onProgress);
+    sendAll(body, onProgress);
 }
 
 HttpResponse HttpClientConnection::receive(const std::string &method, std::size_t maxBodyBytes)
@@ -75,14 +84,14 @@
     const ResponseHeader header = receiveHeader();
     Headers headers = toHeaders(header.fields());
     const BodyReader reader = bodyReaderFor(method, header.status(), headers);
-    std::string body = (this->*reader)(maxBodyBytes);
+    Body body = (this->*reader)(maxBodyBytes);
     m_endsWithConnection = reader == &HttpClientConnection::bodyUntilEnd;
     m_isReuseAllowed = isKeptAlive(header.minorVersion(), headers) && !m_endsWithConnection;
     // A response without the header, such as a rejection, changes nothing.
     if (const Duration stated = keepAliveTimeout(headers); stated > Duration::zero()) {
         m_keepAliveTime = stated;
     }
-    return HttpResponse().withStatus(header.status()).withHeaders(std::move(headers)).withBody(Body(std::move(body)));
+    return HttpResponse().withStatus(header.status()).withHeaders(std::move(headers)).withBody(std::move(body));
 }
 
 ResponseHeader HttpClientConnection::receiveHeader()
@@ -118,22 +127,22 @@
     return &HttpClientConnection::bodyOfDeclaredLength;
 }
 
-std::string HttpClientConnection::noBody(std::size_t)
+Body HttpClientConnection::noBody(std::size_t)
 {
     return {};
 }
 
-std::string HttpClientConnection::bodyOfDeclaredLength(std::size_t maxBytes)
+Body HttpClientConnection::bodyOfDeclaredLength(std::size_t maxBytes)
 {
     return readBody(m_declaredLength, maxBytes);
 }
 
-std::string HttpClientConnection::chunkedBody(std::size_t maxBytes)
+Body HttpClientConnection::chunkedBody(std::size_t maxBytes)
 {
     return readChunkedBody(maxBytes);
 }
 
-std::string HttpClientConnection::bodyUntilEnd(std::size_t maxBytes)
+Body HttpClientConnection::bodyUntilEnd(std::size_t maxBytes)
 {
     return readBodyUntilEnd(maxBytes);
 }
--- a/modules/http/httpclientconnection.h
+++ b/modules/http/httpclientconnection.h
@@ -60,14 +60,14 @@
     }
 
 private:
-    using BodyReader = std::string (HttpClientConnection::*)(std::size_t maxBytes);
+    using BodyReader = Body (HttpClientConnection::*)(std::size_t maxBytes);
 
     ResponseHeader receiveHeader();
     BodyReader bodyReaderFor(const std::string &method, int status, const Headers &headers);
-    std::string noBody(std::size_t maxBytes);
-    std::string bodyOfDeclaredLength(std::size_t maxBytes);
-    std::string chunkedBody(std::size_t maxBytes);
-    std::string bodyUntilEnd(std::size_t maxBytes);
+    Body noBody(std::size_t maxBytes);
+    Body bodyOfDeclaredLength(std::size_t maxBytes);
+    Body chunkedBody(std::size_t maxBytes);
+    Body bodyUntilEnd(std::size_t maxBytes);
 
     Duration m_keepAliveTime{};
     std::size_t m_declaredLength = 0; ///< Content-Length of the response being read, if it has one.
--- a/modules/http/httpstream.cpp
+++ b/modules/http/httpstream.cpp
@@ -134,7 +134,7 @@
     return text;
 }
 
-void HttpStream::sendAll(const std::string &bytes, const std::function<void()> &onProgress)
+void HttpStream::sendAll(std::string_view bytes, const std::function<void()> &onProgress)
 {
     std::size_t sent = 0;
     while (sent < bytes.size()) {
@@ -159,29 +159,29 @@
     throw Poco::Net::ConnectionAbortedException("the remote side closed the connection during a write");
 }
 
-std::string HttpStream::readBody(std::size_t length, std::size_t maxBytes)
+Body HttpStream::readBody(std::size_t length, std::size_t maxBytes)
 {
     requireWithinLimit(length, maxBytes);
     return readFramed(BodyFraming().withLength(length), maxBytes);
 }
 
-std::string HttpStream::readChunkedBody(std::size_t maxBytes)
+Body HttpStream::readChunkedBody(std::size_t maxBytes)
 {
     return readFramed(BodyFraming().withIsChunked(true), maxBytes);
 }
 
-std::string HttpStream::readFramed(const BodyFraming &framing, std::size_t maxBytes)
+Body HttpStream::readFramed(const BodyFraming &framing, std::size_t maxBytes)
 {
     try {
-        return fescuepond::readBody(*this, framing, maxBytes);
+        return fescuepond::readBody(*this, framing, maxBytes, NoRoom::Wait);
     } catch (const RequestError &error) {
         throw MessageException(error.what());
     }
 }
 
-std::string HttpStream::readBodyUntilEnd(std::size_t maxBytes)
+Body HttpStream::readBodyUntilEnd(std::size_t maxBytes)
 {
-    BodyBuffer body;
+    BodyBuffer body(NoRoom::Wait);
     std::array<char, BufferBytes> buffer;
     try {
         while (const std::size_t received = readSome(buffer.data(), buffer.size())) {
--- a/modules/http/httpstream.h
+++ b/modules/http/httpstream.h
@@ -64,13 +64,14 @@
     std::string readHeaderText();
     /// Sends all bytes. `onProgress` is called each time some were sent. Throws a Poco::Exception if it can't.
     void sendAll(
-        const std::string &bytes,
+        std::string_view bytes,
         const std::function<void()> &onProgress = [] {});
     /// Sends what the operating system takes without waiting, and returns how many bytes that were.
     std::size_t sendAvailable(std::string_view bytes);
-    std::string readBody(std::size_t length, std::size_t maxBytes);
-    std::string readChunkedBody(std::size_t maxBytes);
-    std::string readBodyUntilEnd(std::size_t maxBytes);
+    // These three read the body of a response, and keep its sender waiting if there is no room for it.
+    Body readBody(std::size_t length, std::size_t maxBytes);
+    Body readChunkedBody(std::size_t maxBytes);
+    Body readBodyUntilEnd(std::size_t maxBytes);
 
     int next() override;
     std::size_t readSome(char *bytes, std::size_t count) override;
@@ -102,7 +103,7 @@
     void consume(std::size_t count);
 
     /// Throws MessageException where readBody() of bodyreader.h throws a RequestError.
-    std::string readFramed(const BodyFraming &framing, std::size_t maxBytes);
+    Body readFramed(const BodyFraming &framing, std::size_t maxBytes);
 
     Poco::Net::StreamSocket m_socket;
     std::deque<Piece> m_held; ///< In order of arrival.
--- a/modules/peer/peer.capnp
+++ b/modules/peer/peer.capnp
@@ -54,6 +54,14 @@
   callerService @21 :Text;
   goalNs @22 :Int64;  # Remaining time until the latency objective when the call was sent; negative if missed.
   notice @23 :Notice;  # The latest notice of the target's backend server that the caller knows.
+  bodySource @24 :BodySource;  # Set if the body isn't part of the message; `body` is empty then.
+  bodySize @25 :UInt64;  # In bytes, if bodySource is set.
+}
+
+# A body that its receiver reads in pieces once it has room for it. `count` bytes at most are returned; fewer only at the
+# end of the body or if the sender chooses smaller pieces, but at least one before the end.
+interface BodySource {
+  read @0 (offset :UInt64, count :UInt32) -> (bytes :Data);
 }
 
 struct Outcome {
@@ -71,6 +79,8 @@
   retryAfterMs @11 :Int64;
   backendWasReached @12 :Bool;
   notice @13 :Notice;
+  bodySource @14 :BodySource;  # As in Call.
+  bodySize @15 :UInt64;
 }
 
 # What a backend server says of itself in its answers: the calls a second that it takes from all nodes together (0: no
@@ -84,7 +94,9 @@
 interface Peer {
   # First request on each connection, with the caller's clock. The reply carries the callee's version, name, clock, and
   # incarnation, which identifies one run of its process. A clock of 0 is unknown.
-  hello @0 (version :UInt32, name :Text, clockNs :Int64) -> (version :UInt32, name :Text, incarnation :Id, clockNs :Int64);
+  # `fetchesBodies`: the node reads bodies that aren't part of a message; without it, all are.
+  hello @0 (version :UInt32, name :Text, clockNs :Int64, fetchesBodies :Bool)
+      -> (version :UInt32, name :Text, incarnation :Id, clockNs :Int64, fetchesBodies :Bool);
 
   # Runs a call at the callee, which is its target. The reply repeats `attemptId` to be matched to its request.
   call @1 (call :Call) -> (outcome :Outcome, attemptId :Id);
--- a/modules/peer/peer.capnp.h
+++ b/modules/peer/peer.capnp.h
@@ -24,6 +24,9 @@
 CAPNP_DECLARE_SCHEMA(9462abf603179953);
 CAPNP_DECLARE_SCHEMA(df4f06e61f15fd92);
 CAPNP_DECLARE_SCHEMA(95366b2ac4fd728d);
+CAPNP_DECLARE_SCHEMA(cc011513b7bf8ddd);
+CAPNP_DECLARE_SCHEMA(efe32d19aa349f3d);
+CAPNP_DECLARE_SCHEMA(fa91cf9d6fdfd449);
 CAPNP_DECLARE_SCHEMA(ea3fa387287ff851);
 CAPNP_DECLARE_SCHEMA(d3f248177e0737cd);
 CAPNP_DECLARE_SCHEMA(847bf393bf225da9);
@@ -100,7 +103,56 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(95366b2ac4fd728d, 6, 16)
+    CAPNP_DECLARE_STRUCT_HEADER(95366b2ac4fd728d, 7, 17)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct BodySource {
+  BodySource() = delete;
+
+#if !CAPNP_LITE
+  class Client;
+  class Server;
+#endif  // !CAPNP_LITE
+
+  struct ReadParams;
+  struct ReadResults;
+
+  #if !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_INTERFACE_HEADER(cc011513b7bf8ddd)
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+  };
+  #endif  // !CAPNP_LITE
+};
+
+struct BodySource::ReadParams {
+  ReadParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(efe32d19aa349f3d, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct BodySource::ReadResults {
+  ReadResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fa91cf9d6fdfd449, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -115,7 +167,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ea3fa387287ff851, 6, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(ea3fa387287ff851, 7, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -687,6 +739,13 @@
   inline bool hasNotice() const;
   inline  ::fescuepond::wire::Notice::Reader getNotice() const;
 
+  inline bool hasBodySource() const;
+#if !CAPNP_LITE
+  inline  ::fescuepond::wire::BodySource::Client getBodySource() const;
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBodySize() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -851,6 +910,18 @@
   inline void adoptNotice(::capnp::Orphan< ::fescuepond::wire::Notice>&& value);
   inline ::capnp::Orphan< ::fescuepond::wire::Notice> disownNotice();
 
+  inline bool hasBodySource();
+#if !CAPNP_LITE
+  inline  ::fescuepond::wire::BodySource::Client getBodySource();
+  inline void setBodySource( ::fescuepond::wire::BodySource::Client&& value);
+  inline void setBodySource( ::fescuepond::wire::BodySource::Client& value);
+  inline void adoptBodySource(::capnp::Orphan< ::fescuepond::wire::BodySource>&& value);
+  inline ::capnp::Orphan< ::fescuepond::wire::BodySource> disownBodySource();
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBodySize();
+  inline void setBodySize( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -874,6 +945,222 @@
   inline  ::fescuepond::wire::Id::Pipeline getAttemptId();
   inline  ::fescuepond::wire::Deadline::Pipeline getDeadline();
   inline  ::fescuepond::wire::Notice::Pipeline getNotice();
+  inline  ::fescuepond::wire::BodySource::Client getBodySource();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+#if !CAPNP_LITE
+class BodySource::Client
+    : public virtual ::capnp::Capability::Client {
+public:
+  typedef BodySource Calls;
+  typedef BodySource Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::fescuepond::wire::BodySource::ReadParams,  ::fescuepond::wire::BodySource::ReadResults> readRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class BodySource::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef BodySource Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::fescuepond::wire::BodySource::ReadParams ReadParams;
+  typedef  ::fescuepond::wire::BodySource::ReadResults ReadResults;
+  typedef ::capnp::CallContext<ReadParams, ReadResults> ReadContext;
+  virtual ::kj::Promise<void> read(ReadContext context);
+
+  inline  ::fescuepond::wire::BodySource::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::fescuepond::wire::BodySource>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class BodySource::ReadParams::Reader {
+public:
+  typedef ReadParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getOffset() const;
+
+  inline  ::uint32_t getCount() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class BodySource::ReadParams::Builder {
+public:
+  typedef ReadParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
+
+  inline  ::uint32_t getCount();
+  inline void setCount( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class BodySource::ReadParams::Pipeline {
+public:
+  typedef ReadParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class BodySource::ReadResults::Reader {
+public:
+  typedef ReadResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBytes() const;
+  inline  ::capnp::Data::Reader getBytes() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class BodySource::ReadResults::Builder {
+public:
+  typedef ReadResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBytes();
+  inline  ::capnp::Data::Builder getBytes();
+  inline void setBytes( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBytes(unsigned int size);
+  inline void adoptBytes(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBytes();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class BodySource::ReadResults::Pipeline {
+public:
+  typedef ReadResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -931,6 +1218,13 @@
   inline bool hasNotice() const;
   inline  ::fescuepond::wire::Notice::Reader getNotice() const;
 
+  inline bool hasBodySource() const;
+#if !CAPNP_LITE
+  inline  ::fescuepond::wire::BodySource::Client getBodySource() const;
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBodySize() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1017,6 +1311,18 @@
   inline void adoptNotice(::capnp::Orphan< ::fescuepond::wire::Notice>&& value);
   inline ::capnp::Orphan< ::fescuepond::wire::Notice> disownNotice();
 
+  inline bool hasBodySource();
+#if !CAPNP_LITE
+  inline  ::fescuepond::wire::BodySource::Client getBodySource();
+  inline void setBodySource( ::fescuepond::wire::BodySource::Client&& value);
+  inline void setBodySource( ::fescuepond::wire::BodySource::Client& value);
+  inline void adoptBodySource(::capnp::Orphan< ::fescuepond::wire::BodySource>&& value);
+  inline ::capnp::Orphan< ::fescuepond::wire::BodySource> disownBodySource();
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBodySize();
+  inline void setBodySize( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1036,6 +1342,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::fescuepond::wire::Notice::Pipeline getNotice();
+  inline  ::fescuepond::wire::BodySource::Client getBodySource();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1242,6 +1549,8 @@
 
   inline  ::int64_t getClockNs() const;
 
+  inline bool getFetchesBodies() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1283,6 +1592,9 @@
   inline  ::int64_t getClockNs();
   inline void setClockNs( ::int64_t value);
 
+  inline bool getFetchesBodies();
+  inline void setFetchesBodies(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1336,6 +1648,8 @@
 
   inline  ::int64_t getClockNs() const;
 
+  inline bool getFetchesBodies() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1384,6 +1698,9 @@
   inline  ::int64_t getClockNs();
   inline void setClockNs( ::int64_t value);
 
+  inline bool getFetchesBodies();
+  inline void setFetchesBodies(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3075,6 +3392,145 @@
       ::capnp::bounded<15>() * ::capnp::POINTERS));
 }
 
+inline bool Call::Reader::hasBodySource() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS).isNull();
+}
+inline bool Call::Builder::hasBodySource() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS).isNull();
+}
+#if !CAPNP_LITE
+inline  ::fescuepond::wire::BodySource::Client Call::Reader::getBodySource() const {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::BodySource>::get(_reader.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+inline  ::fescuepond::wire::BodySource::Client Call::Builder::getBodySource() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::BodySource>::get(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+inline  ::fescuepond::wire::BodySource::Client Call::Pipeline::getBodySource() {
+  return  ::fescuepond::wire::BodySource::Client(_typeless.getPointerField(16).asCap());
+}
+inline void Call::Builder::setBodySource( ::fescuepond::wire::BodySource::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::fescuepond::wire::BodySource>::set(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), kj::mv(cap));
+}
+inline void Call::Builder::setBodySource( ::fescuepond::wire::BodySource::Client& cap) {
+  ::capnp::_::PointerHelpers< ::fescuepond::wire::BodySource>::set(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), cap);
+}
+inline void Call::Builder::adoptBodySource(
+    ::capnp::Orphan< ::fescuepond::wire::BodySource>&& value) {
+  ::capnp::_::PointerHelpers< ::fescuepond::wire::BodySource>::adopt(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::fescuepond::wire::BodySource> Call::Builder::disownBodySource() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::BodySource>::disown(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+#endif  // !CAPNP_LITE
+
+inline  ::uint64_t Call::Reader::getBodySize() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Call::Builder::getBodySize() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Call::Builder::setBodySize( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+#if !CAPNP_LITE
+inline BodySource::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline BodySource::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline BodySource::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline BodySource::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline BodySource::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::fescuepond::wire::BodySource::Client& BodySource::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::fescuepond::wire::BodySource::Client& BodySource::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
+}
+
+#endif  // !CAPNP_LITE
+inline  ::uint64_t BodySource::ReadParams::Reader::getOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t BodySource::ReadParams::Builder::getOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void BodySource::ReadParams::Builder::setOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t BodySource::ReadParams::Reader::getCount() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BodySource::ReadParams::Builder::getCount() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void BodySource::ReadParams::Builder::setCount( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool BodySource::ReadResults::Reader::hasBytes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool BodySource::ReadResults::Builder::hasBytes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader BodySource::ReadResults::Reader::getBytes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder BodySource::ReadResults::Builder::getBytes() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void BodySource::ReadResults::Builder::setBytes( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder BodySource::ReadResults::Builder::initBytes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void BodySource::ReadResults::Builder::adoptBytes(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> BodySource::ReadResults::Builder::disownBytes() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint8_t Outcome::Reader::getState() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3356,6 +3812,59 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool Outcome::Reader::hasBodySource() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Outcome::Builder::hasBodySource() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+#if !CAPNP_LITE
+inline  ::fescuepond::wire::BodySource::Client Outcome::Reader::getBodySource() const {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::BodySource>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::fescuepond::wire::BodySource::Client Outcome::Builder::getBodySource() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::BodySource>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::fescuepond::wire::BodySource::Client Outcome::Pipeline::getBodySource() {
+  return  ::fescuepond::wire::BodySource::Client(_typeless.getPointerField(4).asCap());
+}
+inline void Outcome::Builder::setBodySource( ::fescuepond::wire::BodySource::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::fescuepond::wire::BodySource>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(cap));
+}
+inline void Outcome::Builder::setBodySource( ::fescuepond::wire::BodySource::Client& cap) {
+  ::capnp::_::PointerHelpers< ::fescuepond::wire::BodySource>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), cap);
+}
+inline void Outcome::Builder::adoptBodySource(
+    ::capnp::Orphan< ::fescuepond::wire::BodySource>&& value) {
+  ::capnp::_::PointerHelpers< ::fescuepond::wire::BodySource>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::fescuepond::wire::BodySource> Outcome::Builder::disownBodySource() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::BodySource>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+#endif  // !CAPNP_LITE
+
+inline  ::uint64_t Outcome::Reader::getBodySize() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Outcome::Builder::getBodySize() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Outcome::Builder::setBodySize( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline double Notice::Reader::getRate() const {
   return _reader.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3504,6 +4013,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Peer::HelloParams::Reader::getFetchesBodies() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool Peer::HelloParams::Builder::getFetchesBodies() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void Peer::HelloParams::Builder::setFetchesBodies(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Peer::HelloResults::Reader::getVersion() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3605,6 +4128,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Peer::HelloResults::Reader::getFetchesBodies() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool Peer::HelloResults::Builder::getFetchesBodies() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void Peer::HelloResults::Builder::setFetchesBodies(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Peer::CallParams::Reader::hasCall() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/modules/peer/peerconnection.h
+++ b/modules/peer/peerconnection.h
@@ -10,6 +10,7 @@
 
 #include "core/kernel/clock.h"
 #include "core/values/id.h"
+#include "modules/peer/bodytransfer.h"
 #include "modules/peer/peer.capnp.h"
 #include "modules/peer/peerclock.h"
 
@@ -58,6 +59,15 @@
     {
         m_incarnation = incarnation;
     }
+    /// Where the other end takes bodies; set once hello was answered.
+    BodyPlacement bodyPlacement() const
+    {
+        return m_bodyPlacement;
+    }
+    void setBodyPlacement(BodyPlacement placement)
+    {
+        m_bodyPlacement = placement;
+    }
 
     /// The clock of the node at the other end; nothing if that node doesn't tell it.
     const std::optional<CalleeClock> &calleeClock() const
@@ -119,6 +129,7 @@
     wire::Peer::Client m_peer;
 
     Incarnation m_incarnation;
+    BodyPlacement m_bodyPlacement = BodyPlacement::InMessage;
     std::optional<CalleeClock> m_calleeClock; ///< The best reading so far.
     TimePoint m_lastReadingAt{}; ///< Of the latest reading, whether or not it is the one in use.
     bool m_isUsable = true;
--- a/modules/peer/peerconnections.cpp
+++ b/modules/peer/peerconnections.cpp
@@ -104,9 +104,11 @@
     request.setVersion(wire::PROTOCOL_VERSION);
     request.setName(m_identity.name);
     request.setClockNs(toWireClock(sentAt));
+    request.setFetchesBodies(true);
     return request.send().then([this, sentAt, connection = kj::mv(connection)](auto response) mutable {
         KJ_REQUIRE(response.getVersion() == wire::PROTOCOL_VERSION, "the peer uses a different protocol version");
         connection->setIncarnation(decodeId<Incarnation>(response.getIncarnation()));
+        connection->setBodyPlacement(response.getFetchesBodies() ? BodyPlacement::Fetched : BodyPlacement::InMessage);
         connection->addClockReading(response.getClockNs(), sentAt);
         return kj::mv(connection);
     });
--- a/modules/peer/peersender.cpp
+++ b/modules/peer/peersender.cpp
@@ -20,6 +20,18 @@
 /// can still reply.
 constexpr Duration DeadlineGrace = std::chrono::milliseconds(50);
 
+/// How long an outcome waits for room for its body.
+constexpr kj::Duration MaxRoomWait = 2 * kj::SECONDS;
+
+/// What becomes of an answer whose body there is no room for. The call has run.
+CallOutcome withoutRoom(const CallOutcome &outcome)
+{
+    return outcome.withState(CallState::OutcomeUnknown)
+        .withReason(Reason::AnswerLost)
+        .withDetail("the node has no room for the response's body")
+        .withHeaders({});
+}
+
 kj::Duration toKj(Duration duration)
 {
     return std::max<Duration::rep>(duration.count(), 0) * kj::NANOSECONDS;
@@ -128,14 +140,15 @@
         return *std::move(rejection);
     }
     pending->sentToIncarnation = connection->incarnation();
-    auto message = connection->peer().callRequest(sizeOf(pending->call));
-    encode(pending->call, m_kernel.clock().now(), connection->calleeClock(), message.initCall());
+    const BodyPlacement placement = connection->bodyPlacement();
+    auto message = connection->peer().callRequest(sizeOf(pending->call, placement));
+    encode(pending->call, m_kernel.clock().now(), connection->calleeClock(), message.initCall(), placement);
     const AttemptId attemptId = pending->call.context().attemptId();
-    auto responsePromise = message.send().then([attemptId](auto response) {
+    auto responsePromise = message.send().then([this, attemptId](auto response) {
         KJ_REQUIRE(decodeId<AttemptId>(response.getAttemptId()) == attemptId, "the reply is for another attempt");
         auto outcome = decode(response.getOutcome());
         KJ_REQUIRE(outcome.has_value(), "the reply is corrupt: digest mismatch or unknown value");
-        return *std::move(outcome);
+        return withFetchedBody(*std::move(outcome), response.getOutcome());
     });
     auto replyPromise = connection->withLivenessCheck<CallOutcome>(kj::mv(responsePromise));
     return replyPromise.catch_([this, pending, connection = kj::mv(connection)](kj::Exception &&error) mutable {
@@ -143,6 +156,18 @@
     });
 }
 
+kj::Promise<CallOutcome> PeerSender::withFetchedBody(CallOutcome outcome, wire::Outcome::Reader message)
+{
+    if (!message.hasBodySource()) {
+        return outcome;
+    }
+    kj::Timer &timer = m_loop.io().provider->getTimer();
+    return fetchBody(fetchOf(message, m_kernel.settings().maxBodyBytes(), MaxRoomWait), timer)
+        .then([outcome = std::move(outcome)](std::optional<Body> body) {
+            return body ? outcome.withBody(*std::move(body)) : withoutRoom(outcome);
+        });
+}
+
 kj::Promise<CallOutcome> PeerSender::settle(const PendingCallPtr &pending)
 {
     if (!pending->sentToIncarnation) {
@@ -169,10 +194,13 @@
     encode(context.attemptId(), message.initAttemptId());
     encode(toWire(context.deadline(), now, connection->calleeClock()), message.initDeadline());
     message.setWaitNs(std::max(context.deadline() - now, Duration::zero()).count());
-    auto responsePromise = message.send().then([](auto response) {
+    auto responsePromise = message.send().then([this](auto response) {
         auto report = decode(response);
         KJ_REQUIRE(report.has_value(), "the attempt report is corrupt: digest mismatch or unknown value");
-        return *std::move(report);
+        return withFetchedBody(report->outcome(), response.getOutcome())
+            .then([report = *report](const CallOutcome &outcome) {
+                return report.withOutcome(outcome);
+            });
     });
     auto replyPromise = connection->withLivenessCheck<AttemptReport>(kj::mv(responsePromise));
     return replyPromise
--- a/modules/peer/peersender.h
+++ b/modules/peer/peersender.h
@@ -49,6 +49,8 @@
     /// Checked immediately before the call is sent: it may have waited for its connection.
     std::optional<CallOutcome> rejectionBeforeSending(const PendingCall &pending) const;
     kj::Promise<CallOutcome> request(const PendingCallPtr &pending, kj::Own<PeerConnection> connection);
+    /// Fetches the body of an outcome that was decoded from `message`, unless the message has it.
+    kj::Promise<CallOutcome> withFetchedBody(CallOutcome outcome, wire::Outcome::Reader message);
     kj::Promise<CallOutcome> settle(const PendingCallPtr &pending);
     kj::Promise<CallOutcome> requestReport(const PendingCallPtr &pending, kj::Own<PeerConnection> connection);
     kj::Promise<CallOutcome> retrySettlement(const PendingCallPtr &pending, const kj::Exception &error);
--- a/modules/peer/peerserver.cpp
+++ b/modules/peer/peerserver.cpp
@@ -22,6 +22,8 @@
 constexpr Duration MaxUsualDelay = std::chrono::milliseconds(250);
 /// Time for the messages that were delayed together with a call to arrive: its cancellation may be among them.
 constexpr kj::Duration CancellationGrace = 50 * kj::MILLISECONDS;
+/// How long a call waits for room for its body.
+constexpr kj::Duration MaxRoomWait = 1 * kj::SECONDS;
 
 /// A copyable fulfiller, as std::function requires copyable captures.
 template<typename T>
@@ -54,6 +56,7 @@
     const auto params = context.getParams();
     const Kernel &kernel = m_services.kernel;
     if (params.getVersion() == wire::PROTOCOL_VERSION) {
+        m_bodyPlacement = params.getFetchesBodies() ? BodyPlacement::Fetched : BodyPlacement::InMessage;
         m_clock = CallerClock().withRemoteNs(params.getClockNs()).withReceivedAt(kernel.clock().now());
     } else {
         Event("peer_version_refused").with("peer", params.getName().cStr()).with("version", params.getVersion());
@@ -63,6 +66,7 @@
     results.setName(kernel.settings().name());
     encode(m_services.incarnation, results.initIncarnation());
     results.setClockNs(toWireClock(kernel.clock().now()));
+    results.setFetchesBodies(true);
     return kj::READY_NOW;
 }
 
@@ -93,34 +97,57 @@
     const TimePoint now = m_services.kernel.clock().now();
     const auto call = decode(message, clockOfPeer(), now);
     if (!call) {
-        auto results = context.getResults();
-        encode(CallOutcome::notRun(Reason::BadRequest, "the call's body does not match its digest"),
-               results.initOutcome());
-        encode(attemptId, results.initAttemptId());
-        return kj::READY_NOW;
+        return reply(
+            CallOutcome::notRun(Reason::BadRequest, "the call's body does not match its digest"), attemptId, context);
     }
     const Duration delay = transmissionDelay(decode(message.getDeadline()), clockOfPeer(), now);
     if (delay < MaxUsualDelay) {
-        return submit(*call, attemptId, context);
+        return fetchAndSubmit(*call, attemptId, context);
     }
     logDelay(message, delay, now);
     return m_timer.afterDelay(CancellationGrace).then([this, call = *call, attemptId, context]() mutable {
         return kj::evalLast([this, call = std::move(call), attemptId, context]() mutable {
-            return submit(call, attemptId, context);
+            return fetchAndSubmit(call, attemptId, context);
         });
     });
 }
 
+kj::Promise<void> PeerServer::fetchAndSubmit(const CallRequest &call, const AttemptId &attemptId, CallContext context)
+{
+    const auto message = context.getParams().getCall();
+    if (!message.hasBodySource()) {
+        return submit(call, attemptId, context);
+    }
+    return fetchBody(fetchOf(message, m_services.kernel.settings().maxBodyBytes(), MaxRoomWait), m_timer)
+        .then([this, call, attemptId, context](std::optional<Body> body) mutable -> kj::Promise<void> {
+            if (!body) {
+                return reply(CallOutcome::notRun(Reason::Overload, "the node has no room for the request's body")
+                                 .withUnusedAllowance(call.context().retryAllowance()),
+                             attemptId,
+                             context);
+            }
+            return submit(call.withBody(*std::move(body)), attemptId, context);
+        });
+}
+
+kj::Promise<void> PeerServer::reply(const CallOutcome &outcome, const AttemptId &attemptId, CallContext context)
+{
+    auto results = context.getResults(sizeOf(outcome, m_bodyPlacement));
+    encode(outcome, results.initOutcome(), m_bodyPlacement);
+    encode(attemptId, results.initAttemptId());
+    return kj::READY_NOW;
+}
+
 kj::Promise<void> PeerServer::submit(const CallRequest &call, const AttemptId &attemptId, CallContext context)
 {
+    // The call was copied from the message.
+    context.releaseParams();
     auto pair = kj::newPromiseAndCrossThreadFulfiller<CallOutcome>();
     m_services.pipeline.submit(call, [fulfiller = shared(kj::mv(pair.fulfiller))](const CallOutcome &outcome) {
         (*fulfiller)->fulfill(CallOutcome(outcome));
     });
-    return pair.promise.then([context, attemptId](const CallOutcome &outcome) mutable {
-        auto results = context.getResults(sizeOf(outcome));
-        encode(outcome, results.initOutcome());
-        encode(attemptId, results.initAttemptId());
+    return pair.promise.then([this, context, attemptId](const CallOutcome &outcome) {
+        return reply(outcome, attemptId, context);
     });
 }
 
@@ -139,8 +166,8 @@
                 (*fulfiller)->fulfill(AttemptReport(report));
             });
         });
-    return pair.promise.then([context](const AttemptReport &report) mutable {
-        encode(report, context.getResults());
+    return pair.promise.then([placement = m_bodyPlacement, context](const AttemptReport &report) mutable {
+        encode(report, context.getResults(), placement);
     });
 }
 
--- a/modules/peer/peerserver.h
+++ b/modules/peer/peerserver.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/pipeline/interfaces.h"
+#include "modules/peer/bodytransfer.h"
 #include "modules/peer/peer.capnp.h"
 #include "modules/peer/peerclock.h"
 
@@ -51,11 +52,15 @@
     /// Throws if the other end hasn't sent hello with this protocol version.
     const CallerClock &clockOfPeer() const;
     void logDelay(wire::Call::Reader message, Duration delay, TimePoint now) const;
+    /// Fetches the body of the call and passes it on; rejects it if there is no room for the body.
+    kj::Promise<void> fetchAndSubmit(const CallRequest &call, const AttemptId &attemptId, CallContext context);
+    kj::Promise<void> reply(const CallOutcome &outcome, const AttemptId &attemptId, CallContext context);
     /// Passes the call to the target pipeline and sends the reply.
     kj::Promise<void> submit(const CallRequest &call, const AttemptId &attemptId, CallContext context);
 
     const PeerServices &m_services;
     kj::Timer &m_timer;
+    BodyPlacement m_bodyPlacement = BodyPlacement::InMessage; ///< Where the other end takes bodies.
     std::optional<CallerClock> m_clock; ///< Empty until a hello with this protocol version was received.
 };
 
--- a/modules/peer/wireencoding.cpp
+++ b/modules/peer/wireencoding.cpp
@@ -43,11 +43,34 @@
     return Body(std::string(reinterpret_cast<const char *>(data.begin()), data.size()));
 }
 
+template<typename Builder>
+void encodeBody(const Body &body, Builder builder, BodyPlacement placement)
+{
+    builder.setBodyDigest(body.digest());
+    if (isFetched(body, placement)) {
+        builder.setBodySource(sourceOf(body));
+        builder.setBodySize(body.size());
+    } else {
+        builder.setBody(asData(body));
+    }
+}
+
+/// Nothing if the body does not match its digest; empty if it is to be fetched.
+template<typename Reader>
+std::optional<Body> decodeBody(Reader reader)
+{
+    if (reader.hasBodySource()) {
+        return Body();
+    }
+    Body body = asBody(reader.getBody());
+    return body.digest() == reader.getBodyDigest() ? std::optional(std::move(body)) : std::nullopt;
+}
+
 /// Returns nothing if the body does not match its digest.
 std::optional<CallRequest> decodeCall(wire::Call::Reader reader, TimePoint deadline, TimePoint now)
 {
-    Body body = asBody(reader.getBody());
-    if (body.digest() != reader.getBodyDigest()) {
+    auto body = decodeBody(reader);
+    if (!body) {
         return std::nullopt;
     }
     const CallContext context = CallContext()
@@ -75,7 +98,7 @@
         .withMethod(reader.getMethod())
         .withPath(reader.getPath())
         .withHeaders(decodeHeaders(reader.getHeaders()))
-        .withBody(std::move(body));
+        .withBody(*std::move(body));
 }
 
 /// Words of a message besides texts, headers and bodies.
@@ -97,12 +120,18 @@
     return words;
 }
 
+capnp::MessageSize sizeOfMessage(std::size_t words, const Body &body, BodyPlacement placement)
+{
+    const bool isOutside = isFetched(body, placement);
+    return {words + (isOutside ? 0 : wordsOf(body.size())), isOutside ? 1U : 0U};
+}
+
 } // namespace
 
-capnp::MessageSize sizeOf(const CallRequest &call)
+capnp::MessageSize sizeOf(const CallRequest &call, BodyPlacement placement)
 {
     const CallContext &context = call.context();
-    std::size_t words = FixedWords + wordsOf(call.headers()) + wordsOf(call.body().size());
+    std::size_t words = FixedWords + wordsOf(call.headers());
     for (const std::string *text : {&context.kind(),
                                     &context.rootKind(),
                                     &context.key(),
@@ -115,14 +144,14 @@
                                     &call.host()}) {
         words += wordsOf(text->size());
     }
-    return {words, 0};
+    return sizeOfMessage(words, call.body(), placement);
 }
 
-capnp::MessageSize sizeOf(const CallOutcome &outcome)
+capnp::MessageSize sizeOf(const CallOutcome &outcome, BodyPlacement placement)
 {
-    const std::size_t words = FixedWords + wordsOf(outcome.headers()) + wordsOf(outcome.body().size())
-        + wordsOf(outcome.detail().size()) + wordsOf(outcome.notice().leavingInstance().size());
-    return {words, 0};
+    const std::size_t words = FixedWords + wordsOf(outcome.headers()) + wordsOf(outcome.detail().size())
+        + wordsOf(outcome.notice().leavingInstance().size());
+    return sizeOfMessage(words, outcome.body(), placement);
 }
 
 void encode(const BackendNotice &notice, wire::Notice::Builder builder)
@@ -166,7 +195,8 @@
 void encode(const CallRequest &call,
             TimePoint now,
             const std::optional<CalleeClock> &callee,
-            wire::Call::Builder builder)
+            wire::Call::Builder builder,
+            BodyPlacement placement)
 {
     const CallContext &context = call.context();
     encode(context.callId(), builder.initCallId());
@@ -186,8 +216,7 @@
     builder.setMethod(call.method());
     builder.setPath(call.path());
     encodeHeaders(call.headers(), builder.initHeaders(static_cast<unsigned>(call.headers().size())));
-    builder.setBody(asData(call.body()));
-    builder.setBodyDigest(call.body().digest());
+    encodeBody(call.body(), builder, placement);
     builder.setHost(call.host());
     builder.setCallerAttempt(context.callerAttempt());
     builder.setCallerService(context.callerService());
@@ -207,15 +236,14 @@
     return decodeCall(reader, fromWire(decode(reader.getDeadline()), now), now);
 }
 
-void encode(const CallOutcome &outcome, wire::Outcome::Builder builder)
+void encode(const CallOutcome &outcome, wire::Outcome::Builder builder, BodyPlacement placement)
 {
     builder.setState(static_cast<std::uint8_t>(outcome.state()));
     builder.setReason(static_cast<std::uint8_t>(outcome.reason()));
     builder.setDetail(outcome.detail());
     builder.setStatus(outcome.status());
     encodeHeaders(outcome.headers(), builder.initHeaders(static_cast<unsigned>(outcome.headers().size())));
-    builder.setBody(asData(outcome.body()));
-    builder.setBodyDigest(outcome.body().digest());
+    encodeBody(outcome.body(), builder, placement);
     builder.setUnusedAllowance(outcome.unusedAllowance());
     builder.setTargetLimit(outcome.targetLimit());
     builder.setTargetInFlight(outcome.targetInFlight());
@@ -229,11 +257,10 @@
 
 std::optional<CallOutcome> decode(wire::Outcome::Reader reader)
 {
-    Body body = asBody(reader.getBody());
-    const bool isIntact = body.digest() == reader.getBodyDigest();
+    auto body = decodeBody(reader);
     const bool isKnown = reader.getState() <= static_cast<std::uint8_t>(CallState::OutcomeUnknown)
         && reader.getReason() <= static_cast<std::uint8_t>(Reason::Internal);
-    if (!isIntact || !isKnown) {
+    if (!body || !isKnown) {
         return std::nullopt;
     }
     return CallOutcome()
@@ -242,7 +269,7 @@
         .withDetail(reader.getDetail())
         .withStatus(reader.getStatus())
         .withHeaders(decodeHeaders(reader.getHeaders()))
-        .withBody(std::move(body))
+        .withBody(*std::move(body))
         .withUnusedAllowance(reader.getUnusedAllowance())
         .withTargetLimit(reader.getTargetLimit())
         .withTargetInFlight(reader.getTargetInFlight())
@@ -252,11 +279,11 @@
         .withNotice(decode(reader.getNotice()));
 }
 
-void encode(const AttemptReport &report, wire::Peer::SettleResults::Builder builder)
+void encode(const AttemptReport &report, wire::Peer::SettleResults::Builder builder, BodyPlacement placement)
 {
     builder.setStatus(static_cast<std::uint8_t>(report.status()));
     if (report.status() == AttemptStatus::Finished) {
-        encode(report.outcome(), builder.initOutcome());
+        encode(report.outcome(), builder.initOutcome(), placement);
     }
 }
 
--- a/modules/settlement/settlementplugin.cpp
+++ b/modules/settlement/settlementplugin.cpp
@@ -8,6 +8,7 @@
 #include "core/pipeline/interfaces.h"
 #include "servers/settlement/attempttable.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <unordered_map>
 #include <utility>
@@ -25,6 +26,7 @@
     Result<void> start(Kernel &kernel) override
     {
         m_kernel = &kernel;
+        limitOutcomes();
         kernel.require<TargetPipeline>().add(TargetStage::Fence, *this);
         kernel.provide<AttemptSettlement>(*this);
         kernel.metrics().gauge("fescuepond_attempts_known", {}, [this] {
@@ -113,6 +115,21 @@
     }
 
 private:
+    /// Bodies of finished attempts that nobody asks for leave most of the memory for bodies to those in transit.
+    void limitOutcomes()
+    {
+        constexpr std::size_t BytesPerMegabyte = 1024UL * 1024;
+        constexpr std::size_t MemoryDivisor = 64;
+        const AttemptLimits standard = AttemptLimits::standard();
+        const std::size_t memory = m_kernel->settings().memoryLimitMb() * BytesPerMegabyte;
+        if (memory > 0) {
+            const std::size_t bytes = std::min(standard.maxOutcomeBytes(), memory / MemoryDivisor);
+            m_attempts.locked([&](Attempts &attempts) {
+                attempts.m_table = AttemptTable(standard.withMaxOutcomeBytes(bytes));
+            });
+        }
+    }
+
     /// A continuation that waits for the outcome of an unfinished attempt.
     struct Waiter {
         std::uint64_t m_number;
--- a/servers/settlement/attempttable.h
+++ b/servers/settlement/attempttable.h
@@ -125,7 +125,7 @@
     void evictEarly();
     void discardOldestBody();
 
-    const AttemptLimits m_limits;
+    AttemptLimits m_limits;
     std::unordered_map<AttemptId, AttemptRecord> m_records;
     // Each finished or fenced record is in exactly one of these two, with the end of its retention. A fenced attempt
     // that is still in the target's queue is in m_fenced.
