Send responses without a thread or a copy for each slow reader

What callers saw: where many clients read long responses slowly, the process on their machine ran out of memory and ended, and everything that it held for its callers was cut.

Cause: the rest of a response that the socket didn't take was copied into a string that nothing counted, and each such rest waited for one of 32 threads.

Why this works: the body that is written is the counted one, for as long as it is unsent. The polling thread sends on as the caller reads. A connection whose caller takes nothing for request_read_timeout_ms is closed as before; while charges are rejected, also one that reads a response for over 2 s, so that others get room. No further request of a connection is read while a response to it is unsent.

--- a/modules/http/httpconnection.cpp
+++ b/modules/http/httpconnection.cpp
@@ -16,6 +16,8 @@
 {
 
 constexpr int StatusHeaderTooLarge = 431;
+/// A longer body is sent on its own instead of in a copy behind the header.
+constexpr std::size_t MaxCombinedBytes = 16'384;
 constexpr std::string_view LineEnd = "\r\n";
 constexpr std::string_view SectionEnd = "\r\n\r\n";
 
@@ -65,10 +67,16 @@
     return toText(ResponseHeader().withStatus(response.status()).withFields(std::move(fields)));
 }
 
-std::string responseText(const HttpResponse &response, bool isHead, bool keepAlive)
+ResponseBytes responseBytes(const HttpResponse &response, bool isHead, bool keepAlive)
 {
     std::string text = headerText(response, keepAlive);
-    return isHead ? text : text + response.body().bytes();
+    if (isHead) {
+        return {std::move(text), Body()};
+    }
+    if (response.body().size() > MaxCombinedBytes) {
+        return {std::move(text), response.body()};
+    }
+    return {text + response.body().bytes(), Body()};
 }
 
 /// What a caller gets instead of a response that can't be written; its call may have been run.
@@ -96,7 +104,7 @@
     if (mayWrite && toLower(valueOf(headers, "expect")) == "100-continue") {
         sendAll("HTTP/1.1 100 Continue\r\n\r\n");
     }
-    Body body(fescuepond::readBody(*this, framing, settings.maxBodyBytes()));
+    Body body = fescuepond::readBody(*this, framing, settings.maxBodyBytes(), NoRoom::GiveUp);
     return HttpRequest()
         .withRequestId(AttemptId::random())
         .withMethod(header.method())
@@ -121,13 +129,31 @@
     return contentLength(section) <= piece.size() - end - SectionEnd.size();
 }
 
-std::string HttpConnection::encode(const HttpResponse &response, bool isHead, bool keepAlive)
+std::string_view ResponseBytes::from(std::size_t offset) const
+{
+    const std::string_view text = m_text;
+    const std::string_view body = m_body.bytes();
+    return offset < text.size() ? text.substr(offset) : body.substr(offset - text.size());
+}
+
+ResponseBytes HttpConnection::encode(const HttpResponse &response, bool isHead, bool keepAlive)
 {
     try {
-        return responseText(response, isHead, keepAlive);
+        return responseBytes(response, isHead, keepAlive);
     } catch (const UnwritableHeader &error) {
         Event("response_unwritable").with("status", response.status()).with("error", error.displayText());
-        return responseText(unwritableResponse(error.displayText()), isHead, keepAlive);
+        return responseBytes(unwritableResponse(error.displayText()), isHead, keepAlive);
+    }
+}
+
+void HttpConnection::respond(const HttpResponse &response, bool isHead, bool keepAlive)
+{
+    const ResponseBytes bytes = encode(response, isHead, keepAlive);
+    std::size_t sent = 0;
+    while (sent < bytes.size()) {
+        const std::string_view part = bytes.from(sent);
+        sendAll(part);
+        sent += part.size();
     }
 }
 
--- a/modules/http/httpconnection.h
+++ b/modules/http/httpconnection.h
@@ -6,12 +6,37 @@
 #include "modules/http/httpstream.h"
 
 #include <string>
+#include <string_view>
+#include <utility>
 
 namespace fescuepond
 {
 
 class NodeSettings;
 
+/// The bytes of a response: a text and, unless the text has it, the body. A long body isn't copied.
+class ResponseBytes
+{
+public:
+    ResponseBytes(std::string text, Body body)
+        : m_text(std::move(text))
+        , m_charge(m_text.size())
+        , m_body(std::move(body))
+    {
+    }
+    std::size_t size() const
+    {
+        return m_text.size() + m_body.size();
+    }
+    /// A part that begins at `offset`; empty only at the end.
+    std::string_view from(std::size_t offset) const;
+
+private:
+    std::string m_text;
+    BodyCharge m_charge; ///< Of the size of m_text.
+    Body m_body;
+};
+
 /// At any time, one thread at most reads from the connection, and one at most writes to it.
 class HttpConnection final : public HttpStream
 {
@@ -27,12 +52,9 @@
     bool holdsWholeRequest() const;
     /// The bytes of a response. The response to a HEAD request has no body. A response that can't be written as HTTP is
     /// replaced by status 502.
-    static std::string encode(const HttpResponse &response, bool isHead, bool keepAlive);
-    void respond(const HttpResponse &response, bool isHead, bool keepAlive)
-    {
-        sendAll(encode(response, isHead, keepAlive));
-    }
-    using HttpStream::sendAll;
+    static ResponseBytes encode(const HttpResponse &response, bool isHead, bool keepAlive);
+    /// Encodes and sends a response; waits until the operating system has taken it.
+    void respond(const HttpResponse &response, bool isHead, bool keepAlive);
     using HttpStream::sendAvailable;
     /// Whether the latest request asks to keep the connection open.
     bool wantsKeepAlive() const
--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -5,9 +5,11 @@
 #include "core/kernel/eventlog.h"
 #include "core/kernel/kernel.h"
 #include "core/kernel/sharedtable.h"
+#include "core/values/bodymemory.h"
 #include "modules/http/bodyreader.h"
 #include "modules/http/httpconnection.h"
 #include "modules/http/requestpipeline.h"
+#include "modules/http/unsentresponse.h"
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/PollSet.h>
@@ -46,6 +48,9 @@
 constexpr Duration FinalSendTimeout = std::chrono::milliseconds(50);
 constexpr Duration FinalWriteLimit = std::chrono::milliseconds(300);
 constexpr Duration FinalWriteCheckInterval = std::chrono::milliseconds(5);
+constexpr Duration CheckInterval = std::chrono::milliseconds(250);
+/// How long a caller may take to read a response while there is no room for those of others.
+constexpr Duration SlowReadLimit = std::chrono::seconds(2);
 constexpr int StatusBadRequest = 400;
 constexpr int StatusUnavailable = 503;
 
@@ -195,6 +200,8 @@
     struct Tracked {
         HttpConnectionPtr connection;
         RequestPipeline pipeline;
+        std::optional<UnsentResponse> unsent; ///< Sent on as soon as the caller reads.
+        int pollMode = 0; ///< The events that the poll set watches for; 0: the connection isn't in it.
     };
     /// Why a request is answered with an error.
     struct Rejection {
@@ -205,7 +212,8 @@
         std::optional<HttpRequest> request;
         std::optional<Rejection> rejection; ///< At most one of the two is set; none if the connection has ended.
     };
-    /// All open connections. Those with input Parked, Watched or Loop are in the poll set, and only those.
+    /// All open connections. Those with input Parked, Watched or Loop and those with an unsent response are in the poll
+    /// set, and only those.
     using Connections = std::map<Poco::Net::Socket, Tracked>;
 
     void pollLoop()
@@ -234,7 +242,12 @@
             for (const auto &[socket, mode] : ready) {
                 if (isListening && socket == m_serverSocket) {
                     accept();
-                } else {
+                    continue;
+                }
+                if ((mode & (Poco::Net::PollSet::POLL_WRITE | Poco::Net::PollSet::POLL_ERROR)) != 0) {
+                    sendFurther(socket);
+                }
+                if ((mode & Poco::Net::PollSet::POLL_READ) != 0) {
                     handleInput(socket, arrivedAt);
                 }
             }
@@ -296,15 +309,27 @@
     /// Changes who reads the input, and keeps the poll set in line with that.
     void setInput(Tracked &tracked, InputOwner owner)
     {
-        const auto isPolled = [](InputOwner input) {
-            return input == InputOwner::Parked || input == InputOwner::Watched || input == InputOwner::Loop;
-        };
-        const bool wasPolled = isPolled(tracked.pipeline.input());
         tracked.pipeline.setInput(owner);
-        if (wasPolled && !isPolled(owner)) {
-            removeFromPollSet(tracked.connection->stream());
-        } else if (!wasPolled && isPolled(owner)) {
-            m_pollSet.add(tracked.connection->stream(), Poco::Net::PollSet::POLL_READ);
+        updatePolling(tracked);
+    }
+
+    void updatePolling(Tracked &tracked)
+    {
+        const InputOwner input = tracked.pipeline.input();
+        const bool isRead = input == InputOwner::Parked || input == InputOwner::Watched || input == InputOwner::Loop;
+        const int mode =
+            (isRead ? Poco::Net::PollSet::POLL_READ : 0) | (tracked.unsent ? Poco::Net::PollSet::POLL_WRITE : 0);
+        const int former = std::exchange(tracked.pollMode, mode);
+        if (mode == former) {
+            return;
+        }
+        const Poco::Net::Socket &socket = tracked.connection->stream();
+        if (mode == 0) {
+            removeFromPollSet(socket);
+        } else if (former == 0) {
+            m_pollSet.add(socket, mode);
+        } else {
+            m_pollSet.update(socket, mode);
         }
     }
 
@@ -329,8 +354,9 @@
     /// Starts reading the request behind the open ones if bytes of it are held and it may run now.
     bool readNextIfPossible(Tracked &tracked)
     {
-        const bool canRead = !m_isDraining && !tracked.pipeline.isBeingRead() && tracked.pipeline.canReadNext()
-            && tracked.connection->hasHeldInput();
+        // A caller that doesn't read the responses that are there gets no further ones.
+        const bool canRead = !m_isDraining && !tracked.unsent && !tracked.pipeline.isBeingRead()
+            && tracked.pipeline.canReadNext() && tracked.connection->hasHeldInput();
         if (canRead) {
             startReading(tracked, tracked.connection->nextArrivedAt());
         }
@@ -383,7 +409,7 @@
             m_table.locked([&](Connections &table) {
                 Tracked &tracked = table[socket];
                 tracked.connection = connection;
-                m_pollSet.add(socket, Poco::Net::PollSet::POLL_READ);
+                setInput(tracked, InputOwner::Parked);
             });
         } catch (const Poco::Exception &error) {
             Event("accept_failed").with("listener", m_name).with("error", error.displayText());
@@ -510,26 +536,20 @@
         }
     }
 
-    /// Writes the responses that are there, in the order of their requests. A worker goes on as soon as that would
-    /// wait.
+    /// Writes the responses that are there, in the order of their requests. The polling thread goes on as soon as that
+    /// would wait.
     void writeWithoutWaiting(const HttpConnectionPtr &connection)
     {
         while (const auto next = nextToWrite(connection)) {
-            std::string text = HttpConnection::encode(next->response, next->isHead, next->keepAlive);
-            try {
-                text.erase(0, connection->sendAvailable(text));
-            } catch (const Poco::Exception &error) {
-                writeFailed(connection, error);
-                text.clear();
+            UnsentResponse response(HttpConnection::encode(next->response, next->isHead, next->keepAlive),
+                                    next->keepAlive,
+                                    m_kernel.clock().now());
+            if (!send(connection, response)) {
+                keepUnsent(connection, std::move(response));
+                return;
             }
-            if (!text.empty() || !next->keepAlive) {
-                m_kernel.pool().post(
-                    Lane::Http,
-                    [self = shared_from_this(), connection, rest = std::move(text), keepAlive = next->keepAlive] {
-                        self->write(connection, rest, keepAlive);
-                        self->writeResponses(connection);
-                        --self->m_writers;
-                    });
+            if (!next->keepAlive) {
+                closeLater(connection);
                 return;
             }
             --m_inFlight;
@@ -537,26 +557,121 @@
         --m_writers;
     }
 
-    /// Writes the responses that are there, in the order of their requests.
-    void writeResponses(const HttpConnectionPtr &connection)
+    /// Sends what can be sent without waiting. Returns whether nothing is left to be sent.
+    bool send(const HttpConnectionPtr &connection, UnsentResponse &response)
     {
-        while (const auto next = nextToWrite(connection)) {
-            write(connection, HttpConnection::encode(next->response, next->isHead, next->keepAlive), next->keepAlive);
+        try {
+            return response.sendAvailable(*connection, m_kernel.clock().now());
+        } catch (const Poco::Exception &error) {
+            writeFailed(connection, error);
+            return true;
         }
     }
 
-    /// Writes the rest of a response.
-    void write(const HttpConnectionPtr &connection, const std::string &text, bool keepAlive)
+    void keepUnsent(const HttpConnectionPtr &connection, UnsentResponse response)
     {
-        try {
-            connection->sendAll(text);
-        } catch (const Poco::Exception &error) {
-            writeFailed(connection, error);
+        const bool isKept = m_table.locked([&](Connections &table) {
+            const auto found = table.find(connection->stream());
+            if (found == table.end()) {
+                return false;
+            }
+            found->second.unsent = std::move(response);
+            updatePolling(found->second);
+            scheduleCheck();
+            return true;
+        });
+        if (!isKept) {
+            --m_inFlight;
+            --m_writers;
         }
-        if (!keepAlive) {
-            closeAfterResponse(connection);
+    }
+
+    /// Goes on with a response of which a part wasn't sent yet.
+    void sendFurther(const Poco::Net::Socket &socket)
+    {
+        HttpConnectionPtr connection;
+        std::optional<UnsentResponse> response;
+        m_table.locked([&](Connections &table) {
+            const auto found = table.find(socket);
+            if (found != table.end() && found->second.unsent) {
+                connection = found->second.connection;
+                response = std::exchange(found->second.unsent, std::nullopt);
+            }
+        });
+        if (!response) {
+            return;
+        }
+        if (!send(connection, *response)) {
+            keepUnsent(connection, *std::move(response));
+            return;
+        }
+        m_table.locked([&](Connections &table) {
+            const auto found = table.find(socket);
+            if (found != table.end()) {
+                updatePolling(found->second);
+            }
+        });
+        if (!response->keepAlive()) {
+            closeLater(connection);
+            return;
         }
         --m_inFlight;
+        writeWithoutWaiting(connection);
+    }
+
+    /// Closes the connection on a worker, after the last response: unread input is discarded before, which takes time.
+    void closeLater(const HttpConnectionPtr &connection)
+    {
+        m_kernel.pool().post(Lane::Http, [self = shared_from_this(), connection] {
+            self->closeAfterResponse(connection);
+            --self->m_inFlight;
+            self->writeWithoutWaiting(connection);
+        });
+    }
+
+    /// Subscribes to the next check of the connections that somebody waits for, unless there is a subscription.
+    void scheduleCheck()
+    {
+        if (m_isStopped || m_isCheckScheduled.exchange(true)) {
+            return;
+        }
+        m_kernel.timers().once(m_kernel.clock().now() + CheckInterval, [listener = weak_from_this()] {
+            if (const auto self = listener.lock()) {
+                self->m_isCheckScheduled = false;
+                self->closeSlowReaders();
+            }
+        });
+    }
+
+    /// Shuts down connections whose caller has stopped reading its response, and those that read slowly while others
+    /// lack memory. The polling thread notices it.
+    void closeSlowReaders()
+    {
+        const TimePoint now = m_kernel.clock().now();
+        const std::uint64_t rejected = rejectedBodyCharges();
+        const bool isMemoryShort = rejected != m_seenRejections.exchange(rejected);
+        bool hasUnsent = false;
+        m_table.locked([&](Connections &table) {
+            for (auto &[socket, tracked] : table) {
+                if (!tracked.unsent) {
+                    continue;
+                }
+                hasUnsent = true;
+                const bool isStuck = now - tracked.unsent->lastProgress() > m_kernel.settings().requestReadTimeout();
+                const bool isSlow = isMemoryShort && now - tracked.unsent->since() > SlowReadLimit;
+                if (isStuck || isSlow) {
+                    Event("slow_reader_closed")
+                        .with("listener", m_name)
+                        .with("reason", isStuck ? "no-progress" : "memory")
+                        .with("unsent", tracked.unsent->unsentBytes());
+                    m_kernel.metrics().count("fescuepond_slow_readers_closed_total", {{"listener", m_name}});
+                    shutDownBoth(tracked.connection->stream());
+                }
+            }
+        });
+        if (hasUnsent) {
+            scheduleCheck();
+        }
     }
 
     void writeFailed(const HttpConnectionPtr &connection, const Poco::Exception &error)
@@ -574,10 +689,10 @@
             }
             Tracked &tracked = found->second;
             auto next = tracked.pipeline.nextToWrite(m_isDraining);
-            if (next) {
-                readNextIfPossible(tracked);
-            } else if (tracked.pipeline.isEmpty()) {
+            if (!next && tracked.pipeline.isEmpty()) {
                 allResponsesWritten(table, found);
+            } else {
+                readNextIfPossible(tracked);
             }
             return next;
         });
@@ -628,6 +743,7 @@
     {
         const TimePoint limit = m_kernel.clock().now() + FinalWriteLimit;
         while (m_writers > 0 && m_kernel.clock().now() < limit) {
+            sendUnsent();
             std::this_thread::sleep_for(FinalWriteCheckInterval);
         }
         std::vector<std::pair<HttpConnectionPtr, std::deque<OpenRequest>>> unfinished;
@@ -644,6 +760,22 @@
         }
     }
 
+    /// Sends what callers take of unsent responses, in place of the polling thread.
+    void sendUnsent()
+    {
+        std::vector<Poco::Net::Socket> sockets;
+        m_table.locked([&](const Connections &table) {
+            for (const auto &[socket, tracked] : table) {
+                if (tracked.unsent) {
+                    sockets.push_back(socket);
+                }
+            }
+        });
+        for (const Poco::Net::Socket &socket : sockets) {
+            sendFurther(socket);
+        }
+    }
+
     void finish(const HttpConnectionPtr &connection, const std::deque<OpenRequest> &requests)
     {
         try {
@@ -767,7 +899,10 @@
     std::map<AttemptId, HttpConnectionPtr> m_connectionOf;
     std::optional<HttpResponse> m_finalResponse; ///< To requests that are open when the listener stops.
     std::atomic<std::size_t> m_inFlight = 0;
-    std::atomic<std::size_t> m_writers = 0; ///< Workers that write responses, or are posted to.
+    /// Connections to which responses are being written: by a thread, or as soon as the caller reads.
+    std::atomic<std::size_t> m_writers = 0;
+    std::atomic<bool> m_isCheckScheduled = false; ///< closeSlowReaders() is subscribed to.
+    std::atomic<std::uint64_t> m_seenRejections = 0; ///< rejectedBodyCharges() at the latest check.
     std::atomic<bool> m_isDraining = false; ///< The last response on each connection asks the caller to close it.
     std::atomic<bool> m_isAcceptStopped = false; ///< No new connections are accepted; implies m_isDraining.
     std::atomic<bool> m_isStopped = false;
--- a/modules/http/httplistener.h
+++ b/modules/http/httplistener.h
@@ -2,7 +2,8 @@
 //
 // Idle connections wait in a poll set and occupy no worker. The thread that polls it reads a request that has arrived
 // whole and passes it to the handler; a worker of the HTTP lane reads one that has not. A response is written by the
-// thread that completes the request as far as this takes no waiting, and otherwise by a worker.
+// thread that completes the request as far as this takes no waiting; the polling thread sends the rest as the caller
+// reads, and closes the connection if that takes too long.
 
 #pragma once
 
