Responses without room are given up two seconds after they first find none

Cause: each piece of a body in chunks waited for room anew, so endless responses that took turns lasted until their deadline.

--- a/modules/http/bodyreader.cpp
+++ b/modules/http/bodyreader.cpp
@@ -126,9 +126,10 @@
 
 void BodyBuffer::charge(std::size_t bytes)
 {
-    const auto end = std::chrono::steady_clock::now() + MaxRoomWait;
     while (!m_charge.add(bytes)) {
-        if (m_noRoom == NoRoom::GiveUp || std::chrono::steady_clock::now() >= end) {
+        const auto now = std::chrono::steady_clock::now();
+        m_giveUpAt = m_giveUpAt.value_or(now + MaxRoomWait);
+        if (m_noRoom == NoRoom::GiveUp || now >= *m_giveUpAt) {
             throw BodyMemoryExceeded();
         }
         std::this_thread::sleep_for(RoomRetryPause);
--- a/modules/http/bodyreader.h
+++ b/modules/http/bodyreader.h
@@ -9,8 +9,10 @@
 #include "modules/http/httpmessage.h"
 #include "modules/http/messageheader.h"
 
+#include <chrono>
 #include <cstddef>
 #include <exception>
+#include <optional>
 #include <string>
 
 namespace fescuepond
@@ -57,7 +59,7 @@
     Wait, ///< Its sender is kept waiting for MaxRoomWait at most. Not for a thread that others wait for.
 };
 
-/// How long a body waits for room.
+/// For how long a body waits for room, from the first time that it finds none.
 constexpr Duration MaxRoomWait = std::chrono::seconds(2);
 /// Until a body that waits for room tries again.
 constexpr Duration RoomRetryPause = std::chrono::milliseconds(20);
@@ -86,6 +88,7 @@
     void charge(std::size_t bytes);
 
     const NoRoom m_noRoom;
+    std::optional<std::chrono::steady_clock::time_point> m_giveUpAt; ///< Set once there was no room.
     std::string m_bytes;
     BodyCharge m_charge; ///< Of at least the size of m_bytes.
 };
