Close the connection that has been idle for longest when there are too many

What callers saw: clients that leave connections open, used or not, took all descriptors of the node; from then on it accepted no connection, and ordinary requests on new connections got no answer for as long as those clients stayed.

Cause: nothing counted connections without a request. An accept that failed was repeated at once, as the polling thread found the listening socket ready.

Evidence: ClientCrowd.IdleConnectionsLeaveRoomForNewCallers, SilentConnectionsLeaveRoomForNewCallers and HeadersWithoutEndLeaveRoomForNewCallers used 400 of 400 descriptors on and pass with this change (one run each, x86-64). Ruled out: that closing connections after idle_timeout_s is enough, since a crowd opens them faster than that.

Why this works: a listener counts its connections where it accepts them. Callers' listeners have max_connections (2,048), at most half of the process's descriptors, listeners of the backend server and internal ones smaller parts. At the limit a new connection takes the place of the one that has been idle for longest, or is closed if all have open requests. After a failed accept the listening socket leaves the poll set for 250 ms.

--- a/core/settings/nodesettings.cpp
+++ b/core/settings/nodesettings.cpp
@@ -122,6 +122,12 @@
          "16384",
          "bytes",
          "Maximum size of the header of a request."},
+        {"max_connections",
+         &NodeSettings::withMaxConnections,
+         "2048",
+         "connections",
+         "Maximum number of connections of callers, at most half of the process's descriptors; beyond it, the one that "
+         "has been idle for longest is closed."},
         {"memory_limit_mb",
          &NodeSettings::withMemoryLimitMb,
          "256",
--- a/core/settings/nodesettings.h
+++ b/core/settings/nodesettings.h
@@ -55,6 +55,7 @@
     FESCUEPOND_LISTED_FIELD(std::size_t, backendThreads, withBackendThreads);
     FESCUEPOND_LISTED_FIELD(std::size_t, maxBodyBytes, withMaxBodyBytes);
     FESCUEPOND_LISTED_FIELD(std::size_t, maxHeaderBytes, withMaxHeaderBytes);
+    FESCUEPOND_LISTED_FIELD(std::size_t, maxConnections, withMaxConnections);
     FESCUEPOND_LISTED_FIELD(std::size_t, memoryLimitMb, withMemoryLimitMb); ///< 0: none.
     FESCUEPOND_LISTED_FIELD(Milliseconds, requestReadTimeout, withRequestReadTimeout);
     FESCUEPOND_LISTED_FIELD(Milliseconds, drainTimeout, withDrainTimeout);
--- a/core/settings/settingformat.cpp
+++ b/core/settings/settingformat.cpp
@@ -49,6 +49,7 @@
     SettingRule{"backend_threads", SettingFormat::Number, 1, 100'000},
     SettingRule{"max_body_bytes", SettingFormat::Number, 0, 100'000'000},
     SettingRule{"max_header_bytes", SettingFormat::Number, 256, 1'000'000},
+    SettingRule{"max_connections", SettingFormat::Number, 16, 1'000'000},
     SettingRule{"memory_limit_mb", SettingFormat::Number, 0, 1'000'000},
     SettingRule{"request_read_timeout_ms", SettingFormat::Number, 10, 600'000},
     SettingRule{"drain_timeout_ms", SettingFormat::Number, 0, 3'600'000},
--- a/modules/front/frontplugin.cpp
+++ b/modules/front/frontplugin.cpp
@@ -31,10 +31,13 @@
         m_kernel = &kernel;
         m_pipeline = &kernel.require<EntryPipeline>();
         m_tickets = &kernel.require<TicketIssuer>();
-        m_listener =
-            std::make_unique<HttpListener>(kernel, "front", [this](const HttpRequest &request, HttpResponder respond) {
+        m_listener = std::make_unique<HttpListener>(
+            kernel,
+            "front",
+            [this](const HttpRequest &request, HttpResponder respond) {
                 handle(request, std::move(respond));
-            });
+            },
+            ListenerUse::Callers);
         CallCancellation &cancellation = kernel.require<CallCancellation>();
         m_listener->setDisconnectHandler([&cancellation](const AttemptId &requestId) {
             cancellation.cancelCallsOf(requestId);
--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -16,12 +16,15 @@
 #include <Poco/Net/ServerSocket.h>
 
 #include <linux/filter.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <cerrno>
 #include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <thread>
@@ -35,6 +38,10 @@
 {
 
 constexpr int AcceptBacklog = 512;
+/// The part of the process's descriptors that connections to a listener may take: one by this, by ListenerUse.
+constexpr std::array<std::size_t, 3> DescriptorDivisors = {2, 4, 16};
+/// Until connections are accepted again after that has failed.
+constexpr Duration AcceptPause = std::chrono::milliseconds(250);
 constexpr long PollTimeoutMicroseconds = 250'000;
 constexpr Duration EmptyPollSetPause = std::chrono::milliseconds(50);
 /// Time for TCP handshakes in progress to complete before the listening socket is closed.
@@ -54,6 +61,16 @@
 constexpr int StatusBadRequest = 400;
 constexpr int StatusUnavailable = 503;
 
+std::size_t maxConnections(const NodeSettings &settings, ListenerUse use)
+{
+    constexpr std::size_t Unlimited = std::numeric_limits<std::size_t>::max();
+    rlimit limit{};
+    const bool isLimited = getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY;
+    const std::size_t part =
+        isLimited ? limit.rlim_cur / DescriptorDivisors.at(static_cast<std::size_t>(use)) : Unlimited;
+    return use == ListenerUse::Callers ? std::min(part, settings.maxConnections()) : part;
+}
+
 HttpResponse badRequest(int status, const std::string &detail)
 {
     const Reason reason = status == StatusUnavailable ? Reason::Overload : Reason::BadRequest;
@@ -120,10 +137,11 @@
 class HttpListenerState : public std::enable_shared_from_this<HttpListenerState>
 {
 public:
-    HttpListenerState(Kernel &kernel, std::string name, HttpHandler handler)
+    HttpListenerState(Kernel &kernel, std::string name, HttpHandler handler, std::size_t maxConnections)
         : m_kernel(kernel)
         , m_name(std::move(name))
         , m_handler(std::move(handler))
+        , m_maxConnections(maxConnections)
     {
     }
 
@@ -179,7 +197,8 @@
             m_thread.join();
         }
         finishOpenRequests();
-        m_table.locked([](Connections &table) {
+        m_table.locked([this](Connections &table) {
+            m_idle.clear();
             table.clear();
         });
     }
@@ -202,6 +221,7 @@
         RequestPipeline pipeline;
         std::optional<UnsentResponse> unsent; ///< Sent on as soon as the caller reads.
         int pollMode = 0; ///< The events that the poll set watches for; 0: the connection isn't in it.
+        std::uint64_t idleNumber = 0; ///< Its key in m_idle while it is idle.
     };
     /// Why a request is answered with an error.
     struct Rejection {
@@ -232,6 +252,9 @@
                 hasIdleConnections = false;
                 --m_inFlight;
             }
+            if (isListening) {
+                resumeAccepting();
+            }
             if (m_pollSet.empty()) {
                 std::this_thread::sleep_for(EmptyPollSetPause);
                 continue;
@@ -309,6 +332,11 @@
     /// Changes who reads the input, and keeps the poll set in line with that.
     void setInput(Tracked &tracked, InputOwner owner)
     {
+        m_idle.erase(tracked.idleNumber);
+        if (owner == InputOwner::Parked) {
+            tracked.idleNumber = ++m_lastIdleNumber;
+            m_idle.emplace(tracked.idleNumber, tracked.connection);
+        }
         tracked.pipeline.setInput(owner);
         updatePolling(tracked);
     }
@@ -371,7 +399,7 @@
         while (m_serverSocket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
             accept();
         }
-        m_pollSet.remove(m_serverSocket);
+        removeFromPollSet(m_serverSocket);
         m_serverSocket.close();
     }
 
@@ -407,12 +435,50 @@
             socket.setSendTimeout(timeout);
             const auto connection = std::make_shared<HttpConnection>(socket);
             m_table.locked([&](Connections &table) {
+                if (table.size() >= m_maxConnections && !evictIdle(table)) {
+                    Event("connection_refused").with("listener", m_name);
+                    m_kernel.metrics().count("fescuepond_connections_refused_total", {{"listener", m_name}});
+                    return;
+                }
                 Tracked &tracked = table[socket];
                 tracked.connection = connection;
                 setInput(tracked, InputOwner::Parked);
             });
         } catch (const Poco::Exception &error) {
             Event("accept_failed").with("listener", m_name).with("error", error.displayText());
+            m_table.locked([this](Connections &table) {
+                evictIdle(table);
+            });
+            pauseAccepting();
+        }
+    }
+
+    /// Closes the connection that has been idle for longest. Returns whether there was one.
+    bool evictIdle(Connections &table)
+    {
+        if (m_idle.empty()) {
+            return false;
+        }
+        const auto found = table.find(m_idle.begin()->second->stream());
+        setInput(found->second, InputOwner::None);
+        table.erase(found);
+        Event("connection_evicted", EventSeverity::Routine).with("listener", m_name);
+        m_kernel.metrics().count("fescuepond_connections_evicted_total", {{"listener", m_name}});
+        return true;
+    }
+
+    /// The connection that can't be accepted would wake the polling thread again at once.
+    void pauseAccepting()
+    {
+        removeFromPollSet(m_serverSocket);
+        m_acceptsAgainAt = m_kernel.clock().now() + AcceptPause;
+    }
+
+    void resumeAccepting()
+    {
+        if (m_acceptsAgainAt && m_kernel.clock().now() >= *m_acceptsAgainAt) {
+            m_acceptsAgainAt.reset();
+            m_pollSet.add(m_serverSocket, Poco::Net::PollSet::POLL_READ);
         }
     }
 
@@ -891,12 +957,17 @@
     Kernel &m_kernel;
     const std::string m_name;
     const HttpHandler m_handler;
+    const std::size_t m_maxConnections;
     Poco::Net::ServerSocket m_serverSocket;
     Poco::Net::PollSet m_pollSet;
     HttpDisconnectHandler m_disconnectHandler; ///< Optional.
     SharedTable<Connections> m_table{LockRank::HttpConnections};
     /// Connections of the requests without a response, by request. Protected by the lock of m_table.
     std::map<AttemptId, HttpConnectionPtr> m_connectionOf;
+    /// Connections that wait for a request, the one that has waited longest first. Protected by the lock of m_table.
+    std::map<std::uint64_t, HttpConnectionPtr> m_idle;
+    std::uint64_t m_lastIdleNumber = 0; ///< Of m_idle; protected by the lock of m_table.
+    std::optional<TimePoint> m_acceptsAgainAt; ///< Set while no connections are accepted. Of the polling thread.
     std::optional<HttpResponse> m_finalResponse; ///< To requests that are open when the listener stops.
     std::atomic<std::size_t> m_inFlight = 0;
     /// Connections to which responses are being written: by a thread, or as soon as the caller reads.
@@ -911,8 +982,11 @@
 
 } // namespace detail
 
-HttpListener::HttpListener(Kernel &kernel, std::string name, HttpHandler handler)
-    : m_state(std::make_shared<detail::HttpListenerState>(kernel, std::move(name), std::move(handler)))
+HttpListener::HttpListener(Kernel &kernel, std::string name, HttpHandler handler, ListenerUse use)
+    : m_state(std::make_shared<detail::HttpListenerState>(kernel,
+                                                          std::move(name),
+                                                          std::move(handler),
+                                                          maxConnections(kernel.settings(), use)))
 {
 }
 
--- a/modules/http/httplistener.h
+++ b/modules/http/httplistener.h
@@ -33,10 +33,19 @@
 /// Called with the identifier of a request whose caller has disconnected.
 using HttpDisconnectHandler = std::function<void(const AttemptId &requestId)>;
 
+/// Who connects to a listener. It decides what part of the process's descriptors the connections may take.
+enum class ListenerUse {
+    Callers, ///< Anybody, and in some environments the backend server: half, and max_connections of the settings.
+    BackendServer, ///< A quarter.
+    Internal, ///< A sixteenth.
+};
+
+/// A connection beyond the listener's part takes the place of the one that has been idle for longest; it is closed if
+/// none is idle.
 class HttpListener
 {
 public:
-    HttpListener(Kernel &kernel, std::string name, HttpHandler handler);
+    HttpListener(Kernel &kernel, std::string name, HttpHandler handler, ListenerUse use = ListenerUse::Internal);
     ~HttpListener();
     HttpListener(const HttpListener &) = delete;
     HttpListener &operator=(const HttpListener &) = delete;
--- a/modules/local/localplugin.cpp
+++ b/modules/local/localplugin.cpp
@@ -46,9 +46,12 @@
         m_calls = &kernel.require<CallsInFlight>();
         m_settlement = &kernel.require<AttemptSettlement>();
         m_listener = std::make_unique<HttpListener>(
-            kernel, "local", [this](const HttpRequest &request, const HttpResponder &respond) {
+            kernel,
+            "local",
+            [this](const HttpRequest &request, const HttpResponder &respond) {
                 handle(request, respond);
-            });
+            },
+            ListenerUse::BackendServer);
         return kernel.settings().localAddress().empty() ? Result<void>()
                                                         : m_listener->start(kernel.settings().localAddress());
     }
