Go on accepting other nodes' connections after a failure

What callers saw: requests to a service whose only node had once had no free descriptor were refused for good, though that node served its own callers.

Cause: the loop that accepts connections of other nodes ended at its first error, and KJ throws that error instead of returning it in the promise.

Evidence: DescriptorShortage.DoesNotEndTheListenerForOtherNodes fails before (peer_listener_failed in the log, no request answered in 30 s) and passes with the change (one run each). A first try that only handled the promise's error failed the same way.

Why this works: an error of accept, thrown or returned, is logged and followed by another try after 250 ms.

--- a/modules/peer/peerlistener.cpp
+++ b/modules/peer/peerlistener.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t ConnectionLimit = 4096;
 /// A connection without a hello request within this time is closed.
 constexpr kj::Duration HelloTimeout = 5 * kj::SECONDS;
+/// Until connections are accepted again after that has failed, as for want of descriptors.
+constexpr kj::Duration AcceptPause = 250 * kj::MILLISECONDS;
 // TCP keep-alive: an idle connection to an unreachable node is closed after 60 s.
 constexpr int KeepAliveIdleSeconds = 30;
 constexpr int KeepAliveIntervalSeconds = 10;
@@ -76,12 +78,23 @@
 
 kj::Promise<void> PeerListener::acceptNext()
 {
-    return m_receiver->accept().then([this](kj::Own<kj::AsyncIoStream> stream) {
-        if (m_connectionCount < ConnectionLimit) {
-            m_connections.add(serve(kj::mv(stream)));
-        }
-        return acceptNext();
+    // A failure may be thrown instead of being the promise's result.
+    auto accepted = kj::evalNow([this] {
+        return m_receiver->accept();
     });
+    return accepted.then(
+        [this](kj::Own<kj::AsyncIoStream> stream) {
+            if (m_connectionCount < ConnectionLimit) {
+                m_connections.add(serve(kj::mv(stream)));
+            }
+            return acceptNext();
+        },
+        [this](kj::Exception &&error) {
+            Event("peer_accept_failed").with("error", error.getDescription().cStr());
+            return m_timer.afterDelay(AcceptPause).then([this] {
+                return acceptNext();
+            });
+        });
 }
 
 kj::Promise<void> PeerListener::serve(kj::Own<kj::AsyncIoStream> stream)
