Read a request once it has arrived whole

What callers saw: clients that send their headers or bodies slowly held all threads that read requests. Requests of other callers that didn't arrive in one piece, such as those with a body in chunks, were not read until their callers had left.

Cause: a worker read from the socket and waited for the sender, for up to request_read_timeout_ms; 32 such clients held the lane. What it had read so far of a long body was counted, but a header or what was read ahead wasn't.

Evidence: ClientCrowd.HeadersSentSlowlyDoNotKeepOtherRequestsFromBeingRead: none of three requests answered in 8 s on, answered with this change. Ruled out: more threads, which the next crowd holds as well.

Why this works: the polling thread takes in what arrives, and a scanner finds the end of the request without keeping its body. A worker gets only requests that are whole, so none waits for a caller. What is held of an unfinished request is charged before it is taken from the socket; without room it is rejected as not run. Unfinished requests are evicted after idle connections, the oldest first. Each request in flight is charged 16 KiB for what it takes besides bodies; beyond the limit it gets 503 with Retry-After, before anything is sent.

FleetEnvironment.TimeThatARequestWaitsToBeReadIsNotGivenToTheTarget made a request wait behind 64 slow ones, which is the fault that is mended here. It now waits for its own second part, in 850 ms, among the same 64; its checks (not run before, answered, at most 700 of 1,500 ms left) are the same.

--- a/modules/http/httpconnection.cpp
+++ b/modules/http/httpconnection.cpp
@@ -15,6 +15,7 @@
 namespace
 {
 
+constexpr int StatusBadRequest = 400;
 constexpr int StatusHeaderTooLarge = 431;
 /// A longer body is sent on its own instead of in a copy behind the header.
 constexpr std::size_t MaxCombinedBytes = 16'384;
@@ -92,8 +93,59 @@
 {
 }
 
-HttpRequest HttpConnection::receive(const NodeSettings &settings, TimePoint arrivedAt, bool mayWrite)
+RequestArrival HttpConnection::takeIn(const NodeSettings &settings, TimePoint now)
+{
+    InputState state = InputState::Full;
+    while (true) {
+        // Most requests arrive in one piece and need no scanner.
+        if (!hasVisitedInput() && holdsWholeRequest()) {
+            return RequestArrival::Whole;
+        }
+        if (hasHeldInput()) {
+            if (!m_scanner) {
+                m_scanner.emplace(RequestLimits{settings.maxHeaderBytes(), settings.maxBodyBytes()});
+                restartVisit();
+            }
+            visitFurtherInput([this](std::string_view bytes) {
+                m_scanner->scan(bytes);
+            });
+        }
+        if (m_scanner && m_scanner->isWhole()) {
+            return RequestArrival::Whole;
+        }
+        switch (state) {
+        case InputState::Open:
+            return RequestArrival::Partial;
+        case InputState::Closed:
+            if (hasHeldInput()) {
+                throw RequestError(StatusBadRequest, "the request is shorter than declared");
+            }
+            return RequestArrival::Ended;
+        case InputState::NoRoom:
+            throw BodyMemoryExceeded();
+        case InputState::Full:
+            state = readAhead(now);
+            break;
+        }
+    }
+}
+
+void HttpConnection::sendContinue()
+{
+    m_hasContinued = true;
+    sendAvailable("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+bool HttpConnection::isShort() const
 {
+    return heldBytes() <= MaxReadAheadBytes;
+}
+
+HttpRequest HttpConnection::receive(const NodeSettings &settings, TimePoint arrivedAt)
+{
+    m_scanner.reset();
+    m_hasContinued = false;
+    restartVisit();
     m_arrivedAt = arrivedAt;
     const RequestHeader header = readRequestHeader(readHeaderText());
     requireWithinLimit(header.fields(), settings.maxHeaderBytes());
@@ -101,9 +153,6 @@
     const std::string host = hostWithoutPort(valueOf(headers, "host"));
     m_wantsKeepAlive = isKeptAlive(header.minorVersion(), headers);
     const BodyFraming framing = framingOf(header.fields());
-    if (mayWrite && toLower(valueOf(headers, "expect")) == "100-continue") {
-        sendAll("HTTP/1.1 100 Continue\r\n\r\n");
-    }
     Body body = fescuepond::readBody(*this, framing, settings.maxBodyBytes(), NoRoom::GiveUp);
     return HttpRequest()
         .withRequestId(AttemptId::random())
--- a/modules/http/httpconnection.h
+++ b/modules/http/httpconnection.h
@@ -4,7 +4,9 @@
 
 #include "modules/http/httpmessage.h"
 #include "modules/http/httpstream.h"
+#include "modules/http/requestscanner.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -37,19 +39,34 @@
     Body m_body;
 };
 
+/// How much of the next request has arrived.
+enum class RequestArrival {
+    Partial,
+    Whole,
+    Ended, ///< The caller has closed the connection between two requests.
+};
+
 /// At any time, one thread at most reads from the connection, and one at most writes to it.
 class HttpConnection final : public HttpStream
 {
 public:
     explicit HttpConnection(const Poco::Net::StreamSocket &socket);
 
-    /// Reads a request that arrived at `arrivedAt`. Throws a RequestError or a Poco::Exception if it is truncated,
-    /// malformed or too long. `mayWrite`: no response is due or being written, so a caller that waits for it may be
-    /// told to send the body.
-    HttpRequest receive(const NodeSettings &settings, TimePoint arrivedAt, bool mayWrite);
-    /// Whether a whole request is held, so that receive() would not wait. False for requests that are framed otherwise
-    /// than by a length, or whose caller waits to be told to send the body.
-    bool holdsWholeRequest() const;
+    /// Takes in what has arrived of the next request, without waiting. Throws a RequestError if it is malformed,
+    /// truncated or too long, or if there is no memory for it.
+    RequestArrival takeIn(const NodeSettings &settings, TimePoint now);
+    /// Reads a request that was taken in as a whole and arrived at `arrivedAt`. Throws a RequestError or a
+    /// Poco::Exception if it is malformed or too long.
+    HttpRequest receive(const NodeSettings &settings, TimePoint arrivedAt);
+    /// Whether the caller of a request that has arrived in part waits to be told to send the body.
+    bool mustContinue() const
+    {
+        return m_scanner && m_scanner->expectsContinue() && !m_hasContinued;
+    }
+    /// Tells it to, if no response is due or being written.
+    void sendContinue();
+    /// Whether the request that was taken in is short enough to be read by a thread that others wait for.
+    bool isShort() const;
     /// The bytes of a response. The response to a HEAD request has no body. A response that can't be written as HTTP is
     /// replaced by status 502.
     static ResponseBytes encode(const HttpResponse &response, bool isHead, bool keepAlive);
@@ -62,10 +79,17 @@
         return m_wantsKeepAlive;
     }
     using HttpStream::hasHeldInput;
+    using HttpStream::isInputClosed;
     /// When the next request arrived, whose first bytes are held; TimePoint() if none are.
     TimePoint nextArrivedAt() const;
 
 private:
+    /// Whether a whole request is held in one piece. False also for requests that are framed otherwise than by a
+    /// length, or whose caller waits to be told to send the body.
+    bool holdsWholeRequest() const;
+
+    std::optional<RequestScanner> m_scanner; ///< Of a request that has arrived in part.
+    bool m_hasContinued = false; ///< The caller was told to send the body of that request.
     bool m_wantsKeepAlive = false; ///< Of the latest request.
     TimePoint m_arrivedAt; ///< Of the latest request. Bytes that were read together with it arrived no later.
 };
--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -58,6 +58,8 @@
 constexpr Duration CheckInterval = std::chrono::milliseconds(250);
 /// How long a caller may take to read a response while there is no room for those of others.
 constexpr Duration SlowReadLimit = std::chrono::seconds(2);
+/// What the node holds for a request in flight besides its body, and besides that of its response if this is long.
+constexpr std::size_t OpenRequestBytes = 16'384;
 constexpr int StatusBadRequest = 400;
 constexpr int StatusUnavailable = 503;
 
@@ -71,10 +73,24 @@
     return use == ListenerUse::Callers ? std::min(part, settings.maxConnections()) : part;
 }
 
-HttpResponse badRequest(int status, const std::string &detail)
+/// Why a request is answered with an error.
+struct Rejection {
+    int status;
+    std::string detail;
+};
+
+/// What there is no room for now, there probably is a little later.
+HttpResponse rejectionResponse(const Rejection &rejection)
 {
-    const Reason reason = status == StatusUnavailable ? Reason::Overload : Reason::BadRequest;
-    return toResponse(CallOutcome::notRun(reason, detail)).withStatus(status);
+    const bool isUnavailable = rejection.status == StatusUnavailable;
+    const Reason reason = isUnavailable ? Reason::Overload : Reason::BadRequest;
+    HttpResponse response = toResponse(CallOutcome::notRun(reason, rejection.detail)).withStatus(rejection.status);
+    if (!isUnavailable) {
+        return response;
+    }
+    Headers headers = response.headers();
+    headers["Retry-After"] = "1";
+    return response.withHeaders(std::move(headers));
 }
 
 /// Silently drops SYN packets of new connections with a socket filter. The caller's operating system retransmits them
@@ -199,6 +215,7 @@
         finishOpenRequests();
         m_table.locked([this](Connections &table) {
             m_idle.clear();
+            m_arriving.clear();
             table.clear();
         });
     }
@@ -221,19 +238,16 @@
         RequestPipeline pipeline;
         std::optional<UnsentResponse> unsent; ///< Sent on as soon as the caller reads.
         int pollMode = 0; ///< The events that the poll set watches for; 0: the connection isn't in it.
-        std::uint64_t idleNumber = 0; ///< Its key in m_idle while it is idle.
-    };
-    /// Why a request is answered with an error.
-    struct Rejection {
-        int status;
-        std::string detail;
+        std::uint64_t waitingNumber = 0; ///< Its key in m_idle or m_arriving while it is there.
+        TimePoint arrivedAt{}; ///< When the first bytes of the arriving request arrived.
+        std::optional<TimePoint> waitsSince; ///< For the rest of the arriving request.
     };
     struct ReadResult {
         std::optional<HttpRequest> request;
         std::optional<Rejection> rejection; ///< At most one of the two is set; none if the connection has ended.
     };
-    /// All open connections. Those with input Parked, Watched or Loop and those with an unsent response are in the poll
-    /// set, and only those.
+    /// All open connections. Those with input Parked, Watched, Arriving or Loop and those with an unsent response are
+    /// in the poll set, and only those.
     using Connections = std::map<Poco::Net::Socket, Tracked>;
 
     void pollLoop()
@@ -277,33 +291,34 @@
         }
     }
 
-    /// Handles a poll event: the next request of an idle connection, or further input while requests are open.
+    /// Handles a poll event: bytes of the next request, or further input while requests are open.
     void handleInput(const Poco::Net::Socket &socket, TimePoint arrivedAt)
     {
         std::vector<AttemptId> abandoned;
-        HttpConnectionPtr readable;
-        InputState state = InputState::Open;
+        HttpConnectionPtr arriving;
+        TimePoint begunAt = arrivedAt;
         m_table.locked([&](Connections &table) {
             const auto found = table.find(socket);
             if (found == table.end()) {
                 return;
             }
             Tracked &tracked = found->second;
-            if (tracked.pipeline.input() == InputOwner::Parked) {
-                state = tracked.connection->readAhead(arrivedAt);
-                if (tracked.connection->holdsWholeRequest()) {
-                    readable = tracked.connection;
-                    setInput(tracked, InputOwner::Loop);
-                    ++m_inFlight;
-                } else {
-                    startReading(tracked, arrivedAt);
-                }
-            } else if (tracked.pipeline.input() == InputOwner::Watched) {
+            if (tracked.pipeline.input() == InputOwner::Watched) {
                 abandoned = handleFurtherInput(tracked);
+                return;
+            }
+            if (tracked.pipeline.input() == InputOwner::Parked) {
+                ++m_inFlight;
+            } else if (tracked.pipeline.input() == InputOwner::Arriving) {
+                begunAt = tracked.arrivedAt;
+            } else {
+                return;
             }
+            arriving = tracked.connection;
+            setInput(tracked, InputOwner::Loop);
         });
-        if (readable) {
-            readHeld(readable, arrivedAt, state);
+        if (arriving) {
+            takeIn(arriving, begunAt, InputOwner::Loop);
         }
         if (!abandoned.empty()) {
             m_kernel.pool().post(Lane::Decision, [self = shared_from_this(), abandoned] {
@@ -312,6 +327,82 @@
         }
     }
 
+    /// Takes in what has arrived of a request whose first bytes arrived at `arrivedAt`, and handles it if it is whole.
+    /// `owner` is the calling thread: Loop or Reader.
+    void takeIn(const HttpConnectionPtr &connection, TimePoint arrivedAt, InputOwner owner)
+    {
+        RequestArrival arrival = RequestArrival::Ended;
+        std::optional<Rejection> rejection;
+        try {
+            arrival = connection->takeIn(m_kernel.settings(), m_kernel.clock().now());
+        } catch (const RequestError &error) {
+            rejection = Rejection{error.status(), error.what()};
+        }
+        if (arrival == RequestArrival::Partial) {
+            waitForRest(connection, arrivedAt);
+            return;
+        }
+        const bool isWhole = arrival == RequestArrival::Whole;
+        const bool isSlow = rejection || (isWhole && !connection->isShort());
+        if (owner == InputOwner::Loop && isSlow) {
+            handOver(connection, arrivedAt, rejection);
+            return;
+        }
+        if (isWhole) {
+            readAndHandle(connection, arrivedAt, owner);
+            return;
+        }
+        endWithRejection(connection, rejection);
+    }
+
+    /// The polling thread goes on once more of the request arrives.
+    void waitForRest(const HttpConnectionPtr &connection, TimePoint arrivedAt)
+    {
+        m_table.locked([&](Connections &table) {
+            const auto found = table.find(connection->stream());
+            if (found == table.end()) {
+                return;
+            }
+            Tracked &tracked = found->second;
+            tracked.arrivedAt = arrivedAt;
+            if (!tracked.waitsSince) {
+                tracked.waitsSince = m_kernel.clock().now();
+            }
+            if (connection->mustContinue() && tracked.pipeline.isEmpty()) {
+                continueRequest(*connection);
+            }
+            setInput(tracked, InputOwner::Arriving);
+            scheduleCheck();
+        });
+    }
+
+    static void continueRequest(HttpConnection &connection)
+    {
+        try {
+            connection.sendContinue();
+        } catch (const Poco::Exception &) {
+            // The caller has disconnected, which the polling thread notices.
+        }
+    }
+
+    /// A worker goes on with a request that was taken in, or rejects it.
+    void handOver(const HttpConnectionPtr &connection, TimePoint arrivedAt, const std::optional<Rejection> &rejection)
+    {
+        m_table.locked([&](Connections &table) {
+            const auto found = table.find(connection->stream());
+            if (found != table.end()) {
+                setInput(found->second, InputOwner::Reader);
+            }
+        });
+        m_kernel.pool().post(Lane::Http, [self = shared_from_this(), connection, arrivedAt, rejection] {
+            if (rejection) {
+                self->endWithRejection(connection, rejection);
+            } else {
+                self->readAndHandle(connection, arrivedAt, InputOwner::Reader);
+            }
+        });
+    }
+
     /// Reads ahead on a connection with open requests, up to a limit: only then does the end of the input behind
     /// further requests show. Starts reading the next request if it may run now. Returns the requests whose caller has
     /// left.
@@ -323,7 +414,7 @@
             tracked.pipeline.end();
             return tracked.pipeline.unanswered();
         }
-        if (!readNextIfPossible(tracked) && state == InputState::Full) {
+        if (!readNextIfPossible(tracked) && state != InputState::Open) {
             setInput(tracked, InputOwner::None);
         }
         return {};
@@ -332,10 +423,13 @@
     /// Changes who reads the input, and keeps the poll set in line with that.
     void setInput(Tracked &tracked, InputOwner owner)
     {
-        m_idle.erase(tracked.idleNumber);
+        m_idle.erase(tracked.waitingNumber);
+        m_arriving.erase(tracked.waitingNumber);
         if (owner == InputOwner::Parked) {
-            tracked.idleNumber = ++m_lastIdleNumber;
-            m_idle.emplace(tracked.idleNumber, tracked.connection);
+            tracked.waitingNumber = ++m_lastWaitingNumber;
+            m_idle.emplace(tracked.waitingNumber, tracked.connection);
+        } else if (owner == InputOwner::Arriving && tracked.pipeline.isEmpty()) {
+            m_arriving.emplace(tracked.waitingNumber, tracked.connection);
         }
         tracked.pipeline.setInput(owner);
         updatePolling(tracked);
@@ -344,7 +438,8 @@
     void updatePolling(Tracked &tracked)
     {
         const InputOwner input = tracked.pipeline.input();
-        const bool isRead = input == InputOwner::Parked || input == InputOwner::Watched || input == InputOwner::Loop;
+        const bool isRead = input == InputOwner::Parked || input == InputOwner::Watched || input == InputOwner::Arriving
+            || input == InputOwner::Loop;
         const int mode =
             (isRead ? Poco::Net::PollSet::POLL_READ : 0) | (tracked.unsent ? Poco::Net::PollSet::POLL_WRITE : 0);
         const int former = std::exchange(tracked.pollMode, mode);
@@ -375,7 +470,7 @@
         setInput(tracked, InputOwner::Reader);
         ++m_inFlight;
         m_kernel.pool().post(Lane::Http, [self = shared_from_this(), connection = tracked.connection, arrivedAt] {
-            self->readAndHandle(connection, arrivedAt);
+            self->takeIn(connection, arrivedAt, InputOwner::Reader);
         });
     }
 
@@ -435,7 +530,7 @@
             socket.setSendTimeout(timeout);
             const auto connection = std::make_shared<HttpConnection>(socket);
             m_table.locked([&](Connections &table) {
-                if (table.size() >= m_maxConnections && !evictIdle(table)) {
+                if (table.size() >= m_maxConnections && !evictWaiting(table)) {
                     Event("connection_refused").with("listener", m_name);
                     m_kernel.metrics().count("fescuepond_connections_refused_total", {{"listener", m_name}});
                     return;
@@ -447,22 +542,26 @@
         } catch (const Poco::Exception &error) {
             Event("accept_failed").with("listener", m_name).with("error", error.displayText());
             m_table.locked([this](Connections &table) {
-                evictIdle(table);
+                evictWaiting(table);
             });
             pauseAccepting();
         }
     }
 
-    /// Closes the connection that has been idle for longest. Returns whether there was one.
-    bool evictIdle(Connections &table)
+    /// Closes the connection that has been idle for longest or, if none is, the one with the oldest request that has
+    /// not arrived whole. Returns whether there was one.
+    bool evictWaiting(Connections &table)
     {
-        if (m_idle.empty()) {
+        const bool isIdle = !m_idle.empty();
+        const auto &waiting = isIdle ? m_idle : m_arriving;
+        if (waiting.empty()) {
             return false;
         }
-        const auto found = table.find(m_idle.begin()->second->stream());
+        const auto found = table.find(waiting.begin()->second->stream());
         setInput(found->second, InputOwner::None);
         table.erase(found);
-        Event("connection_evicted", EventSeverity::Routine).with("listener", m_name);
+        m_inFlight -= isIdle ? 0 : 1;
+        Event("connection_evicted", EventSeverity::Routine).with("listener", m_name).with("idle", isIdle);
         m_kernel.metrics().count("fescuepond_connections_evicted_total", {{"listener", m_name}});
         return true;
     }
@@ -482,34 +581,18 @@
         }
     }
 
-    /// Reads a request that is held as a whole, on the polling thread.
-    void readHeld(const HttpConnectionPtr &connection, TimePoint arrivedAt, InputState state)
+    /// Reads a request that was taken in as a whole.
+    void readAndHandle(const HttpConnectionPtr &connection, TimePoint arrivedAt, InputOwner owner)
     {
-        const ReadResult result = receive(connection, arrivedAt, false);
-        if (result.request) {
-            handle(connection, *result.request, state == InputState::Closed);
-            return;
-        }
-        // Out of the poll set: nobody reads what may follow.
-        m_table.locked([&](Connections &table) {
-            const auto found = table.find(connection->stream());
-            if (found != table.end()) {
-                setInput(found->second, InputOwner::Reader);
-            }
-        });
-        m_kernel.pool().post(Lane::Http, [self = shared_from_this(), connection, rejection = result.rejection] {
-            self->endWithRejection(connection, rejection);
-        });
-    }
-
-    void readAndHandle(const HttpConnectionPtr &connection, TimePoint arrivedAt)
-    {
-        const ReadResult result = read(connection, arrivedAt);
+        const ReadResult result = receive(connection, arrivedAt);
         if (!result.request) {
             endWithRejection(connection, result.rejection);
             return;
         }
-        handle(connection, *result.request, isClosedByCaller(connection->stream()));
+        // The polling thread has just seen whether there is more input; a worker may have got the request later.
+        const bool hasCallerLeft =
+            connection->isInputClosed() || (owner == InputOwner::Reader && isClosedByCaller(connection->stream()));
+        handle(connection, *result.request, hasCallerLeft);
     }
 
     void endWithRejection(const HttpConnectionPtr &connection, const std::optional<Rejection> &rejection)
@@ -523,13 +606,20 @@
 
     void handle(const HttpConnectionPtr &connection, const HttpRequest &request, bool hasCallerLeft)
     {
+        BodyCharge charge;
+        const bool hasRoom = charge.add(OpenRequestBytes);
         m_table.locked([&](Connections &table) {
             const auto found = table.find(connection->stream());
             if (found != table.end()) {
-                add(found->second, request);
+                add(found->second, request, std::move(charge));
             }
             m_connectionOf.insert_or_assign(request.requestId(), connection);
         });
+        if (!hasRoom) {
+            complete(request.requestId(),
+                     rejectionResponse({StatusUnavailable, "the requests in flight take too much memory"}));
+            return;
+        }
         // A request may wait long to be read. Once its caller has left, the handler must not send it on.
         if (m_disconnectHandler && hasCallerLeft) {
             abandon({request.requestId()});
@@ -541,13 +631,15 @@
 
     /// Adds a request that was read, and hands the input on: to a worker if the next request may run now, and
     /// otherwise to the event loop, which notices that the caller leaves.
-    void add(Tracked &tracked, const HttpRequest &request)
+    void add(Tracked &tracked, const HttpRequest &request, BodyCharge charge)
     {
         OpenRequest open;
+        open.charge = std::move(charge);
         open.id = request.requestId();
         open.wantsKeepAlive = tracked.connection->wantsKeepAlive();
         open.isHead = request.method() == "HEAD";
         open.isSafe = open.isHead || request.method() == "GET";
+        tracked.waitsSince.reset();
         tracked.pipeline.add(std::move(open));
         setInput(tracked, m_disconnectHandler ? InputOwner::Watched : InputOwner::None);
         readNextIfPossible(tracked);
@@ -564,6 +656,7 @@
                 return;
             }
             setInput(found->second, InputOwner::None);
+            found->second.waitsSince.reset();
             found->second.pipeline.end();
             if (hasLeft) {
                 abandoned = found->second.pipeline.unanswered();
@@ -704,42 +797,64 @@
         m_kernel.timers().once(m_kernel.clock().now() + CheckInterval, [listener = weak_from_this()] {
             if (const auto self = listener.lock()) {
                 self->m_isCheckScheduled = false;
-                self->closeSlowReaders();
+                self->checkConnections();
             }
         });
     }
 
-    /// Shuts down connections whose caller has stopped reading its response, and those that read slowly while others
-    /// lack memory. The polling thread notices it.
-    void closeSlowReaders()
+    /// Shuts down connections whose caller takes too long, for a request or for a response. The polling thread notices
+    /// it.
+    void checkConnections()
     {
         const TimePoint now = m_kernel.clock().now();
         const std::uint64_t rejected = rejectedBodyCharges();
         const bool isMemoryShort = rejected != m_seenRejections.exchange(rejected);
-        bool hasUnsent = false;
+        bool isCheckNeeded = false;
         m_table.locked([&](Connections &table) {
             for (auto &[socket, tracked] : table) {
-                if (!tracked.unsent) {
-                    continue;
+                if (tracked.unsent) {
+                    checkUnsent(tracked, now, isMemoryShort);
                 }
-                hasUnsent = true;
-                const bool isStuck = now - tracked.unsent->lastProgress() > m_kernel.settings().requestReadTimeout();
-                const bool isSlow = isMemoryShort && now - tracked.unsent->since() > SlowReadLimit;
-                if (isStuck || isSlow) {
-                    Event("slow_reader_closed")
-                        .with("listener", m_name)
-                        .with("reason", isStuck ? "no-progress" : "memory")
-                        .with("unsent", tracked.unsent->unsentBytes());
-                    m_kernel.metrics().count("fescuepond_slow_readers_closed_total", {{"listener", m_name}});
-                    shutDownBoth(tracked.connection->stream());
+                if (tracked.waitsSince) {
+                    checkArriving(tracked, now);
                 }
+                isCheckNeeded = isCheckNeeded || tracked.unsent || tracked.waitsSince;
             }
         });
-        if (hasUnsent) {
+        if (isCheckNeeded) {
             scheduleCheck();
         }
     }
 
+    /// A caller has to go on reading its response and, while there is no room for those of others, to read it soon.
+    void checkUnsent(Tracked &tracked, TimePoint now, bool isMemoryShort)
+    {
+        const bool isStuck = now - tracked.unsent->lastProgress() > m_kernel.settings().requestReadTimeout();
+        const bool isSlow = isMemoryShort && now - tracked.unsent->since() > SlowReadLimit;
+        if (!isStuck && !isSlow) {
+            return;
+        }
+        Event("slow_reader_closed")
+            .with("listener", m_name)
+            .with("reason", isStuck ? "no-progress" : "memory")
+            .with("unsent", tracked.unsent->unsentBytes());
+        m_kernel.metrics().count("fescuepond_slow_readers_closed_total", {{"listener", m_name}});
+        shutDownBoth(tracked.connection->stream());
+    }
+
+    /// A request has to arrive whole within a time limit. Responses to those before it can still be written.
+    void checkArriving(Tracked &tracked, TimePoint now)
+    {
+        if (now - *tracked.waitsSince <= m_kernel.settings().requestReadTimeout()) {
+            return;
+        }
+        if (tracked.pipeline.isEmpty()) {
+            shutDownBoth(tracked.connection->stream());
+        } else {
+            shutDownInput(tracked.connection->stream());
+        }
+    }
+
     void writeFailed(const HttpConnectionPtr &connection, const Poco::Exception &error)
     {
         Event("response_write_failed").with("listener", m_name).with("error", error.displayText());
@@ -812,7 +927,7 @@
             sendUnsent();
             std::this_thread::sleep_for(FinalWriteCheckInterval);
         }
-        std::vector<std::pair<HttpConnectionPtr, std::deque<OpenRequest>>> unfinished;
+        std::deque<std::pair<HttpConnectionPtr, std::deque<OpenRequest>>> unfinished;
         m_table.locked([&](Connections &table) {
             m_connectionOf.clear();
             for (auto &[socket, tracked] : table) {
@@ -860,29 +975,12 @@
         }
     }
 
-    /// Reads one request on a worker.
-    ReadResult read(const HttpConnectionPtr &connection, TimePoint arrivedAt)
-    {
-        const NodeSettings &settings = m_kernel.settings();
-        const bool isFirst = !hasOpenRequests(connection);
-        // Limits the time for the whole request, so that a slow sender doesn't hold the worker (slowloris).
-        const auto watchdog = m_kernel.timers().once(m_kernel.clock().now() + settings.requestReadTimeout(),
-                                                     [connection, shutDown = isFirst ? shutDownBoth : shutDownInput] {
-                                                         shutDown(connection->stream());
-                                                     });
-        ReadResult result = receive(connection, arrivedAt, isFirst);
-        m_kernel.timers().cancel(watchdog);
-        return result;
-    }
-
-    ReadResult receive(const HttpConnectionPtr &connection, TimePoint arrivedAt, bool mayWrite) const
+    ReadResult receive(const HttpConnectionPtr &connection, TimePoint arrivedAt) const
     {
         try {
-            return {connection->receive(m_kernel.settings(), arrivedAt, mayWrite), {}};
+            return {connection->receive(m_kernel.settings(), arrivedAt), {}};
         } catch (const RequestError &error) {
             return {{}, Rejection{error.status(), error.what()}};
-        } catch (const Poco::Net::NoMessageException &) {
-            // The caller closed an idle connection.
         } catch (const Poco::Net::MessageException &) {
             return {{}, Rejection{StatusBadRequest, "the request is not valid HTTP"}};
         } catch (const Poco::Exception &error) {
@@ -911,7 +1009,7 @@
             return;
         }
         try {
-            connection->respond(badRequest(rejection.status, rejection.detail), false, false);
+            connection->respond(rejectionResponse(rejection), false, false);
             connection->stream().shutdownSend();
             discardInput(connection->stream());
         } catch (const Poco::Exception &) {
@@ -966,13 +1064,16 @@
     std::map<AttemptId, HttpConnectionPtr> m_connectionOf;
     /// Connections that wait for a request, the one that has waited longest first. Protected by the lock of m_table.
     std::map<std::uint64_t, HttpConnectionPtr> m_idle;
-    std::uint64_t m_lastIdleNumber = 0; ///< Of m_idle; protected by the lock of m_table.
+    /// Connections without open requests on which a part of a request has arrived, in the order in which they became
+    /// idle before it. Protected by the lock of m_table.
+    std::map<std::uint64_t, HttpConnectionPtr> m_arriving;
+    std::uint64_t m_lastWaitingNumber = 0; ///< Key of m_idle and m_arriving; protected by the lock of m_table.
     std::optional<TimePoint> m_acceptsAgainAt; ///< Set while no connections are accepted. Of the polling thread.
     std::optional<HttpResponse> m_finalResponse; ///< To requests that are open when the listener stops.
     std::atomic<std::size_t> m_inFlight = 0;
     /// Connections to which responses are being written: by a thread, or as soon as the caller reads.
     std::atomic<std::size_t> m_writers = 0;
-    std::atomic<bool> m_isCheckScheduled = false; ///< closeSlowReaders() is subscribed to.
+    std::atomic<bool> m_isCheckScheduled = false; ///< checkConnections() is subscribed to.
     std::atomic<std::uint64_t> m_seenRejections = 0; ///< rejectedBodyCharges() at the latest check.
     std::atomic<bool> m_isDraining = false; ///< The last response on each connection asks the caller to close it.
     std::atomic<bool> m_isAcceptStopped = false; ///< No new connections are accepted; implies m_isDraining.
--- a/modules/http/httpstream.cpp
+++ b/modules/http/httpstream.cpp
@@ -25,6 +25,8 @@
 using Poco::Net::MessageException;
 
 constexpr std::size_t BufferBytes = 16'384;
+/// What a piece of held input takes besides its bytes.
+constexpr std::size_t PieceOverheadBytes = 128;
 constexpr int EndOfStream = -1;
 /// A header that is longer ends the connection, however it is split into lines.
 constexpr std::size_t MaxHeaderBytes = 1024UL * 1024;
@@ -51,21 +53,64 @@
 InputState HttpStream::readAhead(TimePoint now)
 {
     std::array<char, BufferBytes> buffer;
-    while (m_heldBytes < MaxReadAheadBytes) {
-        const std::size_t limit = std::min(buffer.size(), MaxReadAheadBytes - m_heldBytes);
-        const auto count = ::recv(m_socket.impl()->sockfd(), buffer.data(), limit, MSG_DONTWAIT);
-        if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
-            return InputState::Open;
+    while (m_heldBytes < m_visitedBytes + MaxReadAheadBytes) {
+        const std::size_t limit = std::min(buffer.size(), m_visitedBytes + MaxReadAheadBytes - m_heldBytes);
+        if (!m_charge.add(limit + PieceOverheadBytes)) {
+            return InputState::NoRoom;
         }
-        if (count <= 0) {
-            return InputState::Closed;
+        const auto received = ::recv(m_socket.impl()->sockfd(), buffer.data(), limit, MSG_DONTWAIT);
+        const std::size_t count = received > 0 ? static_cast<std::size_t>(received) : 0;
+        m_charge.release(limit - count);
+        if (count == 0) {
+            m_charge.release(PieceOverheadBytes);
+            const bool isOpen = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+            m_isInputClosed = !isOpen;
+            return isOpen ? InputState::Open : InputState::Closed;
         }
-        m_held.push_back({std::string(buffer.data(), static_cast<std::size_t>(count)), now});
-        m_heldBytes += static_cast<std::size_t>(count);
+        hold(std::string_view(buffer.data(), count), now);
     }
     return InputState::Full;
 }
 
+void HttpStream::hold(std::string_view bytes, TimePoint now)
+{
+    m_heldBytes += bytes.size();
+    // Of a request that arrives in many small pieces, a few large ones are kept.
+    const bool isAppended = m_visitedBytes > 0 && m_held.back().bytes.size() + bytes.size() <= BufferBytes;
+    if (isAppended) {
+        m_held.back().bytes.append(bytes);
+        m_held.back().charge += bytes.size();
+        m_charge.release(PieceOverheadBytes);
+        return;
+    }
+    m_held.push_back({std::string(bytes), now, bytes.size() + PieceOverheadBytes});
+}
+
+void HttpStream::visitFurtherInput(const std::function<void(std::string_view)> &visit)
+{
+    while (m_visitedPieces < m_held.size()) {
+        const std::string_view piece = m_held[m_visitedPieces].bytes;
+        const std::string_view further = piece.substr(m_visitedOfPiece);
+        m_visitedOfPiece = piece.size();
+        m_visitedBytes += further.size();
+        if (!further.empty()) {
+            visit(further);
+        }
+        if (m_visitedPieces + 1 == m_held.size()) {
+            return;
+        }
+        ++m_visitedPieces;
+        m_visitedOfPiece = 0;
+    }
+}
+
+void HttpStream::restartVisit()
+{
+    m_visitedPieces = 0;
+    m_visitedOfPiece = m_takenOfFirst;
+    m_visitedBytes = 0;
+}
+
 bool HttpStream::fill()
 {
     std::array<char, BufferBytes> buffer;
@@ -73,7 +118,7 @@
     if (count <= 0) {
         return false;
     }
-    m_held.push_back({std::string(buffer.data(), static_cast<std::size_t>(count)), TimePoint()});
+    m_held.push_back({std::string(buffer.data(), static_cast<std::size_t>(count)), TimePoint(), 0});
     m_heldBytes += static_cast<std::size_t>(count);
     return true;
 }
@@ -93,6 +138,7 @@
     m_heldBytes -= count;
     m_takenOfFirst += count;
     if (m_takenOfFirst == m_held.front().bytes.size()) {
+        m_charge.release(m_held.front().charge);
         m_held.pop_front();
         m_takenOfFirst = 0;
     }
--- a/modules/http/httpstream.h
+++ b/modules/http/httpstream.h
@@ -34,7 +34,8 @@
 /// What is known of a connection after its input was read ahead.
 enum class InputState {
     Open,
-    Full, ///< MaxReadAheadBytes are held; more input stays with the operating system.
+    Full, ///< As much is held as was asked for; more input stays with the operating system.
+    NoRoom, ///< There is no memory for more input.
     Closed, ///< The remote side has closed the connection or its sending direction.
 };
 
@@ -49,8 +50,14 @@
     {
         return m_socket;
     }
-    /// Reads and holds what has arrived, without waiting. `now` is kept as the time of its arrival.
+    /// Reads and holds what has arrived, without waiting, until MaxReadAheadBytes are held that weren't visited. `now`
+    /// is kept as the time of its arrival.
     InputState readAhead(TimePoint now);
+    /// Whether readAhead() has found the end of the input.
+    bool isInputClosed() const
+    {
+        return m_isInputClosed;
+    }
 
 protected:
     explicit HttpStream(const Poco::Net::StreamSocket &socket)
@@ -81,6 +88,18 @@
     {
         return !m_held.empty();
     }
+    std::size_t heldBytes() const
+    {
+        return m_heldBytes;
+    }
+    /// Calls `visit` with the bytes that are held and were not visited before.
+    void visitFurtherInput(const std::function<void(std::string_view)> &visit);
+    bool hasVisitedInput() const
+    {
+        return m_visitedBytes > 0;
+    }
+    /// From now on, no byte counts as visited. To be called before bytes are consumed.
+    void restartVisit();
     /// The bytes that are held if they arrived in one piece; empty otherwise.
     std::string_view heldPiece() const;
     /// When the next byte to be consumed was read ahead; TimePoint() if none is held, or if it was read together with
@@ -94,8 +113,11 @@
     struct Piece {
         std::string bytes; ///< Not empty.
         TimePoint readAt; ///< TimePoint() if it was not read ahead.
+        std::size_t charge; ///< Part of m_charge.
     };
 
+    /// Holds bytes that were charged with PieceOverheadBytes.
+    void hold(std::string_view bytes, TimePoint now);
     /// Waits for input and holds it; false at the end of the stream.
     bool fill();
     std::string_view firstPiece() const;
@@ -108,6 +130,11 @@
     Poco::Net::StreamSocket m_socket;
     std::deque<Piece> m_held; ///< In order of arrival.
     std::size_t m_heldBytes = 0; ///< Not yet consumed of m_held.
+    BodyCharge m_charge; ///< Of what was read ahead and is held.
+    bool m_isInputClosed = false;
+    std::size_t m_visitedPieces = 0; ///< Pieces of m_held that were visited as a whole.
+    std::size_t m_visitedOfPiece = 0; ///< Bytes visited of the piece behind these, or before the first unvisited one.
+    std::size_t m_visitedBytes = 0;
     std::size_t m_takenOfFirst = 0; ///< Bytes consumed of the first piece of m_held; less than its size.
 };
 
--- a/modules/http/requestpipeline.h
+++ b/modules/http/requestpipeline.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "core/kernel/clock.h"
+#include "core/values/bodymemory.h"
 #include "modules/http/httpmessage.h"
 
 #include <cstddef>
@@ -23,8 +24,9 @@
 enum class InputOwner {
     Parked, ///< The event loop, which waits for the next request; no request is open.
     Watched, ///< The event loop, while requests are open.
-    Loop, ///< The event loop, which reads a request that has arrived whole.
-    Reader, ///< A worker that reads a request.
+    Arriving, ///< The event loop, which waits for the rest of a request.
+    Loop, ///< The event loop, which takes in a request at the moment.
+    Reader, ///< A worker that takes in and reads a request; it doesn't wait for the caller.
     None, ///< Nobody, until a response is written.
 };
 
@@ -36,6 +38,7 @@
     bool isHead = false;
     bool isSafe = false; ///< Its method changes nothing, so that requests behind it may run at the same time.
     std::optional<HttpResponse> response;
+    BodyCharge charge; ///< For what the request takes besides bodies.
 };
 
 /// A response to be written now.
@@ -58,7 +61,7 @@
     }
     bool isBeingRead() const
     {
-        return m_input == InputOwner::Reader || m_input == InputOwner::Loop;
+        return m_input == InputOwner::Arriving || m_input == InputOwner::Reader || m_input == InputOwner::Loop;
     }
     /// No further request is read, and the connection is closed after the last response.
     void end()
