A response that no request asked for is no answer (status 101)

Cause: 101 was left out of the informational statuses, as it ends a response in HTTP, and so was taken for a final one.

Ruled out: the path between two nodes, which handed on what it got.

Why this works: a 101 ends the call with an unknown outcome, and no response with a status below 200 can be written to a caller, whoever it came from. 600 to 999 are still passed on as they are: a status is returned unchanged.

--- a/modules/http/httpclientconnection.cpp
+++ b/modules/http/httpclientconnection.cpp
@@ -48,7 +48,7 @@
 
 bool isInformational(int status)
 {
-    return status < StatusOk && status != StatusSwitchingProtocols;
+    return status < StatusOk;
 }
 
 } // namespace
@@ -98,6 +98,9 @@
 {
     for (int count = 0; count <= MaxInformationalResponses; ++count) {
         ResponseHeader header = readResponseHeader(readHeaderText());
+        if (header.status() == StatusSwitchingProtocols) {
+            throw MessageException("the server switched to another protocol, which no request asks for");
+        }
         if (!isInformational(header.status())) {
             return header;
         }
--- a/modules/http/messageheader.cpp
+++ b/modules/http/messageheader.cpp
@@ -26,6 +26,7 @@
 constexpr unsigned char FirstPrintable = 0x20;
 constexpr unsigned char Delete = 0x7F;
 constexpr int MinStatus = 100;
+constexpr int MinFinalStatus = 200; ///< Lower ones are followed by another response.
 constexpr int MaxStatus = 999;
 
 /// Keeps what Beast finds in a header section. The framing and the body are read by other code.
@@ -224,7 +225,7 @@
 
 std::string toText(const ResponseHeader &header)
 {
-    require(header.status() >= MinStatus && header.status() <= MaxStatus, "the status");
+    require(header.status() >= MinFinalStatus && header.status() <= MaxStatus, "the status");
     const auto reason = beast::http::obsolete_reason(static_cast<beast::http::status>(header.status()));
     std::string text = "HTTP/1.1 " + std::to_string(header.status()) + " ";
     text.append(reason.data(), reason.size());
--- a/tests/modules/http/messageheadertest.cpp
+++ b/tests/modules/http/messageheadertest.cpp
@@ -110,6 +110,7 @@
     EXPECT_THROW(toText(good.withTarget("/a b")), UnwritableHeader);
     EXPECT_THROW(toText(good.withTarget("")), UnwritableHeader);
     EXPECT_THROW(toText(ResponseHeader().withStatus(42)), UnwritableHeader);
+    EXPECT_THROW(toText(ResponseHeader().withStatus(101)), UnwritableHeader);
 }
 
 TEST(MessageHeader, OptionsOfTheConnectionAreReadFromTheWholeList)
