Stored answers to keys take a sixteenth of the memory at most

Cause: the sum of all that is held is limited now, to an eighth of the memory. Answers that are stored for keys are part of it, up to 16 MiB: with 128 MB of memory they alone could fill it for 15 minutes, and every body would be rejected. Found by reading; with the default of 256 MB nothing changes. The computation of a part of the memory has one place for the three limits.

--- a/core/settings/nodesettings.cpp
+++ b/core/settings/nodesettings.cpp
@@ -3,10 +3,18 @@
 #include "core/settings/nodesettings.h"
 
 #include <array>
+#include <limits>
 
 namespace fescuepond
 {
 
+std::size_t memoryPart(const NodeSettings &settings, std::size_t divisor)
+{
+    constexpr std::size_t BytesPerMegabyte = 1024UL * 1024;
+    const std::size_t megabytes = settings.memoryLimitMb();
+    return megabytes == 0 ? std::numeric_limits<std::size_t>::max() : megabytes * BytesPerMegabyte / divisor;
+}
+
 std::span<const SettingRow> settingRows()
 {
     static const auto rows = std::to_array<SettingRow>({
--- a/core/settings/nodesettings.h
+++ b/core/settings/nodesettings.h
@@ -66,6 +66,9 @@
     friend auto operator<=>(const NodeSettings &, const NodeSettings &) = default;
 };
 
+/// A part of the memory that the process may use, one by `divisor`, in bytes; the greatest number if it may use any.
+std::size_t memoryPart(const NodeSettings &settings, std::size_t divisor);
+
 /// The function of NodeSettings that returns a copy with the setting changed.
 using SettingSetter = std::variant<NodeSettings (NodeSettings::*)(std::string) const,
                                    NodeSettings (NodeSettings::*)(StringList) const,
--- a/modules/bodymemory/bodymemoryplugin.cpp
+++ b/modules/bodymemory/bodymemoryplugin.cpp
@@ -1,4 +1,4 @@
-// Limits the memory that the bodies of requests and responses take together.
+// Limits the memory that is held for callers and the backend server.
 
 #include "core/kernel/kernel.h"
 #include "core/values/bodymemory.h"
@@ -11,9 +11,8 @@
 namespace
 {
 
-constexpr std::size_t BytesPerMegabyte = 1024UL * 1024;
-/// The part of the process's memory that bodies may take. A body is copied several times on its way through a node:
-/// when it is read, encoded, compressed and written.
+/// The part of the process's memory that long bodies may take; all that is charged may take twice that. A body without
+/// a length takes several times its size while it is read.
 constexpr std::size_t MemoryDivisor = 16;
 
 /// Buffers from this size on, in bytes, are returned to the operating system when they are freed. Without it, the C
@@ -25,9 +24,8 @@
 public:
     Result<void> start(Kernel &kernel) override
     {
-        const std::size_t memory = kernel.settings().memoryLimitMb() * BytesPerMegabyte;
-        if (memory > 0) {
-            setBodyMemoryLimit(memory / MemoryDivisor);
+        if (kernel.settings().memoryLimitMb() > 0) {
+            setBodyMemoryLimit(memoryPart(kernel.settings(), MemoryDivisor));
             mallopt(M_MMAP_THRESHOLD, ReturnedBufferBytes);
         }
         kernel.metrics().gauge("fescuepond_body_bytes", {}, [] {
--- a/modules/ledger/ledgertable.cpp
+++ b/modules/ledger/ledgertable.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::size_t MaxRecords = 32'768;
 constexpr std::size_t MaxAnswerBytes = 16'777'216;
+/// The part of the process's memory that stored answers may take. They leave as much to what is in transit.
+constexpr std::size_t AnswerMemoryDivisor = 16;
 constexpr std::size_t MaxAnswerBytesEach = 262'144;
 constexpr Duration KeyLifetime = std::chrono::minutes(15);
 constexpr Duration ExpireInterval = std::chrono::seconds(5);
@@ -21,7 +23,7 @@
 {
     return LedgerLimits()
         .withMaxRecords(MaxRecords)
-        .withMaxAnswerBytes(MaxAnswerBytes)
+        .withMaxAnswerBytes(std::min(MaxAnswerBytes, memoryPart(settings, AnswerMemoryDivisor)))
         .withMaxAnswerBytesEach(std::min(MaxAnswerBytesEach, settings.maxBodyBytes()))
         .withLifetime(KeyLifetime);
 }
--- a/modules/settlement/settlementplugin.cpp
+++ b/modules/settlement/settlementplugin.cpp
@@ -118,16 +118,12 @@
     /// Bodies of finished attempts that nobody asks for leave most of the memory for bodies to those in transit.
     void limitOutcomes()
     {
-        constexpr std::size_t BytesPerMegabyte = 1024UL * 1024;
         constexpr std::size_t MemoryDivisor = 64;
         const AttemptLimits standard = AttemptLimits::standard();
-        const std::size_t memory = m_kernel->settings().memoryLimitMb() * BytesPerMegabyte;
-        if (memory > 0) {
-            const std::size_t bytes = std::min(standard.maxOutcomeBytes(), memory / MemoryDivisor);
-            m_attempts.locked([&](Attempts &attempts) {
-                attempts.m_table = AttemptTable(standard.withMaxOutcomeBytes(bytes));
-            });
-        }
+        const std::size_t bytes = std::min(standard.maxOutcomeBytes(), memoryPart(m_kernel->settings(), MemoryDivisor));
+        m_attempts.locked([&](Attempts &attempts) {
+            attempts.m_table = AttemptTable(standard.withMaxOutcomeBytes(bytes));
+        });
     }
 
     /// A continuation that waits for the outcome of an unfinished attempt.
