A request that has arrived isn't closed for taking too long while it waits for a worker

By reading: a long request that had become whole was still checked against the time limit for its arrival until it was read.

--- a/modules/http/httplistener.cpp
+++ b/modules/http/httplistener.cpp
@@ -845,7 +845,8 @@
     /// A request has to arrive whole within a time limit. Responses to those before it can still be written.
     void checkArriving(Tracked &tracked, TimePoint now)
     {
-        if (now - *tracked.waitsSince <= m_kernel.settings().requestReadTimeout()) {
+        const bool hasArrived = tracked.pipeline.input() != InputOwner::Arriving;
+        if (hasArrived || now - *tracked.waitsSince <= m_kernel.settings().requestReadTimeout()) {
             return;
         }
         if (tracked.pipeline.isEmpty()) {
