Fetch the bodies of calls that are forwarded to the owner of their key

What callers would see: a node that issues tickets is taken over its memory by clients that send long requests with them to other nodes; all that it holds for its callers is cut.

Cause: such a call is forwarded in a message of its own, with its body inside. The owner held the message, a copy of it and a decoded body of each, without a limit.

Ruled out: that the limits of the entry nodes are enough, since four of them add up.

Why this works: the text of a forwarded call, and of its reply, is fetched like the body of a call, once its whole size is charged. Without room within 1 s the owner doesn't answer, which its caller gets as an unknown outcome, never as not run. Messages on other topics stay in one piece: they must arrive even if callers fill the memory.

--- a/modules/peer/bodytransfer.h
+++ b/modules/peer/bodytransfer.h
@@ -5,7 +5,7 @@
 
 #pragma once
 
-#include "core/kernel/clock.h"
+#include "core/pipeline/interfaces.h"
 #include "core/values/body.h"
 #include "modules/peer/peer.capnp.h"
 
@@ -32,9 +32,29 @@
     return placement == BodyPlacement::Fetched && body.size() > MaxBodyInMessage;
 }
 
+/// Where the body of a request on `topic`, and of its reply, is sent to a node that takes bodies at `placement`. Only
+/// forwarded calls have bodies of callers; the others must arrive even if there is no room for those.
+inline BodyPlacement topicPlacement(PeerTopic topic, BodyPlacement placement)
+{
+    return topic == PeerTopic::KeyedCall ? placement : BodyPlacement::InMessage;
+}
+
 /// A capability with which the receiver of a message reads `body`. The body is held until the receiver drops it.
 wire::BodySource::Client sourceOf(const Body &body);
 
+/// Adds a body to a message.
+template<typename Builder>
+void placeBody(const Body &body, Builder &&message, BodyPlacement placement)
+{
+    message.setBodyDigest(body.digest());
+    if (isFetched(body, placement)) {
+        message.setBodySource(sourceOf(body));
+        message.setBodySize(body.size());
+    } else {
+        message.setBody({reinterpret_cast<const capnp::byte *>(body.bytes().data()), body.size()});
+    }
+}
+
 /// What a receiver expects of a body, and when it gives up.
 struct BodyFetch {
     wire::BodySource::Client source;
@@ -45,7 +65,7 @@
 };
 
 template<typename Reader>
-BodyFetch fetchOf(Reader message, std::size_t maxBytes, kj::Duration maxWait)
+BodyFetch fetchOf(const Reader &message, std::size_t maxBytes, kj::Duration maxWait)
 {
     return {message.getBodySource(), message.getBodySize(), message.getBodyDigest(), maxBytes, maxWait};
 }
--- a/modules/peer/peer.capnp
+++ b/modules/peer/peer.capnp
@@ -109,7 +109,9 @@
   cancel @3 (attemptId :Id, deadline :Deadline);
 
   # A request on one of the topics of PeerTopic. The bodies are encoded by the plug-in that owns the topic.
-  ask @4 (topic :UInt16, body :Data) -> (answered :Bool, body :Data);
+  # Bodies of forwarded calls may be fetched, as in Call.
+  ask @4 (topic :UInt16, body :Data, bodySource :BodySource, bodySize :UInt64, bodyDigest :UInt64)
+      -> (answered :Bool, body :Data, bodySource :BodySource, bodySize :UInt64, bodyDigest :UInt64);
 
   # Health check of the connection, answered at once with the callee's clock.
   ping @5 () -> (clockNs :Int64);
--- a/modules/peer/peer.capnp.h
+++ b/modules/peer/peer.capnp.h
@@ -346,7 +346,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b901548b4a49d3dc, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b901548b4a49d3dc, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -361,7 +361,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ad38a32027a91e68, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ad38a32027a91e68, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2274,6 +2274,15 @@
   inline bool hasBody() const;
   inline  ::capnp::Data::Reader getBody() const;
 
+  inline bool hasBodySource() const;
+#if !CAPNP_LITE
+  inline  ::fescuepond::wire::BodySource::Client getBodySource() const;
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBodySize() const;
+
+  inline  ::uint64_t getBodyDigest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2312,6 +2321,21 @@
   inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
+  inline bool hasBodySource();
+#if !CAPNP_LITE
+  inline  ::fescuepond::wire::BodySource::Client getBodySource();
+  inline void setBodySource( ::fescuepond::wire::BodySource::Client&& value);
+  inline void setBodySource( ::fescuepond::wire::BodySource::Client& value);
+  inline void adoptBodySource(::capnp::Orphan< ::fescuepond::wire::BodySource>&& value);
+  inline ::capnp::Orphan< ::fescuepond::wire::BodySource> disownBodySource();
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBodySize();
+  inline void setBodySize( ::uint64_t value);
+
+  inline  ::uint64_t getBodyDigest();
+  inline void setBodyDigest( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2330,6 +2354,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::fescuepond::wire::BodySource::Client getBodySource();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2360,6 +2385,15 @@
   inline bool hasBody() const;
   inline  ::capnp::Data::Reader getBody() const;
 
+  inline bool hasBodySource() const;
+#if !CAPNP_LITE
+  inline  ::fescuepond::wire::BodySource::Client getBodySource() const;
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBodySize() const;
+
+  inline  ::uint64_t getBodyDigest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2398,6 +2432,21 @@
   inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
+  inline bool hasBodySource();
+#if !CAPNP_LITE
+  inline  ::fescuepond::wire::BodySource::Client getBodySource();
+  inline void setBodySource( ::fescuepond::wire::BodySource::Client&& value);
+  inline void setBodySource( ::fescuepond::wire::BodySource::Client& value);
+  inline void adoptBodySource(::capnp::Orphan< ::fescuepond::wire::BodySource>&& value);
+  inline ::capnp::Orphan< ::fescuepond::wire::BodySource> disownBodySource();
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBodySize();
+  inline void setBodySize( ::uint64_t value);
+
+  inline  ::uint64_t getBodyDigest();
+  inline void setBodyDigest( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2416,6 +2465,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::fescuepond::wire::BodySource::Client getBodySource();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4530,6 +4580,73 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::AskParams::Reader::hasBodySource() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::AskParams::Builder::hasBodySource() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+#if !CAPNP_LITE
+inline  ::fescuepond::wire::BodySource::Client Peer::AskParams::Reader::getBodySource() const {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::BodySource>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::fescuepond::wire::BodySource::Client Peer::AskParams::Builder::getBodySource() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::BodySource>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::fescuepond::wire::BodySource::Client Peer::AskParams::Pipeline::getBodySource() {
+  return  ::fescuepond::wire::BodySource::Client(_typeless.getPointerField(1).asCap());
+}
+inline void Peer::AskParams::Builder::setBodySource( ::fescuepond::wire::BodySource::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::fescuepond::wire::BodySource>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
+}
+inline void Peer::AskParams::Builder::setBodySource( ::fescuepond::wire::BodySource::Client& cap) {
+  ::capnp::_::PointerHelpers< ::fescuepond::wire::BodySource>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), cap);
+}
+inline void Peer::AskParams::Builder::adoptBodySource(
+    ::capnp::Orphan< ::fescuepond::wire::BodySource>&& value) {
+  ::capnp::_::PointerHelpers< ::fescuepond::wire::BodySource>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::fescuepond::wire::BodySource> Peer::AskParams::Builder::disownBodySource() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::BodySource>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#endif  // !CAPNP_LITE
+
+inline  ::uint64_t Peer::AskParams::Reader::getBodySize() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::AskParams::Builder::getBodySize() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Peer::AskParams::Builder::setBodySize( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Peer::AskParams::Reader::getBodyDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::AskParams::Builder::getBodyDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Peer::AskParams::Builder::setBodyDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Peer::AskResults::Reader::getAnswered() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4578,6 +4695,73 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::AskResults::Reader::hasBodySource() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::AskResults::Builder::hasBodySource() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+#if !CAPNP_LITE
+inline  ::fescuepond::wire::BodySource::Client Peer::AskResults::Reader::getBodySource() const {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::BodySource>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::fescuepond::wire::BodySource::Client Peer::AskResults::Builder::getBodySource() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::BodySource>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::fescuepond::wire::BodySource::Client Peer::AskResults::Pipeline::getBodySource() {
+  return  ::fescuepond::wire::BodySource::Client(_typeless.getPointerField(1).asCap());
+}
+inline void Peer::AskResults::Builder::setBodySource( ::fescuepond::wire::BodySource::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::fescuepond::wire::BodySource>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
+}
+inline void Peer::AskResults::Builder::setBodySource( ::fescuepond::wire::BodySource::Client& cap) {
+  ::capnp::_::PointerHelpers< ::fescuepond::wire::BodySource>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), cap);
+}
+inline void Peer::AskResults::Builder::adoptBodySource(
+    ::capnp::Orphan< ::fescuepond::wire::BodySource>&& value) {
+  ::capnp::_::PointerHelpers< ::fescuepond::wire::BodySource>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::fescuepond::wire::BodySource> Peer::AskResults::Builder::disownBodySource() {
+  return ::capnp::_::PointerHelpers< ::fescuepond::wire::BodySource>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#endif  // !CAPNP_LITE
+
+inline  ::uint64_t Peer::AskResults::Reader::getBodySize() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::AskResults::Builder::getBodySize() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Peer::AskResults::Builder::setBodySize( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Peer::AskResults::Reader::getBodyDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::AskResults::Builder::getBodyDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Peer::AskResults::Builder::setBodyDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::int64_t Peer::PingResults::Reader::getClockNs() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/modules/peer/peersender.cpp
+++ b/modules/peer/peersender.cpp
@@ -42,16 +42,14 @@
 PeerSender::PeerSender(Kernel &kernel, EventLoop &loop)
     : m_kernel(kernel)
     , m_loop(loop)
+    , m_maxMessageBytes(maxMessageBytes(kernel.settings().maxBodyBytes(), kernel.settings().maxHeaderBytes()))
 {
 }
 
 void PeerSender::open()
 {
-    const NodeSettings &settings = m_kernel.settings();
     m_connections = std::make_unique<PeerConnections>(
-        m_loop.io(),
-        PeerIdentity{
-            settings.name(), m_kernel.clock(), maxMessageBytes(settings.maxBodyBytes(), settings.maxHeaderBytes())});
+        m_loop.io(), PeerIdentity{m_kernel.settings().name(), m_kernel.clock(), m_maxMessageBytes});
     m_tasks = std::make_unique<kj::TaskSet>(*this);
 }
 
@@ -313,13 +311,19 @@
     auto responsePromise = connect(address).then([this, address, topic, body](kj::Own<PeerConnection> connection) {
         auto message = connection->peer().askRequest();
         message.setTopic(static_cast<std::uint16_t>(topic));
-        message.setBody({reinterpret_cast<const capnp::byte *>(body.data()), body.size()});
-        auto sent = message.send().then([](auto response) -> OptionalReply {
+        placeBody(Body(body), message, topicPlacement(topic, connection->bodyPlacement()));
+        auto sent = message.send().then([this](auto response) -> kj::Promise<OptionalReply> {
             if (!response.getAnswered()) {
-                return std::nullopt;
+                return OptionalReply();
             }
-            const auto data = response.getBody();
-            return std::string(reinterpret_cast<const char *>(data.begin()), data.size());
+            if (!response.hasBodySource()) {
+                const auto data = response.getBody();
+                return OptionalReply(std::string(reinterpret_cast<const char *>(data.begin()), data.size()));
+            }
+            return fetchBody(fetchOf(response, m_maxMessageBytes, MaxRoomWait), m_loop.io().provider->getTimer())
+                .then([](const std::optional<Body> &received) {
+                    return received ? OptionalReply(received->bytes()) : std::nullopt;
+                });
         });
         auto replyPromise = connection->withLivenessCheck<OptionalReply>(kj::mv(sent));
         return replyPromise.catch_([this, address, connection = kj::mv(connection)](kj::Exception &&error) mutable {
--- a/modules/peer/peersender.h
+++ b/modules/peer/peersender.h
@@ -71,6 +71,7 @@
 
     Kernel &m_kernel;
     EventLoop &m_loop;
+    const std::uint64_t m_maxMessageBytes;
     // Created and destroyed on the loop's thread, while the loop runs: requests that are cancelled send a message.
     std::unique_ptr<PeerConnections> m_connections;
     std::unique_ptr<kj::TaskSet> m_tasks; ///< What is sent and not answered.
--- a/modules/peer/peerserver.cpp
+++ b/modules/peer/peerserver.cpp
@@ -5,6 +5,7 @@
 
 #include "core/kernel/eventlog.h"
 #include "core/kernel/kernel.h"
+#include "modules/peer/messagelimits.h"
 #include "modules/peer/wireencoding.h"
 
 #include <kj/async.h>
@@ -38,11 +39,6 @@
     return std::string(reinterpret_cast<const char *>(data.begin()), data.size());
 }
 
-capnp::Data::Reader toData(const std::string &text)
-{
-    return {reinterpret_cast<const capnp::byte *>(text.data()), text.size()};
-}
-
 } // namespace
 
 PeerServer::PeerServer(const PeerServices &services, kj::Timer &timer)
@@ -190,20 +186,37 @@
         context.getResults().setAnswered(false);
         return kj::READY_NOW;
     }
+    if (!params.hasBodySource()) {
+        return answer(found->second, Body(toString(params.getBody())), context);
+    }
+    const NodeSettings &settings = m_services.kernel.settings();
+    const auto maxBytes = maxMessageBytes(settings.maxBodyBytes(), settings.maxHeaderBytes());
+    return fetchBody(fetchOf(params, maxBytes, MaxRoomWait), m_timer)
+        .then([this, handler = found->second, context](const std::optional<Body> &body) mutable -> kj::Promise<void> {
+            if (body) {
+                return answer(handler, *body, context);
+            }
+            context.getResults().setAnswered(false);
+            return kj::READY_NOW;
+        });
+}
+
+kj::Promise<void> PeerServer::answer(const PeerHandler &handler, const Body &request, AskContext context)
+{
     using Reply = std::optional<std::string>;
+    const auto topic = static_cast<PeerTopic>(context.getParams().getTopic());
+    context.releaseParams();
     auto pair = kj::newPromiseAndCrossThreadFulfiller<Reply>();
-    m_services.kernel.pool().post(
-        Lane::Decision,
-        [handler = found->second, request = toString(params.getBody()), fulfiller = shared(kj::mv(pair.fulfiller))] {
-            handler(request, [fulfiller](Reply reply) {
-                (*fulfiller)->fulfill(std::move(reply));
-            });
+    m_services.kernel.pool().post(Lane::Decision, [handler, request, fulfiller = shared(kj::mv(pair.fulfiller))] {
+        handler(request.bytes(), [fulfiller](Reply reply) {
+            (*fulfiller)->fulfill(std::move(reply));
         });
-    return pair.promise.then([context](const Reply &reply) mutable {
+    });
+    return pair.promise.then([this, topic, context](const Reply &reply) mutable {
         auto results = context.getResults();
         results.setAnswered(reply.has_value());
         if (reply) {
-            results.setBody(toData(*reply));
+            placeBody(Body(*reply), results, topicPlacement(topic, m_bodyPlacement));
         }
     });
 }
--- a/modules/peer/peerserver.h
+++ b/modules/peer/peerserver.h
@@ -54,6 +54,8 @@
     void logDelay(wire::Call::Reader message, Duration delay, TimePoint now) const;
     /// Fetches the body of the call and passes it on; rejects it if there is no room for the body.
     kj::Promise<void> fetchAndSubmit(const CallRequest &call, const AttemptId &attemptId, CallContext context);
+    /// Passes the request to its handler and sends the reply.
+    kj::Promise<void> answer(const PeerHandler &handler, const Body &request, AskContext context);
     kj::Promise<void> reply(const CallOutcome &outcome, const AttemptId &attemptId, CallContext context);
     /// Passes the call to the target pipeline and sends the reply.
     kj::Promise<void> submit(const CallRequest &call, const AttemptId &attemptId, CallContext context);
--- a/modules/peer/wireencoding.cpp
+++ b/modules/peer/wireencoding.cpp
@@ -32,29 +32,11 @@
     return headers;
 }
 
-capnp::Data::Reader asData(const Body &body)
-{
-    const std::string &bytes = body.bytes();
-    return {reinterpret_cast<const capnp::byte *>(bytes.data()), bytes.size()};
-}
-
 Body asBody(capnp::Data::Reader data)
 {
     return Body(std::string(reinterpret_cast<const char *>(data.begin()), data.size()));
 }
 
-template<typename Builder>
-void encodeBody(const Body &body, Builder builder, BodyPlacement placement)
-{
-    builder.setBodyDigest(body.digest());
-    if (isFetched(body, placement)) {
-        builder.setBodySource(sourceOf(body));
-        builder.setBodySize(body.size());
-    } else {
-        builder.setBody(asData(body));
-    }
-}
-
 /// Nothing if the body does not match its digest; empty if it is to be fetched.
 template<typename Reader>
 std::optional<Body> decodeBody(Reader reader)
@@ -216,7 +198,7 @@
     builder.setMethod(call.method());
     builder.setPath(call.path());
     encodeHeaders(call.headers(), builder.initHeaders(static_cast<unsigned>(call.headers().size())));
-    encodeBody(call.body(), builder, placement);
+    placeBody(call.body(), builder, placement);
     builder.setHost(call.host());
     builder.setCallerAttempt(context.callerAttempt());
     builder.setCallerService(context.callerService());
@@ -243,7 +225,7 @@
     builder.setDetail(outcome.detail());
     builder.setStatus(outcome.status());
     encodeHeaders(outcome.headers(), builder.initHeaders(static_cast<unsigned>(outcome.headers().size())));
-    encodeBody(outcome.body(), builder, placement);
+    placeBody(outcome.body(), builder, placement);
     builder.setUnusedAllowance(outcome.unusedAllowance());
     builder.setTargetLimit(outcome.targetLimit());
     builder.setTargetInFlight(outcome.targetInFlight());
--- a/tests/system/clientcrowdtest.cpp
+++ b/tests/system/clientcrowdtest.cpp
@@ -12,12 +12,15 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <map>
 #include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace fescuepond::test
 {
@@ -32,6 +35,7 @@
 kinds:
   - {name: list, method: GET, path: /list/*, rank: 5, idempotent: true, deadline_ms: 30000, retries: 0}
   - {name: price, method: GET, path: /price/*, rank: 1, idempotent: true, deadline_ms: 10000, retries: 0}
+  - {name: purchase, method: POST, path: /purchase/*, rank: 5, idempotent: false, deadline_ms: 30000}
   - {name: upload, method: POST, path: /upload/*, rank: 5, idempotent: true, deadline_ms: 30000, retries: 0}
 )";
 constexpr const char *Desk = R"(
@@ -223,6 +227,37 @@
     }
 }
 
+TEST_F(ClientCrowd, LongRequestsWithTicketsDoNotTakeTheNodeThatIssuedThemOverItsMemory)
+{
+    constexpr int Entries = 4;
+    constexpr int ClientsOfAnEntry = 10;
+    addAmpleCatalogues(Targets);
+    FleetNode &owner = addDesk("desk-owner", MemoryLimitMb);
+    std::vector<FleetNode *> entries;
+    for (int i = 0; i < Entries; ++i) {
+        entries.push_back(&addDesk("desk-" + std::to_string(i), AmpleMemoryMb));
+    }
+    ASSERT_TRUE(m_fleet.waitUntilReady(Targets + Entries + 1));
+    m_backend.setReadPause(50ms);
+    std::atomic<int> sent = 0;
+    Crowd crowd(Entries * ClientsOfAnEntry, [&](int number, const std::atomic<bool> &) {
+        std::string ticket = sendHttp(owner.front, {.path = "/.fescuepond/tickets"}).body;
+        ticket.erase(std::min(ticket.size(), ticket.find('\n')));
+        sendHttp(entries.at(static_cast<std::size_t>(number % Entries))->front,
+                 {.method = "POST",
+                  .path = "/purchase/" + std::to_string(++sent),
+                  .host = "catalogue",
+                  .headers = {{"X-Fescuepond-Ticket", ticket}},
+                  .body = std::string(LongBytes, 'b'),
+                  .timeout = 5s});
+    });
+    std::this_thread::sleep_for(CrowdDuration);
+    crowd.disperse();
+    m_backend.setReadPause(0ms);
+    EXPECT_TRUE(isAnswered(owner));
+    expectWithinLimits(owner, MemoryLimitMb);
+}
+
 TEST_F(ClientCrowd, IdleConnectionsLeaveRoomForNewCallers)
 {
     constexpr int Clients = 60;
