--- a/tests/system/clientcrowdtest.cpp
+++ b/tests/system/clientcrowdtest.cpp
@@ -200,6 +200,7 @@
     constexpr int ClientsOfAnEntry = 10;
     FleetNode &target = addCatalogue(MemoryLimitMb);
     std::vector<FleetNode *> entries;
+    entries.reserve(Entries);
     for (int i = 0; i < Entries; ++i) {
         entries.push_back(&addDesk("desk-" + std::to_string(i), AmpleMemoryMb));
     }
@@ -234,6 +235,7 @@
     addAmpleCatalogues(Targets);
     FleetNode &owner = addDesk("desk-owner", MemoryLimitMb);
     std::vector<FleetNode *> entries;
+    entries.reserve(Entries);
     for (int i = 0; i < Entries; ++i) {
         entries.push_back(&addDesk("desk-" + std::to_string(i), AmpleMemoryMb));
     }
