--- a/tests/support/scriptedbackend.cpp
+++ b/tests/support/scriptedbackend.cpp
@@ -98,8 +98,8 @@
                 statusLine = m_statusLine;
             }
             const std::string body = path.starts_with("/list/") ? std::string(m_listBytes, 'a') : "ran " + path;
-            sendAll(socket,
-                    statusLine + "\r\nContent-Length: " + std::to_string(body.size()) + std::string(SectionEnd) + body);
+            statusLine.append("\r\nContent-Length: ").append(std::to_string(body.size())).append(SectionEnd);
+            sendAll(socket, statusLine + body);
         }
     } catch (const Poco::Exception &) {
         // The node closed the connection.
