--- a/core/pipeline/interfaces.h
+++ b/core/pipeline/interfaces.h
@@ -8,6 +8,7 @@
 #include "core/pipeline/callpipeline.h"
 #include "core/pipeline/objectstore.h"
 #include "core/values/backendreport.h"
+#include "core/values/departure.h"
 #include "core/values/member.h"
 
 #include <functional>
@@ -57,6 +58,29 @@
     virtual void setServing(bool isServing, std::uint32_t slots) = 0;
 };
 
+/// Keeps the departures that this node has acknowledged beyond the end of the process, so that its successors keep to
+/// them.
+class DepartureStore
+{
+public:
+    /// `isStored`: a process of this node that starts from now on learns of the departures before it sends any call. If
+    /// not, they may or may not be stored later.
+    using Stored = std::function<void(bool isStored)>;
+    /// Gets the departures that earlier processes of this node have stored.
+    using Recovered = std::function<void(const Departures &earlier)>;
+
+    virtual ~DepartureStore() = default;
+    /// Stores `departures` in place of those given before. `stored`, which may be null, is called within
+    /// DepartureStoreTimeout.
+    virtual void keep(Departures departures, Stored stored) = 0;
+    /// `handler` is called once what earlier processes stored is known, and again whenever it is read anew. Only while
+    /// plug-ins start.
+    virtual void onRecovered(Recovered handler) = 0;
+};
+
+/// A backend server waits for one second for an acknowledgement.
+constexpr Duration DepartureStoreTimeout = std::chrono::milliseconds(800);
+
 /// The known state of the backend server beside this node.
 class BackendStatus
 {
@@ -78,10 +102,14 @@
 class BackendReports
 {
 public:
+    /// `isAcknowledged`: the node keeps to what it was told, also after a restart. If not, the backend server may try
+    /// again.
+    using Acknowledge = std::function<void(bool isAcknowledged)>;
+
     virtual ~BackendReports() = default;
-    virtual void report(const BackendReport &report) = 0;
+    virtual void report(const BackendReport &report, Acknowledge acknowledge) = 0;
     /// This instance of the backend server is about to stop.
-    virtual void deregister(const std::string &instance) = 0;
+    virtual void deregister(const std::string &instance, Acknowledge acknowledge) = 0;
     /// An instance of the backend server has answered a call that was sent to it at `sentAt`.
     virtual void answered(const std::string &instance, const BackendNotice &notice, TimePoint sentAt) = 0;
     /// Another node knows this notice, perhaps from before this node started.
--- a/modules/membership/announcer.cpp
+++ b/modules/membership/announcer.cpp
@@ -1,5 +1,5 @@
 // Registers this node at the platform as an object, reads the objects of the other nodes when its own has been written,
-// and deletes the objects of dead nodes.
+// and deletes the objects of dead nodes. Keeps the departures that this node has acknowledged in its object.
 
 #include "modules/membership/announcer.h"
 
@@ -8,6 +8,12 @@
 #include "core/kernel/random.h"
 #include "core/pipeline/collections.h"
 #include "modules/membership/memberencoding.h"
+#include "servers/membership/memberrecord.h"
+
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+#include <utility>
 
 namespace fescuepond
 {
@@ -25,6 +31,11 @@
     return reply.objects().empty() ? std::nullopt : memberFromJson(reply.objects().front().value());
 }
 
+Departures departuresIn(const StoreReply &reply)
+{
+    return reply.objects().empty() ? Departures() : departuresFromJson(reply.objects().front().value());
+}
+
 } // namespace
 
 Announcer::Announcer(Kernel &kernel, SharedMembers &members, std::function<void()> onListed)
@@ -52,35 +63,168 @@
 void Announcer::withdraw()
 {
     m_isWithdrawn = true;
-    const ExpectedRevision revision = m_table.locked([](const Table &table) {
-        return table.m_ownRevision;
+    const NodeObject object = m_table.locked([](const Table &table) {
+        return table.m_object;
     });
-    if (revision) {
-        m_platform.remove(collection::Nodes, m_kernel.settings().name(), *revision, [](const StoreReply &) {
+    if (!object.departures().empty()) {
+        write(object.revision());
+    } else if (object.revision()) {
+        m_platform.remove(collection::Nodes, m_kernel.settings().name(), *object.revision(), [](const StoreReply &) {
             // If this fails, another node deletes the object once this node is dead.
         });
     }
 }
 
+bool Announcer::isGone() const
+{
+    return m_isWithdrawn && m_table.locked([](const Table &table) {
+        return table.m_object.departures().empty();
+    });
+}
+
+void Announcer::keep(Departures departures, Stored stored)
+{
+    const std::uint64_t id = m_table.locked([&](Table &table) {
+        table.m_object = table.m_object.withDepartures(departures);
+        if (stored) {
+            table.m_waiting.push_back(Waiting{table.m_nextWaitingId, std::move(departures), stored});
+        }
+        return table.m_nextWaitingId++;
+    });
+    if (stored) {
+        m_kernel.timers().once(m_kernel.clock().now() + DepartureStoreTimeout, [this, id] {
+            giveUpWaiting(id);
+        });
+    }
+    writeMissing();
+}
+
+void Announcer::onRecovered(Recovered handler)
+{
+    const bool hasRecovered = m_table.locked([&](Table &table) {
+        table.m_onRecovered = handler;
+        return table.m_object.hasRecovered();
+    });
+    if (hasRecovered) {
+        // What was found before has been kept for the handler.
+        handler(m_table.locked([](const Table &table) {
+            return table.m_object.departures();
+        }));
+    }
+}
+
+void Announcer::reportRecovered(const Departures &earlier)
+{
+    const Recovered handler = m_table.locked([&](Table &table) {
+        table.m_object = table.m_object.withHasRecovered(true);
+        if (!table.m_onRecovered) {
+            table.m_object = table.m_object.withDepartures(earlier);
+        }
+        return table.m_onRecovered;
+    });
+    if (handler) {
+        handler(earlier);
+    }
+}
+
+void Announcer::writeMissing()
+{
+    serveWaiting();
+    const auto [isOwn, isCurrent, isAwaited, revision] = m_table.locked([](const Table &table) {
+        const NodeObject &object = table.m_object;
+        return std::tuple(
+            object.storedDepartures().has_value(), object.isCurrent(), !table.m_waiting.empty(), object.revision());
+    });
+    if (isOwn && !isCurrent) {
+        write(revision);
+    } else if (!isOwn && isAwaited) {
+        check();
+    }
+}
+
+void Announcer::serveWaiting()
+{
+    const auto served = m_table.locked([](Table &table) {
+        const auto begin =
+            std::stable_partition(table.m_waiting.begin(), table.m_waiting.end(), [&](const Waiting &waiting) {
+                return !table.m_object.holds(waiting.m_departures);
+            });
+        std::vector<Waiting> done(std::make_move_iterator(begin), std::make_move_iterator(table.m_waiting.end()));
+        table.m_waiting.erase(begin, table.m_waiting.end());
+        return done;
+    });
+    for (const Waiting &waiting : served) {
+        waiting.m_stored(true);
+    }
+}
+
+void Announcer::giveUpWaiting(std::uint64_t id)
+{
+    const Stored stored = m_table.locked([id](Table &table) -> Stored {
+        const auto found = std::find_if(table.m_waiting.begin(), table.m_waiting.end(), [id](const Waiting &waiting) {
+            return waiting.m_id == id;
+        });
+        if (found == table.m_waiting.end()) {
+            return nullptr;
+        }
+        Stored result = std::move(found->m_stored);
+        table.m_waiting.erase(found);
+        return result;
+    });
+    if (stored) {
+        stored(false);
+    }
+}
+
+template<typename Change>
+NodeObject Announcer::endCall(const Change &change)
+{
+    return m_table.locked([&](Table &table) {
+        table.m_isBusy = false;
+        table.m_object = change(table.m_object);
+        return table.m_object;
+    });
+}
+
 void Announcer::write(const ExpectedRevision &expected)
 {
-    if (m_isWithdrawn) {
+    if (isGone()) {
         return;
     }
-    const Member self = m_members.self();
-    m_platform.put(collection::Nodes, self.name(), toJson(self), expected, [this](const StoreReply &reply) {
-        handleWriteReply(reply);
+    const auto departures = m_table.locked([](Table &table) -> std::optional<Departures> {
+        return std::exchange(table.m_isBusy, true) ? std::nullopt : std::optional(table.m_object.departures());
     });
+    if (!departures) {
+        return;
+    }
+    const Member self = m_members.self();
+    m_platform.put(collection::Nodes,
+                   self.name(),
+                   toJson(self, *departures),
+                   expected,
+                   [this, expected, departures = *departures](const StoreReply &reply) {
+                       handleWriteReply(reply, expected, departures);
+                   });
 }
 
-void Announcer::handleWriteReply(const StoreReply &reply)
+void Announcer::handleWriteReply(const StoreReply &reply,
+                                 const ExpectedRevision &expected,
+                                 const Departures &departures)
 {
-    if (reply.status() == StoreStatus::Ok) {
-        setOwnRevision(revisionIn(reply));
+    const bool isWritten = reply.status() == StoreStatus::Ok;
+    endCall([&](const NodeObject &known) {
+        return isWritten ? afterWrite(known, revisionIn(reply), departures) : known;
+    });
+    if (isWritten) {
         m_failures = 0;
-        Event("announced").with("version", reply.objects().front().revision().number());
+        Event("announced")
+            .with("version", reply.objects().front().revision().number())
+            .with("departures", departures.size());
+        if (!expected) {
+            reportRecovered({});
+        }
         handleStored();
-        if (m_isWithdrawn) {
+        if (isGone()) {
             withdraw();
         }
         return;
@@ -90,9 +234,7 @@
         if (!m_hasListedEarly.exchange(true)) {
             listOthers();
         }
-        retryLater([this] {
-            check();
-        });
+        retryCheckLater();
         return;
     }
     check();
@@ -100,7 +242,13 @@
 
 void Announcer::check()
 {
-    if (m_isWithdrawn) {
+    if (isGone()) {
+        return;
+    }
+    const bool isBusy = m_table.locked([](Table &table) {
+        return std::exchange(table.m_isBusy, true);
+    });
+    if (isBusy) {
         return;
     }
     m_platform.get(collection::Nodes, m_kernel.settings().name(), [this](const StoreReply &reply) {
@@ -116,22 +264,38 @@
             return mergeRecords(std::move(view), {*found}, m_kernel.clock().now());
         });
     }
-    const AnnounceDecision decision = decideAnnouncement(m_members.self(), reply.status(), revisionIn(reply), found);
+    const Member self = m_members.self();
+    const Departures departures = departuresIn(reply);
+    const auto afterReply = [&](const NodeObject &known) {
+        switch (reply.status()) {
+        case StoreStatus::Ok:
+            return afterRead(known, revisionIn(reply), departures, found && isSameIncarnation(self, *found));
+        case StoreStatus::NotFound:
+            return afterMissing(known);
+        case StoreStatus::Conflict:
+        case StoreStatus::Unavailable:
+            break;
+        }
+        return known;
+    };
+    if (reply.status() == StoreStatus::Ok || reply.status() == StoreStatus::NotFound) {
+        // Before the object is replaced.
+        reportRecovered(departures);
+    }
+    const NodeObject object = endCall(afterReply);
+    const AnnounceDecision decision = decideAnnouncement(self, reply.status(), object, found);
     switch (decision.action()) {
     case AnnounceAction::None:
-        setOwnRevision(decision.expected());
         m_failures = 0;
         handleStored();
         return;
     case AnnounceAction::Write:
         // Nodes that have started while the object was missing didn't find this node.
-        m_hasListed = false;
+        m_hasListed = m_hasListed && found && isSameIncarnation(self, *found);
         write(decision.expected());
         return;
     case AnnounceAction::RetryLater:
-        retryLater([this] {
-            check();
-        });
+        retryCheckLater();
         return;
     case AnnounceAction::Superseded:
         Event("announce_gives_way").with("incarnation", found->incarnation().toString());
@@ -141,29 +305,40 @@
 
 void Announcer::handleRestore()
 {
-    m_table.locked([](Table &table) {
+    const NodeObject object = m_table.locked([](Table &table) {
         table.m_handledIncarnations.clear();
+        table.m_object = afterRestore(table.m_object);
+        return table.m_object;
     });
-    m_kernel.timers().once(m_kernel.clock().now() + restoreCheckDelay(randomWord()), [this] {
+    const Duration delay = restoreCheckDelay(object, randomWord());
+    m_kernel.timers().once(m_kernel.clock().now() + delay, [this] {
         check();
     });
 }
 
-void Announcer::setOwnRevision(const ExpectedRevision &revision)
+void Announcer::retryLater(const std::function<void()> &action)
 {
-    m_table.locked([&](Table &table) {
-        table.m_ownRevision = revision;
+    const NodeObject object = m_table.locked([](const Table &table) {
+        return table.m_object;
     });
+    const Duration pause = announceRetryDelay(object, m_failures++, randomWord());
+    m_kernel.timers().once(m_kernel.clock().now() + pause, action);
 }
 
-void Announcer::retryLater(const std::function<void()> &action)
+void Announcer::retryCheckLater()
 {
-    const Duration pause = announceRetryDelay(m_failures++, randomWord());
-    m_kernel.timers().once(m_kernel.clock().now() + pause, action);
+    if (m_isCheckDue.exchange(true)) {
+        return;
+    }
+    retryLater([this] {
+        m_isCheckDue = false;
+        check();
+    });
 }
 
 void Announcer::handleStored()
 {
+    writeMissing();
     if (!m_hasListed.exchange(true)) {
         listOthers();
     }
--- a/modules/membership/memberencoding.cpp
+++ b/modules/membership/memberencoding.cpp
@@ -1,9 +1,10 @@
-// Encoding of member records as JSON, for objects at the platform.
+// Encoding of member records and departures as JSON, for objects at the platform.
 
 #include "modules/membership/memberencoding.h"
 
 #include "core/settings/settingformat.h"
 
+#include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
 
@@ -15,6 +16,7 @@
 namespace
 {
 
+using Poco::JSON::Array;
 using Poco::JSON::Object;
 
 std::string textField(const Object::Ptr &object, const char *field)
@@ -26,9 +28,34 @@
     return value.convert<std::string>();
 }
 
+Array::Ptr toArray(const Departures &departures)
+{
+    Array::Ptr array = new Array;
+    for (const Departure &departure : departures) {
+        Object::Ptr entry = new Object;
+        entry->set("instance", departure.instance());
+        entry->set("started_at_ms", departure.startedAtMs());
+        entry->set("departed_at_ms", departure.departedAtMs());
+        array->add(entry);
+    }
+    return array;
+}
+
+std::optional<Departure> departureFrom(const Object::Ptr &entry)
+{
+    try {
+        return Departure()
+            .withInstance(textField(entry, "instance"))
+            .withStartedAtMs(entry->getValue<Poco::UInt64>("started_at_ms"))
+            .withDepartedAtMs(entry->getValue<Poco::UInt64>("departed_at_ms"));
+    } catch (const Poco::Exception &) {
+        return std::nullopt;
+    }
+}
+
 } // namespace
 
-std::string toJson(const Member &member)
+std::string toJson(const Member &member, const Departures &departures)
 {
     Object object;
     object.set("name", member.name());
@@ -43,6 +70,9 @@
     object.set("configuration_version", member.configurationVersion());
     object.set("serving", member.isServing());
     object.set("slots", member.slots());
+    if (!departures.empty()) {
+        object.set("departures", toArray(departures));
+    }
     std::ostringstream text;
     object.stringify(text);
     return text.str();
@@ -79,4 +109,23 @@
     }
 }
 
+Departures departuresFromJson(const std::string &text)
+{
+    try {
+        const auto object = Poco::JSON::Parser().parse(text).extract<Object::Ptr>();
+        const Array::Ptr array = object->getArray("departures");
+        Departures departures;
+        for (unsigned i = 0; array && i < array->size(); ++i) {
+            const Object::Ptr entry = array->getObject(i);
+            const auto departure = entry ? departureFrom(entry) : std::nullopt;
+            if (departure) {
+                departures.push_back(*departure);
+            }
+        }
+        return departures;
+    } catch (const Poco::Exception &) {
+        return {};
+    }
+}
+
 } // namespace fescuepond
--- a/modules/membership/membershipplugin.cpp
+++ b/modules/membership/membershipplugin.cpp
@@ -42,6 +42,7 @@
         });
         kernel.provide<Membership>(*this);
         kernel.provide<ServingAdvertiser>(*this);
+        kernel.provide<DepartureStore>(*m_announcer);
         addGauges();
         m_gossiper->start();
         m_announcer->start();
--- a/modules/registration/registrationplugin.cpp
+++ b/modules/registration/registrationplugin.cpp
@@ -1,5 +1,6 @@
 // Tracks the state of the backend server on this VM from its reports, and publishes to the fleet whether it accepts
-// work.
+// work. A report or call by which the backend server departs is acknowledged only once the departure is stored for
+// later processes of this node.
 //
 // If backend servers make no reports, the one in the settings counts as ready from the start.
 
@@ -10,6 +11,7 @@
 #include "servers/registration/backendtracker.h"
 
 #include <chrono>
+#include <utility>
 
 namespace fescuepond
 {
@@ -27,16 +29,19 @@
     {
         m_kernel = &kernel;
         m_advertiser = &kernel.require<ServingAdvertiser>();
+        m_departures = &kernel.require<DepartureStore>();
         kernel.provide<BackendStatus>(*this);
         kernel.provide<BackendReports>(*this);
         const NodeSettings &settings = kernel.settings();
         const BackendTimeouts timeouts =
             BackendTimeouts::from(std::chrono::duration_cast<Duration>(settings.backendDrain()),
                                   std::chrono::duration_cast<Duration>(settings.backendReportInterval()));
+        m_hasReports = settings.backendReports();
         m_table.locked([&](Table &table) {
-            table.m_tracker = table.m_tracker.withTimeouts(timeouts);
+            table.m_tracker = table.m_tracker.withTimeouts(timeouts)
+                                  .withAwaitsDepartures(m_hasReports)
+                                  .withProcessStartedAtMs(wallClockMs());
         });
-        m_hasReports = settings.backendReports();
         if (!m_hasReports) {
             m_advertiser->setServing(true, slots());
             return {};
@@ -44,23 +49,32 @@
         kernel.timers().every(SilenceCheckInterval, [this] {
             publishState();
         });
+        m_departures->onRecovered([this](const Departures &earlier) {
+            recovered(earlier);
+        });
         return {};
     }
 
-    void report(const BackendReport &report) override
+    void report(const BackendReport &report, Acknowledge acknowledge) override
     {
         const TimePoint now = m_kernel->clock().now();
         apply(report.instance(), report.sequence(), [&](const BackendTracker &known) {
             return afterReport(known, report, m_kernel->settings().service(), now);
         });
+        if (report.state() == BackendState::Draining) {
+            keepDepartures(acknowledgeOnceStored(report.instance(), std::move(acknowledge)));
+        } else {
+            acknowledge(true);
+        }
     }
 
-    void deregister(const std::string &instance) override
+    void deregister(const std::string &instance, Acknowledge acknowledge) override
     {
         const TimePoint now = m_kernel->clock().now();
         apply(instance, 0, [&](const BackendTracker &known) {
             return afterDeregistration(known, instance, now, wallClockMs());
         });
+        keepDepartures(acknowledgeOnceStored(instance, std::move(acknowledge)));
     }
 
     void answered(const std::string &instance, const BackendNotice &notice, TimePoint sentAt) override
@@ -142,11 +156,46 @@
                 .with("instance", instance)
                 .with("sequence", sequence)
                 .with("verdict", toString(verdict));
-            return;
         }
         publishState();
     }
 
+    void keepDepartures(DepartureStore::Stored stored)
+    {
+        if (m_hasReports) {
+            m_departures->keep(departures(), std::move(stored));
+        } else if (stored) {
+            stored(true);
+        }
+    }
+
+    DepartureStore::Stored acknowledgeOnceStored(std::string instance, Acknowledge acknowledge) const
+    {
+        return [this, instance = std::move(instance), acknowledge = std::move(acknowledge)](bool isStored) {
+            m_kernel->metrics().count("fescuepond_backend_departures_total", {{"stored", isStored ? "yes" : "no"}});
+            Event("backend_departure").with("instance", instance).with("stored", isStored);
+            acknowledge(isStored);
+        };
+    }
+
+    void recovered(const Departures &earlier)
+    {
+        const TimePoint now = m_kernel->clock().now();
+        m_table.locked([&](Table &table) {
+            table.m_tracker = afterRecovery(table.m_tracker, earlier, now);
+        });
+        Event("backend_departures_recovered").with("count", earlier.size());
+        keepDepartures(nullptr);
+        publishState();
+    }
+
+    Departures departures() const
+    {
+        return m_table.locked([](const Table &table) {
+            return departuresIn(table.m_tracker.departures());
+        });
+    }
+
     template<typename Decide>
     void applyNotice(const char *source, const Decide &decide)
     {
@@ -191,6 +240,7 @@
 
     Kernel *m_kernel = nullptr;
     ServingAdvertiser *m_advertiser = nullptr;
+    DepartureStore *m_departures = nullptr;
     bool m_hasReports = false;
     SharedTable<Table> m_table{LockRank::Registration};
 };
--- a/servers/membership/announcement.cpp
+++ b/servers/membership/announcement.cpp
@@ -14,10 +14,12 @@
 
 constexpr Duration InitialRetryDelay = std::chrono::milliseconds(500);
 constexpr Duration MaxRetryDelay = std::chrono::seconds(30);
+constexpr Duration MaxRecoveryRetryDelay = std::chrono::seconds(2);
 constexpr int MaxDoublings = 6;
 constexpr Duration RestoreCheckSpread = std::chrono::seconds(1);
-/// How long a member has been dead before its object is deleted. One that was only partitioned is alive again by then.
-constexpr Duration StaleAfter = std::chrono::minutes(1);
+/// How long a member has been dead before its object is deleted. One that was only partitioned is alive again by then,
+/// and a backend server that has departed has ended.
+constexpr Duration StaleAfter = std::chrono::minutes(10);
 
 /// Whether this node deletes the object of `dead`: of all alive members it has the lowest hash of both names
 /// (rendezvous hashing).
@@ -32,10 +34,8 @@
 
 } // namespace
 
-AnnounceDecision decideAnnouncement(const Member &self,
-                                    StoreStatus status,
-                                    const ExpectedRevision &revision,
-                                    const std::optional<Member> &found)
+AnnounceDecision
+decideAnnouncement(const Member &self, StoreStatus status, const NodeObject &object, const std::optional<Member> &found)
 {
     switch (status) {
     case StoreStatus::NotFound:
@@ -46,8 +46,10 @@
     case StoreStatus::Unavailable:
         return AnnounceDecision().withAction(AnnounceAction::RetryLater);
     }
+    const ExpectedRevision &revision = object.revision();
     if (found && isSameIncarnation(self, *found)) {
-        return AnnounceDecision().withAction(AnnounceAction::None).withExpected(revision);
+        const AnnounceAction action = object.isCurrent() ? AnnounceAction::None : AnnounceAction::Write;
+        return AnnounceDecision().withAction(action).withExpected(revision);
     }
     const bool isLaterIncarnation = found && found->name() == self.name() && overrides(*found, self);
     if (isLaterIncarnation) {
@@ -56,15 +58,19 @@
     return AnnounceDecision().withAction(AnnounceAction::Write).withExpected(revision);
 }
 
-Duration announceRetryDelay(int failures, std::uint64_t random)
+Duration announceRetryDelay(const NodeObject &object, int failures, std::uint64_t random)
 {
-    const Duration longest = std::min(MaxRetryDelay, InitialRetryDelay * (1 << std::min(failures, MaxDoublings)));
+    const Duration longest = std::min(object.hasRecovered() ? MaxRetryDelay : MaxRecoveryRetryDelay,
+                                      InitialRetryDelay * (1 << std::min(failures, MaxDoublings)));
     const Duration half = longest / 2;
     return half + Duration(static_cast<Duration::rep>(random % static_cast<std::uint64_t>(half.count())));
 }
 
-Duration restoreCheckDelay(std::uint64_t random)
+Duration restoreCheckDelay(const NodeObject &object, std::uint64_t random)
 {
+    if (!object.departures().empty()) {
+        return Duration::zero();
+    }
     return Duration(static_cast<Duration::rep>(random % static_cast<std::uint64_t>(RestoreCheckSpread.count())));
 }
 
--- a/servers/registration/backendtracker.cpp
+++ b/servers/registration/backendtracker.cpp
@@ -32,6 +32,26 @@
 constexpr double DrainFraction = 0.85;
 constexpr int MaxMissedReports = 4;
 constexpr Duration MaxReportDelay = std::chrono::seconds(1);
+/// Of the reports that confirm an instance, the first may be late, the others are an interval apart.
+constexpr double ConfirmationIntervals = MaxLateReports - 0.5;
+
+/// The start of draining of an instance that may have drained for long.
+TimePoint drainedLongAgo(const BackendTracker &tracker, TimePoint now)
+{
+    return now - tracker.timeouts().drainLimit();
+}
+
+/// The start of draining of the known instance, which says now that it drains. As long as it isn't confirmed, it may
+/// have said so before.
+TimePoint drainStart(const BackendTracker &tracker, TimePoint now)
+{
+    return tracker.isConfirmed() ? now : drainedLongAgo(tracker, now);
+}
+
+Departure departureOf(const BackendReport &report)
+{
+    return Departure().withInstance(report.instance()).withStartedAtMs(report.startedAtMs());
+}
 
 } // namespace
 
@@ -40,7 +60,8 @@
     return BackendTimeouts()
         .withSilenceTimeout(reportInterval * MaxMissedReports + MaxReportDelay)
         .withDrainGrace(drain / DrainGraceDivisor)
-        .withDrainLimit(std::chrono::duration_cast<Duration>(drain * DrainFraction));
+        .withDrainLimit(std::chrono::duration_cast<Duration>(drain * DrainFraction))
+        .withConfirmationTime(std::chrono::duration_cast<Duration>(reportInterval * ConfirmationIntervals));
 }
 
 const char *toString(BackendState state)
@@ -60,12 +81,23 @@
     if (m_drainingSince != TimePoint()) {
         return BackendState::Draining;
     }
+    if (!isConfirmed()) {
+        return BackendState::Unknown;
+    }
     if (m_report.state() == BackendState::Ready && now - m_lastReportAt >= m_timeouts.silenceTimeout()) {
         return BackendState::Silent;
     }
     return m_report.state();
 }
 
+bool BackendTracker::isConfirmed() const
+{
+    const bool isNewStart = m_report.startedAtMs() > m_processStartedAtMs;
+    const bool goesOnReporting =
+        m_reportCount > MaxLateReports && m_lastReportAt - m_firstReportAt >= m_timeouts.confirmationTime();
+    return !m_awaitsDepartures || isNewStart || goesOnReporting;
+}
+
 bool BackendTracker::acceptsCalls(TimePoint now) const
 {
     switch (state(now)) {
@@ -92,29 +124,45 @@
     if (report.service() != service) {
         return {known, ReportVerdict::Foreign};
     }
-    if (hasDeparted(known.departures(), report, now)) {
-        return {known, ReportVerdict::Stale};
-    }
     const bool isKnown = known.report().state() != BackendState::Unknown;
+    const bool isSame = isKnown && isSameInstance(report, known.report());
+    const bool isDraining = report.state() == BackendState::Draining;
+    BackendTracker next = known;
+    if (isDraining) {
+        next = next.withDepartures(withDeparture(known.departures(), departureOf(report), now));
+    }
+    if (isDraining && isSame && next.drainingSince() == TimePoint()) {
+        next = next.withDrainingSince(drainStart(known, now));
+    }
+    if (hasDeparted(known.departures(), report, now) && !(isDraining && isSame)) {
+        return {next, ReportVerdict::Stale};
+    }
     const bool isSilent = isKnown && now - known.lastReportAt() >= known.timeouts().silenceTimeout();
-    const bool isNew = !isKnown || (isSilent && !isSameInstance(report, known.report()));
+    const bool isNew = !isKnown || (isSilent && !isSame);
     if (!isNew && !isLater(report, known.report())) {
-        return {known, ReportVerdict::Stale};
+        return {next, ReportVerdict::Stale};
     }
-    BackendTracker next = known.withReport(report).withLastReportAt(now);
-    if (isNew || !isSameInstance(report, known.report())) {
-        next = next.withDrainingSince(TimePoint());
+    next = next.withReport(report).withLastReportAt(now).withReportCount(isSame ? known.reportCount() + 1 : 1);
+    if (!isSame) {
+        next = next.withFirstReportAt(now).withDrainingSince(isDraining ? drainedLongAgo(known, now) : TimePoint());
     }
     // A rate that was received before the first report is kept.
-    if (isKnown && !isSameInstance(report, known.report())) {
+    if (isKnown && !isSame) {
         next = next.withRate(0).withLastAnswerAt(TimePoint()).withRateNamedAt(TimePoint());
     }
-    if (report.state() == BackendState::Draining && next.drainingSince() == TimePoint()) {
-        next = next.withDrainingSince(isKnown ? now : now - known.timeouts().drainLimit());
-    }
     return {next, ReportVerdict::Accepted};
 }
 
+BackendTracker afterRecovery(const BackendTracker &known, const Departures &earlier, TimePoint now)
+{
+    const BackendTracker next =
+        known.withAwaitsDepartures(false).withDepartures(withEarlierDepartures(known.departures(), earlier, now));
+    const bool isKnown = known.report().state() != BackendState::Unknown;
+    const bool startsDraining =
+        isKnown && known.drainingSince() == TimePoint() && hasDeparted(next.departures(), known.report(), now);
+    return startsDraining ? next.withDrainingSince(drainedLongAgo(known, now)) : next;
+}
+
 BackendNotice BackendTracker::notice() const
 {
     BackendNotice notice = BackendNotice().withRate(m_rate);
@@ -140,7 +188,7 @@
         next = next.withRate(0);
     }
     const bool startsDraining = !notice.leavingInstance().empty() && next.drainingSince() == TimePoint();
-    return startsDraining ? next.withDrainingSince(now) : next;
+    return startsDraining ? next.withDrainingSince(drainStart(known, now)) : next;
 }
 
 BackendTracker afterReceivedNotice(const BackendTracker &known, const BackendNotice &notice, TimePoint now)
@@ -154,7 +202,7 @@
         && notice.leavingStartedAtMs() == known.report().startedAtMs()
         && notice.leavingInstance() == known.report().instance();
     if (isLeaving && next.drainingSince() == TimePoint()) {
-        next = next.withDrainingSince(now - known.timeouts().drainLimit());
+        next = next.withDrainingSince(drainedLongAgo(known, now));
     }
     return next;
 }
@@ -163,17 +211,17 @@
 afterDeregistration(const BackendTracker &known, const std::string &instance, TimePoint now, std::uint64_t wallClockMs)
 {
     const bool isKnown = known.report().instance() == instance;
+    const std::uint64_t startedAtMs = isKnown ? known.report().startedAtMs() : 0;
     const Departure departure = Departure()
                                     .withInstance(instance)
-                                    .withStartedAtMs(isKnown ? known.report().startedAtMs() : 0)
-                                    .withAcknowledgedAt(now)
-                                    .withAcknowledgedAtMs(wallClockMs);
-    const BackendTracker next = known.withDepartures(withDeparture(known.departures(), departure));
+                                    .withStartedAtMs(startedAtMs)
+                                    .withDepartedAtMs(startedAtMs == 0 ? wallClockMs : 0);
+    const BackendTracker next = known.withDepartures(withDeparture(known.departures(), departure, now));
     if (!isKnown) {
         return {next, ReportVerdict::Foreign};
     }
     const bool startsDraining = known.drainingSince() == TimePoint();
-    return {startsDraining ? next.withDrainingSince(now) : next, ReportVerdict::Accepted};
+    return {startsDraining ? next.withDrainingSince(drainStart(known, now)) : next, ReportVerdict::Accepted};
 }
 
 } // namespace fescuepond
--- a/servers/registration/backendtracker.h
+++ b/servers/registration/backendtracker.h
@@ -4,6 +4,11 @@
 // a higher sequence number; a stale one, such as one delayed by a partition, is ignored. An instance that has reported
 // that it is draining stays draining, whatever it reports later. An instance that has deregistered is gone for this
 // node, also if the process that acknowledged it had just started and knew nothing of it.
+//
+// Earlier processes of this node may have acknowledged departures that this one doesn't know. Until it has read them
+// from the platform's store, a report of an instance that started before this process doesn't make it serve, since it
+// may have been sent before the departure and have arrived late. Only repeated reports do so: those that arrive late
+// are few.
 
 #pragma once
 
@@ -28,6 +33,8 @@
     /// No call is passed to the backend server later than this after the start of draining. Shorter than the time for
     /// which a draining backend server is guaranteed to accept work.
     FESCUEPOND_FIELD(Duration, drainLimit, withDrainLimit);
+    /// Time over which an instance has to go on reporting before it is believed without the store.
+    FESCUEPOND_FIELD(Duration, confirmationTime, withConfirmationTime);
 
 public:
     /// `drain`: time for which a draining backend server accepts work. `reportInterval`: usual time between two
@@ -46,10 +53,18 @@
     /// When the latest instance answered last; zero: not yet.
     FESCUEPOND_FIELD(TimePoint, lastAnswerAt, withLastAnswerAt);
     FESCUEPOND_FIELD(TimePoint, rateNamedAt, withRateNamedAt); ///< When an answer named the rate last.
-    FESCUEPOND_FIELD(Departures, departures, withDepartures); ///< Acknowledged, of the known instance and of others.
+    FESCUEPOND_FIELD(KnownDepartures, departures, withDepartures); ///< Of the known instance and of others.
+    /// Earlier processes of this node may have acknowledged departures that aren't known yet.
+    FESCUEPOND_FIELD(bool, awaitsDepartures, withAwaitsDepartures);
+    /// Wall-clock time. No earlier process knew an instance that started later.
+    FESCUEPOND_FIELD(std::uint64_t, processStartedAtMs, withProcessStartedAtMs);
+    FESCUEPOND_FIELD(TimePoint, firstReportAt, withFirstReportAt); ///< Of the latest instance.
+    FESCUEPOND_FIELD(int, reportCount, withReportCount); ///< Accepted reports of the latest instance.
 
 public:
     BackendState state(TimePoint now) const;
+    /// Whether the reports of the latest instance certainly weren't all sent before a departure that isn't known yet.
+    bool isConfirmed() const;
     /// Whether other nodes may send calls to this one.
     bool isServing(TimePoint now) const
     {
@@ -64,6 +79,9 @@
     friend auto operator<=>(const BackendTracker &, const BackendTracker &) = default;
 };
 
+/// Reports of one instance that arrive late, at most, between its departure and its end. One more confirms it.
+constexpr int MaxLateReports = 2;
+
 enum class ReportVerdict {
     Accepted,
     Stale, ///< Older than a report that was accepted, or than a departure that was acknowledged.
@@ -77,11 +95,15 @@
     ReportVerdict verdict;
 };
 
-/// The state after a report to a node of `service`. If the first report says that the instance drains, it may have said
-/// so long ago to an earlier process of this node, so no call is passed to it.
+/// The state after a report to a node of `service`. That an instance drains counts even if the report is stale, since
+/// it is acknowledged. If the first report of an instance says so, it may have said so long ago to an earlier process
+/// of this node, so no call is passed to it.
 TrackerUpdate
 afterReport(const BackendTracker &known, const BackendReport &report, const std::string &service, TimePoint now);
 
+/// The state once the departures that earlier processes of this node acknowledged are known. May be called again.
+BackendTracker afterRecovery(const BackendTracker &known, const Departures &earlier, TimePoint now);
+
 /// The state after the backend server has deregistered, which starts draining like a report does if `instance` is the
 /// known one. The departure is remembered in any case. `wallClockMs` is the wall-clock time of `now`.
 TrackerUpdate
--- a/servers/registration/departures.h
+++ b/servers/registration/departures.h
@@ -1,35 +1,30 @@
-// The departures of backend servers that a node has acknowledged. An acknowledged departure binds the node whatever it
-// knew of the instance, and whatever late report of that instance arrives afterwards.
+// The departures of backend servers that a node remembers. An acknowledged departure binds the node whatever it knew of
+// the instance, and whatever late report of that instance arrives afterwards.
 
 #pragma once
 
 #include "core/kernel/clock.h"
 #include "core/value.h"
 #include "core/values/backendreport.h"
+#include "core/values/departure.h"
 
 #include <compare>
-#include <cstdint>
-#include <string>
 #include <vector>
 
 namespace fescuepond
 {
 
-class Departure
+class KnownDeparture
 {
-    FESCUEPOND_FIELD(std::string, instance, withInstance);
-    /// Start time of the instance; 0: not known, since this process had no report of it.
-    FESCUEPOND_FIELD(std::uint64_t, startedAtMs, withStartedAtMs);
-    FESCUEPOND_FIELD(TimePoint, acknowledgedAt, withAcknowledgedAt);
-    /// The same moment by the wall clock. An instance that starts again under the same name starts later.
-    FESCUEPOND_FIELD(std::uint64_t, acknowledgedAtMs, withAcknowledgedAtMs);
+    FESCUEPOND_FIELD(Departure, departure, withDeparture);
+    FESCUEPOND_FIELD(TimePoint, knownSince, withKnownSince); ///< When this process learned of it.
 
 public:
-    friend auto operator<=>(const Departure &, const Departure &) = default;
+    friend auto operator<=>(const KnownDeparture &, const KnownDeparture &) = default;
 };
 
-/// In the order of their acknowledgement; MaxDepartures at most, the latest ones.
-using Departures = std::vector<Departure>;
+/// MaxDepartures at most, the latest ones; no two of the same start of an instance.
+using KnownDepartures = std::vector<KnownDeparture>;
 
 /// Departures that a node remembers. One backend server at a time runs on its VM.
 constexpr std::size_t MaxDepartures = 16;
@@ -37,9 +32,15 @@
 /// be late and than an instance still runs; a wall clock that was set back can't lock out a later start for longer.
 constexpr Duration DepartureMemory = std::chrono::seconds(60);
 
-Departures withDeparture(Departures known, Departure departure);
+/// Adds a departure that begins now.
+KnownDepartures withDeparture(KnownDepartures known, Departure departure, TimePoint now);
+/// Adds departures from before those that are known.
+KnownDepartures withEarlierDepartures(const KnownDepartures &known, const Departures &earlier, TimePoint now);
 
-/// Whether a report is of an instance whose departure was acknowledged, and not of a later start under its name.
-bool hasDeparted(const Departures &known, const BackendReport &report, TimePoint now);
+/// Whether a report is of an instance that has departed, and not of a later start under its name.
+bool hasDeparted(const KnownDepartures &known, const BackendReport &report, TimePoint now);
+
+/// What has to be stored for later processes of this node.
+Departures departuresIn(const KnownDepartures &known);
 
 } // namespace fescuepond
--- a/tests/modules/membership/memberencodingtest.cpp
+++ b/tests/modules/membership/memberencodingtest.cpp
@@ -3,6 +3,7 @@
 
 #include "modules/membership/memberencoding.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -70,10 +71,39 @@
     }
 }
 
+TEST(MemberEncoding, DeparturesAreReadAsTheyWereWritten)
+{
+    const Departures departures = {Departure().withInstance("i-1").withStartedAtMs(1'700'000'000'000),
+                                   Departure().withInstance("i \"2\"").withDepartedAtMs(1'700'000'000'001)};
+    const std::string text = toJson(member, departures);
+    EXPECT_EQ(departuresFromJson(text), departures);
+    EXPECT_EQ(memberFromJson(text), member);
+    EXPECT_EQ(departuresFromJson(toJson(member)), Departures());
+}
+
+TEST(MemberEncoding, UnreadableDepartureCostsThatOneAlone)
+{
+    const Departure departure = Departure().withInstance("i-1").withStartedAtMs(5);
+    const std::string good = R"({"instance":"i-1","started_at_ms":5,"departed_at_ms":0})";
+    for (const std::string odd : {"7",
+                                  "null",
+                                  "[]",
+                                  "{}",
+                                  R"({"instance":7,"started_at_ms":5,"departed_at_ms":0})",
+                                  R"({"instance":"i-2","started_at_ms":-1,"departed_at_ms":0})",
+                                  R"({"instance":"i-2","started_at_ms":"x","departed_at_ms":0})"}) {
+        const std::string text = fmt::format(R"({{"departures":[{},{}]}})", odd, good);
+        EXPECT_EQ(departuresFromJson(text), Departures{departure}) << odd;
+    }
+    for (const std::string text : {"", "7", "[]", "{}", R"({"departures":7})", R"({"departures":{}})"}) {
+        EXPECT_EQ(departuresFromJson(text), Departures()) << text;
+    }
+}
+
 RC_GTEST_PROP(MemberEncodingProperty, DamagedRecordsAreReadOrRejected, (unsigned seed))
 {
     std::mt19937 random(seed);
-    std::string text = toJson(member);
+    std::string text = toJson(member, {Departure().withInstance("i-1").withStartedAtMs(5)});
     for (unsigned i = 0; i < 1 + random() % 6; ++i) {
         const auto at = random() % text.size();
         if (random() % 2 == 0) {
@@ -83,6 +113,7 @@
         }
     }
     memberFromJson(text);
+    departuresFromJson(text);
 }
 
 } // namespace fescuepond
--- /dev/null
+++ b/tests/platform/departuretest.cpp
@@ -0,0 +1,330 @@
+// Departures that a node has acknowledged, with real processes. Guards against requests that reach a target later than
+// its departure allows, since the node that acknowledged it was killed and its successor took a late report for a new
+// start; and against new starts that get no work.
+
+#include "tests/platform/fleetenvironment.h"
+
+#include <algorithm>
+#include <random>
+#include <vector>
+
+namespace fescuepond::test
+{
+
+namespace
+{
+
+/// As by default: backend_drain_ms. No request reaches a target later after the acknowledgement.
+constexpr auto DrainTime = seconds(2);
+constexpr auto SampleInterval = milliseconds(20);
+/// How long requests are sent to see that none reaches the target.
+constexpr auto ObservationTime = milliseconds(1500);
+/// A new start gets work this soon after its report, which leaves room for a busy machine.
+constexpr auto NewStartLimit = seconds(1);
+constexpr std::uint64_t Born = 1'700'000'000'000; ///< Of the first start of the target.
+constexpr auto ReportInterval = milliseconds(500);
+
+/// A target's report, which can be sent later.
+struct TargetReport {
+    std::string state = "ready";
+    int sequence = 1;
+    std::uint64_t born = Born;
+    std::string instance = "i-1";
+};
+
+std::uint64_t nowMs()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
+}
+
+class Departure : public FleetEnvironment
+{
+protected:
+    Departure()
+        : FleetEnvironment("backend_report_interval_s: " + std::to_string(ReportInterval.count() / 1000.0) + "\n")
+        , m_desk(m_fleet.addNode(
+              {.name = "desk-1",
+               .service = "desk",
+               .zone = "a",
+               .settings = {"environment: fleet", "entry_address: 127.0.0.1:0", "backend_reports: true"},
+               .backendAddress = "127.0.0.1:1",
+               .startsBackend = false}))
+    {
+        m_callers = valueIn(m_desk.process->waitForLine("event=listening listener=entry"), "address");
+        // So that the other node finds it again while the store is away.
+        const std::string peer = addressOf("peer");
+        writeSettings("backend_report_interval_s: " + std::to_string(ReportInterval.count() / 1000.0) + "\n", peer);
+    }
+
+    bool send(const TargetReport &report) const
+    {
+        const std::string body = R"({"service":"yard","address":"x","zone":"a","version":"v1","slots":8,"state":")"
+            + report.state + R"(","cold_left_s":0,"sequence":)" + std::to_string(report.sequence) + R"(,"born":)"
+            + std::to_string(report.born) + "}";
+        const HttpCall call = {.method = "PUT", .path = "/instances/" + report.instance, .body = body};
+        return sendHttp(m_registration, call).status == 200;
+    }
+
+    bool deregister(const std::string &instance = "i-1") const
+    {
+        return sendHttp(m_registration, {.method = "DELETE", .path = "/instances/" + instance}).status == 200;
+    }
+
+    /// A request of a client beside the other node.
+    void sendRequest() const
+    {
+        HttpCall call;
+        call.path = "/read/x";
+        call.host = "a.example";
+        call.headers = {{"Fescuepond-Attempt-Id", "a1"}, {"Fescuepond-Deadline-Ms", "900"}};
+        sendHttp(m_callers, call);
+    }
+
+    /// Whether a request reaches the target within `limit`.
+    bool getsWork(std::chrono::milliseconds limit = MaxWait)
+    {
+        const int before = m_target.m_requests;
+        return eventually(limit, [&] {
+            sendRequest();
+            return m_target.m_requests > before;
+        });
+    }
+
+    /// Sends requests for a while; returns how many of them reach the target.
+    int requestsThatReachTheTarget(std::chrono::milliseconds time = ObservationTime)
+    {
+        const int before = m_target.m_requests;
+        const auto end = std::chrono::steady_clock::now() + time;
+        while (std::chrono::steady_clock::now() < end) {
+            sendRequest();
+            std::this_thread::sleep_for(SampleInterval);
+        }
+        return m_target.m_requests - before;
+    }
+
+    void kill()
+    {
+        m_node->signal(SIGKILL);
+        EXPECT_TRUE(m_node->wait(MaxWait));
+    }
+
+    void start()
+    {
+        const char *build = std::getenv("FESCUEPOND_BUILD");
+        m_node = std::make_unique<Process>(std::string(build == nullptr ? "build" : build) + "/fescuepond",
+                                           std::vector<std::string>{"node", "--settings=" + m_settings},
+                                           m_fleet.folder() + "/node-" + std::to_string(++m_starts) + ".log");
+        m_node->waitForLine("event=node_started");
+        m_entry = addressOf("entry");
+        m_readiness = addressOf("readiness");
+        m_registration = addressOf("registration");
+    }
+
+    void restart()
+    {
+        kill();
+        start();
+    }
+
+    void setStoreAway(bool isAway)
+    {
+        m_fleet.setPlatformMode(isAway ? "down=1" : "up");
+    }
+
+    /// The target is ready and gets work.
+    void beginServing()
+    {
+        ASSERT_TRUE(send(TargetReport()));
+        ASSERT_TRUE(getsWork());
+    }
+
+    /// Until the time of the first departure has passed.
+    static void waitForDrain()
+    {
+        std::this_thread::sleep_for(DrainTime);
+    }
+
+    void expectNoWork()
+    {
+        EXPECT_EQ(requestsThatReachTheTarget(), 0);
+    }
+
+    /// The target ends, and starts again under its name. The new start gets work at once.
+    void expectWorkForANewStart()
+    {
+        EXPECT_TRUE(send({.sequence = 1, .born = nowMs()}));
+        EXPECT_TRUE(getsWork(NewStartLimit));
+    }
+
+    FleetNode &m_desk; ///< The node beside the clients.
+    std::string m_callers; ///< Its entry.
+    int m_starts = 0;
+};
+
+/// How a target departs.
+struct DepartureKind {
+    const char *name;
+    bool (*depart)(const std::function<bool(const TargetReport &)> &send, const std::function<bool()> &deregister);
+};
+
+constexpr std::array Kinds = {
+    DepartureKind{"Deregisters",
+                  [](const auto &, const auto &deregister) {
+                      return deregister();
+                  }},
+    DepartureKind{"ReportsThatItDrains",
+                  [](const auto &send, const auto &) {
+                      return send({.state = "draining", .sequence = 10});
+                  }},
+};
+
+class DepartureOfEachKind : public Departure, public testing::WithParamInterface<DepartureKind>
+{
+protected:
+    bool depart()
+    {
+        return GetParam().depart(
+            [this](const TargetReport &report) {
+                return send(report);
+            },
+            [this] {
+                return deregister();
+            });
+    }
+    /// Sent before the departure.
+    const TargetReport m_lateReport = {.sequence = 9};
+};
+
+} // namespace
+
+TEST_P(DepartureOfEachKind, OutlastsAKillAtTheMomentOfTheAcknowledgement)
+{
+    beginServing();
+    ASSERT_TRUE(depart());
+    restart();
+    send(m_lateReport);
+    waitForDrain();
+    expectNoWork();
+    expectWorkForANewStart();
+}
+
+TEST_P(DepartureOfEachKind, OutlastsSeveralKillsAndLateReports)
+{
+    beginServing();
+    ASSERT_TRUE(depart());
+    for (int i = 0; i < 3; ++i) {
+        restart();
+        send({.sequence = 7 + i});
+    }
+    waitForDrain();
+    expectNoWork();
+    expectWorkForANewStart();
+}
+
+TEST_P(DepartureOfEachKind, OutlastsAnOutageOfTheStoreAroundTheKill)
+{
+    beginServing();
+    ASSERT_TRUE(depart());
+    setStoreAway(true);
+    restart();
+    send(m_lateReport);
+    waitForDrain();
+    expectNoWork();
+    setStoreAway(false);
+    expectNoWork();
+    expectWorkForANewStart();
+}
+
+TEST_P(DepartureOfEachKind, OutlastsAPlannedRestart)
+{
+    beginServing();
+    ASSERT_TRUE(depart());
+    m_node->signal(SIGTERM);
+    ASSERT_TRUE(m_node->wait(MaxWait));
+    start();
+    send(m_lateReport);
+    waitForDrain();
+    expectNoWork();
+    expectWorkForANewStart();
+}
+
+TEST_P(DepartureOfEachKind, OutlastsARestoreOfTheStoreFromAnEarlierCopy)
+{
+    beginServing();
+    m_fleet.controlPlatform("/copy");
+    ASSERT_TRUE(depart());
+    m_fleet.controlPlatform("/restore");
+    // The node sees the new era with its next call, at the latest after the wait of a watch.
+    ASSERT_FALSE(m_node->waitForLine("event=store_restored").empty());
+    ASSERT_TRUE(eventually(MaxWait, [this] {
+        const auto object = connectStore(m_fleet.platform(), seconds(2))->get("nodes", "yard-1");
+        return !object.objects().empty() && object.objects().front().value().find("i-1") != std::string::npos;
+    }));
+    restart();
+    send(m_lateReport);
+    waitForDrain();
+    expectNoWork();
+    expectWorkForANewStart();
+}
+
+TEST_P(DepartureOfEachKind, IsNotAcknowledgedWhileItCannotBeStored)
+{
+    beginServing();
+    setStoreAway(true);
+    EXPECT_FALSE(depart());
+    std::this_thread::sleep_for(DrainTime);
+    expectNoWork();
+    setStoreAway(false);
+    EXPECT_TRUE(eventually(MaxWait, [this] {
+        return depart();
+    }));
+    restart();
+    send(m_lateReport);
+    expectNoWork();
+    expectWorkForANewStart();
+}
+
+INSTANTIATE_TEST_SUITE_P(Target, DepartureOfEachKind, testing::ValuesIn(Kinds), [](const auto &info) {
+    return std::string(info.param.name);
+});
+
+TEST_F(Departure, ThatAProcessAcknowledgedBeforeItHeardAReportOutlastsItsKill)
+{
+    ASSERT_TRUE(deregister());
+    restart();
+    send({.sequence = 9});
+    expectNoWork();
+    expectWorkForANewStart();
+}
+
+TEST_F(Departure, OfAnEarlierStartDoesNotKeepWorkFromANewStartThatReportsDuringAnOutageOfTheStore)
+{
+    beginServing();
+    ASSERT_TRUE(deregister());
+    setStoreAway(true);
+    restart();
+    expectWorkForANewStart();
+}
+
+TEST_F(Departure, ThatNobodyAcknowledgedLeavesATargetServingAfterARestartDuringAnOutageOfTheStore)
+{
+    beginServing();
+    setStoreAway(true);
+    restart();
+    for (int sequence = 2; sequence <= 5; ++sequence) {
+        EXPECT_TRUE(send({.sequence = sequence}));
+        std::this_thread::sleep_for(ReportInterval);
+    }
+    EXPECT_TRUE(getsWork(NewStartLimit));
+}
+
+TEST_F(Departure, ThatNobodyAcknowledgedLeavesATargetServingRightAfterARestart)
+{
+    beginServing();
+    restart();
+    EXPECT_TRUE(send({.sequence = 2}));
+    EXPECT_TRUE(getsWork(NewStartLimit));
+}
+
+} // namespace fescuepond::test
--- a/tests/platform/fleetenvironment.h
+++ b/tests/platform/fleetenvironment.h
@@ -183,10 +183,10 @@
             + "\r\nFescuepond-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\n\r\n";
     }
 
-    void writeSettings(const std::string &more) const
+    void writeSettings(const std::string &more, const std::string &peerAddress = "127.0.0.1:0") const
     {
         std::ofstream(m_settings) << "environment: fleet\nname: yard-1\nservice: yard\nzone: a\nbackend_reports: true\n"
-                                  << "entry_address: 127.0.0.1:0\npeer_address: 127.0.0.1:0\n"
+                                  << "entry_address: 127.0.0.1:0\npeer_address: " << peerAddress << '\n'
                                   << "readiness_address: 127.0.0.1:0\nregistration_address: 127.0.0.1:0\n"
                                   << "operator_address: 127.0.0.1:0\nleave_grace_ms: 200\ndrain_timeout_ms: 3000\n"
                                   << "backend_address: " << m_target.address() << '\n'
--- a/tests/servers/membership/gossiptest.cpp
+++ b/tests/servers/membership/gossiptest.cpp
@@ -386,7 +386,8 @@
     const Member earlier = record("a", 1, 9, MemberState::Alive);
     const Member later = record("a", 3, 0, MemberState::Alive);
     const auto decide = [&](StoreStatus status, const std::optional<Member> &found) {
-        return decideAnnouncement(self, status, ObjectRevision().withNumber(7), found).action();
+        const NodeObject object = afterRead(NodeObject(), ObjectRevision().withNumber(7), {}, true);
+        return decideAnnouncement(self, status, object, found).action();
     };
     EXPECT_EQ(decide(StoreStatus::NotFound, {}), AnnounceAction::Write);
     EXPECT_EQ(decide(StoreStatus::Unavailable, {}), AnnounceAction::RetryLater);
@@ -397,11 +398,29 @@
     EXPECT_TRUE(isStale(earlier, earlier));
 }
 
+TEST(Announcement, ObjectThatLacksDeparturesIsWrittenAgain)
+{
+    const Member self = record("a", 2, 0, MemberState::Alive);
+    const Departures departures = {Departure().withInstance("i-1").withStartedAtMs(5)};
+    const ObjectRevision revision = ObjectRevision().withNumber(7);
+    const NodeObject wanted = NodeObject().withDepartures(departures);
+    // As after a restore from a copy that this process wrote before the departure.
+    const NodeObject lacking = afterRead(wanted, revision, {}, true);
+    EXPECT_FALSE(lacking.holds(departures));
+    EXPECT_EQ(decideAnnouncement(self, StoreStatus::Ok, lacking, self).action(), AnnounceAction::Write);
+    const NodeObject holding = afterRead(wanted, revision, departures, true);
+    EXPECT_TRUE(holding.holds(departures));
+    EXPECT_EQ(decideAnnouncement(self, StoreStatus::Ok, holding, self).action(), AnnounceAction::None);
+    EXPECT_FALSE(afterRead(wanted, revision, departures, false).holds(departures)) << "an earlier process's object";
+    EXPECT_FALSE(afterRestore(holding).holds(departures));
+    EXPECT_EQ(restoreCheckDelay(holding, 7), Duration::zero());
+}
+
 TEST(Announcement, ExactlyOneMemberDeletesTheObjectOfADeadOne)
 {
     Gossip gossip(50, 11);
     gossip.stop("node-7");
-    gossip.run(120);
+    gossip.run(720);
     std::size_t collectors = 0;
     for (const auto &[name, view] : gossip.views()) {
         collectors += name == "node-7" ? 0 : staleObjectsFor(view, gossip.now()).size();
--- a/tests/servers/registration/backendtrackertest.cpp
+++ b/tests/servers/registration/backendtrackertest.cpp
@@ -176,7 +176,7 @@
     }
     EXPECT_TRUE(tracker.isServing(Start));
     EXPECT_EQ(tracker.departures().size(), MaxDepartures);
-    EXPECT_EQ(tracker.departures().back().instance(), "old-" + std::to_string(MaxDepartures * 2 - 1));
+    EXPECT_EQ(tracker.departures().back().departure().instance(), "old-" + std::to_string(MaxDepartures * 2 - 1));
 }
 
 TEST(BackendTracker, NodeThatFirstHearsOfAnInstanceWhileItDrainsPassesNothingToIt)
@@ -188,6 +188,74 @@
     EXPECT_FALSE(draining.canStart(Start));
 }
 
+TEST(BackendTracker, LateReportBeforeTheStoreIsReadDoesNotUndoADepartureThatAnEarlierProcessAcknowledged)
+{
+    const BackendTracker waiting = fresh.withAwaitsDepartures(true).withProcessStartedAtMs(WallClockMs);
+    BackendTracker tracker = after(waiting, report("i-1", 5, 4, BackendState::Ready)).tracker;
+    EXPECT_FALSE(tracker.canStart(Start));
+    EXPECT_FALSE(tracker.acceptsCalls(Start));
+    // Reports that arrive late may arrive together.
+    for (std::uint64_t sequence = 5; sequence < 9; ++sequence) {
+        tracker = after(tracker, report("i-1", 5, sequence, BackendState::Ready)).tracker;
+    }
+    EXPECT_FALSE(tracker.canStart(Start));
+    const Departures earlier = {Departure().withInstance("i-1").withStartedAtMs(5)};
+    tracker = afterRecovery(tracker, earlier, Start);
+    EXPECT_EQ(tracker.state(Start), BackendState::Draining);
+    EXPECT_FALSE(tracker.canStart(Start));
+    EXPECT_TRUE(after(tracker, report("i-1", 6, 1, BackendState::Ready)).tracker.isServing(Start)) << "a new start";
+}
+
+TEST(BackendTracker, InstanceIsReadyOnceTheStoreIsReadUnlessItHasDeparted)
+{
+    const BackendTracker waiting = fresh.withAwaitsDepartures(true).withProcessStartedAtMs(WallClockMs);
+    const BackendTracker held = after(waiting, report("i-1", 5, 4, BackendState::Ready)).tracker;
+    EXPECT_TRUE(afterRecovery(held, {}, Start).isServing(Start));
+    EXPECT_TRUE(after(waiting, report("i-1", WallClockMs + 1, 1, BackendState::Ready)).tracker.isServing(Start))
+        << "no earlier process knew it";
+}
+
+TEST(BackendTracker, InstanceThatGoesOnReportingIsReadyAlthoughTheStoreCannotBeRead)
+{
+    BackendTracker tracker = fresh.withAwaitsDepartures(true).withProcessStartedAtMs(WallClockMs);
+    TimePoint now = Start;
+    for (std::uint64_t sequence = 4; sequence < 4 + MaxLateReports; ++sequence) {
+        tracker = after(tracker, report("i-1", 5, sequence, BackendState::Ready), now).tracker;
+        EXPECT_FALSE(tracker.isServing(now)) << sequence;
+        now += milliseconds(1500);
+    }
+    tracker = after(tracker, report("i-1", 5, 4 + MaxLateReports, BackendState::Ready), now).tracker;
+    EXPECT_TRUE(tracker.isServing(now));
+}
+
+TEST(BackendTracker, InstanceThatDrainsBeforeTheStoreIsReadGetsNoCall)
+{
+    // It may have said so before, to an earlier process.
+    const BackendTracker waiting = fresh.withAwaitsDepartures(true).withProcessStartedAtMs(WallClockMs);
+    const BackendTracker held = after(waiting, report("i-1", 5, 4, BackendState::Ready)).tracker;
+    EXPECT_FALSE(after(held, report("i-1", 5, 5, BackendState::Draining)).tracker.canStart(Start));
+    EXPECT_FALSE(afterDeregistration(held, "i-1", Start, WallClockMs).tracker.canStart(Start));
+}
+
+TEST(BackendTracker, ReportThatAnInstanceDrainsIsKeptToAlsoIfALaterOneHasOvertakenIt)
+{
+    const BackendTracker ready = after(fresh, report("i-1", 5, 4, BackendState::Ready)).tracker;
+    const TrackerUpdate update = after(ready, report("i-1", 5, 3, BackendState::Draining));
+    EXPECT_EQ(update.verdict, ReportVerdict::Stale);
+    EXPECT_EQ(update.tracker.state(Start), BackendState::Draining);
+    EXPECT_TRUE(hasDeparted(update.tracker.departures(), report("i-1", 5, 9, BackendState::Ready), Start));
+}
+
+TEST(BackendTracker, DepartureWithoutAStartTimeEndsHoweverOftenTheStoreIsRead)
+{
+    const Departures earlier = {Departure().withInstance("i-1").withDepartedAtMs(WallClockMs)};
+    BackendTracker tracker = afterRecovery(fresh, earlier, Start);
+    tracker = afterRecovery(tracker, departuresIn(tracker.departures()), Start + DepartureMemory / 2);
+    EXPECT_FALSE(after(tracker, report("i-1", 1, 1, BackendState::Ready), Start).tracker.isServing(Start));
+    const TimePoint later = Start + DepartureMemory;
+    EXPECT_TRUE(after(tracker, report("i-1", 1, 1, BackendState::Ready), later).tracker.isServing(later));
+}
+
 TEST(BackendTracker, TimeoutsFollowTheSettings)
 {
     for (const int drainMs : {400, 1000, 2500, 10'000}) {
