Keep what is told of a leaving backend server before its first report

What callers could see: calls sent to a backend server that has said in an answer that it leaves, by a process that started since.

A notice of another node about an instance that this process has had no report of was dropped, and the sender forgets it with the first answer. What an instance said in an answer was known only as long as that instance was the reported one.

Fix: both are departures now, and are stored with the others. A backend server that says so in an answer and then deregisters is one departure, so nothing is written twice.

--- a/modules/registration/registrationplugin.cpp
+++ b/modules/registration/registrationplugin.cpp
@@ -11,6 +11,7 @@
 #include "servers/registration/backendtracker.h"
 
 #include <chrono>
+#include <tuple>
 #include <utility>
 
 namespace fescuepond
@@ -199,11 +200,16 @@
     template<typename Decide>
     void applyNotice(const char *source, const Decide &decide)
     {
-        const auto [before, after] = m_table.locked([&](Table &table) {
+        const auto [before, after, hasDeparture] = m_table.locked([&](Table &table) {
             const BackendNotice known = table.m_tracker.notice();
-            table.m_tracker = decide(table.m_tracker);
-            return std::pair(known, table.m_tracker.notice());
+            BackendTracker next = decide(table.m_tracker);
+            const bool isDepartureNew = next.departures() != table.m_tracker.departures();
+            table.m_tracker = std::move(next);
+            return std::tuple(known, table.m_tracker.notice(), isDepartureNew);
         });
+        if (hasDeparture) {
+            keepDepartures(nullptr);
+        }
         if (before == after) {
             return;
         }
--- a/servers/registration/backendtracker.cpp
+++ b/servers/registration/backendtracker.cpp
@@ -188,7 +188,11 @@
         next = next.withRate(0);
     }
     const bool startsDraining = !notice.leavingInstance().empty() && next.drainingSince() == TimePoint();
-    return startsDraining ? next.withDrainingSince(drainStart(known, now)) : next;
+    if (!startsDraining) {
+        return next;
+    }
+    return next.withDrainingSince(drainStart(known, now))
+        .withDepartures(withDeparture(known.departures(), departureOf(known.report()), now));
 }
 
 BackendTracker afterReceivedNotice(const BackendTracker &known, const BackendNotice &notice, TimePoint now)
@@ -198,10 +202,16 @@
         next = next.withRate(notice.rate());
     }
     // Without its start time, the instance could be an earlier one of the same name.
-    const bool isLeaving = notice.leavingStartedAtMs() != 0
-        && notice.leavingStartedAtMs() == known.report().startedAtMs()
-        && notice.leavingInstance() == known.report().instance();
-    if (isLeaving && next.drainingSince() == TimePoint()) {
+    if (notice.leavingInstance().empty() || notice.leavingStartedAtMs() == 0) {
+        return next;
+    }
+    // The notice may arrive before the first report of the instance.
+    const Departure departure =
+        Departure().withInstance(notice.leavingInstance()).withStartedAtMs(notice.leavingStartedAtMs());
+    next = next.withDepartures(withDeparture(known.departures(), departure, now));
+    const bool isKnown = known.report().instance() == notice.leavingInstance()
+        && known.report().startedAtMs() == notice.leavingStartedAtMs();
+    if (isKnown && next.drainingSince() == TimePoint()) {
         next = next.withDrainingSince(drainedLongAgo(known, now));
     }
     return next;
--- a/servers/registration/backendtracker.h
+++ b/servers/registration/backendtracker.h
@@ -117,8 +117,8 @@
                            TimePoint sentAt,
                            TimePoint now);
 
-/// A notice that another node knows. It counts until the backend server has answered a call of this node. An instance
-/// that is leaving gets no further call: it may have said so long ago.
+/// A notice that another node knows. Its rate counts until the backend server has answered a call of this node. An
+/// instance that is leaving gets no further call, also if it reports only later: it may have said so long ago.
 BackendTracker afterReceivedNotice(const BackendTracker &known, const BackendNotice &notice, TimePoint now);
 
 } // namespace fescuepond
--- a/tests/servers/registration/backendtrackertest.cpp
+++ b/tests/servers/registration/backendtrackertest.cpp
@@ -91,6 +91,25 @@
     EXPECT_FALSE(tracker.canStart(Start));
 }
 
+TEST(BackendTracker, NoticeThatArrivesBeforeTheReportOfAnInstanceThatLeavesIsNotLost)
+{
+    const BackendNotice notice = BackendNotice().withLeavingInstance("i-1").withLeavingStartedAtMs(5);
+    const BackendTracker tracker = afterReceivedNotice(fresh, notice, Start);
+    EXPECT_FALSE(after(tracker, report("i-1", 5, 4, BackendState::Ready)).tracker.canStart(Start));
+    EXPECT_TRUE(after(tracker, report("i-1", 6, 1, BackendState::Ready)).tracker.isServing(Start)) << "a new start";
+    EXPECT_TRUE(after(tracker, report("i-2", 5, 1, BackendState::Ready)).tracker.isServing(Start));
+}
+
+TEST(BackendTracker, InstanceThatSaidInAnAnswerThatItLeavesIsNotTakenBackOnceItsSuccessorIsSilent)
+{
+    BackendTracker tracker = after(fresh, report("i-1", 5, 4, BackendState::Ready)).tracker;
+    tracker = afterAnswer(tracker, "i-1", BackendNotice().withLeavingInstance("i-1"), Start, Start);
+    EXPECT_EQ(departuresIn(tracker.departures()), Departures{Departure().withInstance("i-1").withStartedAtMs(5)});
+    tracker = after(tracker, report("i-2", 9, 1, BackendState::Ready)).tracker;
+    const TimePoint late = Start + usualTimeouts.silenceTimeout();
+    EXPECT_EQ(after(tracker, report("i-1", 5, 5, BackendState::Ready), late).verdict, ReportVerdict::Stale);
+}
+
 TEST(BackendTracker, NoCallIsAcceptedBeforeTheFirstReport)
 {
     const BackendTracker &none = fresh;
