Tests: departures over random orders of events with real processes

Kills and planned stops of the node, outages and lost responses of the store, restarts of the other node and two late reports in an order that depends on the seed, with clients that send all the while. No request may reach the target later than drain_s after the acknowledgement, and a new start must get work.

--- a/tests/platform/departuretest.cpp
+++ b/tests/platform/departuretest.cpp
@@ -4,7 +4,9 @@
 
 #include "tests/platform/fleetenvironment.h"
 
-#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <numeric>
 #include <random>
 #include <vector>
 
@@ -51,7 +53,7 @@
                .backendAddress = "127.0.0.1:1",
                .startsBackend = false}))
     {
-        m_callers = valueIn(m_desk.process->waitForLine("event=listening listener=entry"), "address");
+        m_callers = entryOf(m_desk);
         // So that the other node finds it again while the store is away.
         const std::string peer = addressOf("peer");
         writeSettings("backend_report_interval_s: " + std::to_string(ReportInterval.count() / 1000.0) + "\n", peer);
@@ -71,14 +73,19 @@
         return sendHttp(m_registration, {.method = "DELETE", .path = "/instances/" + instance}).status == 200;
     }
 
+    static std::string entryOf(const FleetNode &node)
+    {
+        return valueIn(node.process->waitForLine("event=listening listener=entry"), "address");
+    }
+
     /// A request of a client beside the other node.
-    void sendRequest() const
+    void sendRequest()
     {
         HttpCall call;
         call.path = "/read/x";
         call.host = "a.example";
         call.headers = {{"Fescuepond-Attempt-Id", "a1"}, {"Fescuepond-Deadline-Ms", "900"}};
-        sendHttp(m_callers, call);
+        sendHttp(callers(), call);
     }
 
     /// Whether a request reaches the target within `limit`.
@@ -157,8 +164,15 @@
         EXPECT_TRUE(getsWork(NewStartLimit));
     }
 
+    std::string callers()
+    {
+        const std::lock_guard guard(m_mutex);
+        return m_callers;
+    }
+
     FleetNode &m_desk; ///< The node beside the clients.
-    std::string m_callers; ///< Its entry.
+    std::mutex m_mutex;
+    std::string m_callers; ///< Its entry; protected by m_mutex.
     int m_starts = 0;
 };
 
@@ -168,6 +182,12 @@
     bool (*depart)(const std::function<bool(const TargetReport &)> &send, const std::function<bool()> &deregister);
 };
 
+/// So that the names of the tests don't contain addresses.
+std::ostream &operator<<(std::ostream &out, const DepartureKind &kind)
+{
+    return out << kind.name;
+}
+
 constexpr std::array Kinds = {
     DepartureKind{"Deregisters",
                   [](const auto &, const auto &deregister) {
@@ -285,6 +305,163 @@
     expectWorkForANewStart();
 }
 
+/// Events in an order that depends on the seed; they overlap, and clients send requests all the while.
+class DepartureOrders : public Departure, public testing::WithParamInterface<unsigned>
+{
+protected:
+    DepartureOrders()
+        : m_random(GetParam())
+    {
+        m_clients = std::thread([this] {
+            while (!m_hasEnded) {
+                sendRequest();
+                std::this_thread::sleep_for(SampleInterval);
+            }
+        });
+    }
+    ~DepartureOrders() override
+    {
+        m_hasEnded = true;
+        m_clients.join();
+    }
+
+    bool chance(unsigned percent)
+    {
+        return m_random() % 100 < percent;
+    }
+
+    using Action = void (DepartureOrders::*)();
+
+    void act(Action action)
+    {
+        (this->*action)();
+        std::this_thread::sleep_for(milliseconds(m_random() % 400));
+    }
+
+    /// Events without a late report.
+    std::vector<Action> randomEvents(std::size_t count)
+    {
+        static constexpr std::array<Action, 5> Events = {&DepartureOrders::killNode,
+                                                         &DepartureOrders::stopNode,
+                                                         &DepartureOrders::toggleStore,
+                                                         &DepartureOrders::loseResponse,
+                                                         &DepartureOrders::restartOtherNode};
+        std::vector<Action> events;
+        for (std::size_t i = 0; i < count; ++i) {
+            events.push_back(Events.at(m_random() % Events.size()));
+        }
+        return events;
+    }
+
+    /// At least one restart, and two late reports, of which the last one comes after it.
+    std::vector<Action> eventsAfterTheDeparture()
+    {
+        std::vector<Action> events = randomEvents(m_random() % 4);
+        const auto insert = [&](Action action, std::size_t from) {
+            const std::size_t at = from + m_random() % (events.size() - from + 1);
+            events.insert(events.begin() + static_cast<std::ptrdiff_t>(at), action);
+            return at;
+        };
+        const std::size_t restart = insert(chance(70) ? &DepartureOrders::killNode : &DepartureOrders::stopNode, 0);
+        insert(&DepartureOrders::sendLateReport, restart + 1);
+        insert(&DepartureOrders::sendLateReport, 0);
+        return events;
+    }
+
+    void killNode()
+    {
+        restart();
+    }
+    void stopNode()
+    {
+        m_node->signal(SIGTERM);
+        // The stop may last as long as calls in flight.
+        if (chance(50) || !m_node->wait(MaxWait)) {
+            kill();
+        }
+        start();
+    }
+    void toggleStore()
+    {
+        m_isAway = !m_isAway;
+        setStoreAway(m_isAway);
+    }
+    /// The next write of the store takes effect, but its writer doesn't hear of it.
+    void loseResponse()
+    {
+        if (!m_isAway) {
+            m_fleet.setPlatformMode("lose=1");
+        }
+    }
+    void restartOtherNode()
+    {
+        m_fleet.restartNode(m_desk);
+        const std::string entry = entryOf(m_desk);
+        const std::lock_guard guard(m_mutex);
+        m_callers = entry;
+    }
+    void sendLateReport()
+    {
+        send({.sequence = 5 + m_lateReports++});
+    }
+
+    std::mt19937 m_random;
+    std::atomic<bool> m_hasEnded = false;
+    std::thread m_clients;
+    bool m_isAway = false;
+    int m_lateReports = 0;
+};
+
+TEST_P(DepartureOrders, DoNotUndoADepartureOrKeepWorkFromANewStart)
+{
+    ASSERT_TRUE(send(TargetReport()));
+    ASSERT_TRUE(eventually(MaxWait, [this] {
+        return m_target.m_requests > 0;
+    }));
+    for (const Action event : randomEvents(m_random() % 3)) {
+        act(event);
+    }
+    m_isAway = false;
+    setStoreAway(false);
+    const bool saysDraining = chance(50);
+    ASSERT_TRUE(eventually(MaxWait, [&] {
+        return saysDraining ? send({.state = "draining", .sequence = 10}) : deregister();
+    }));
+    const auto acknowledgedAt = std::chrono::steady_clock::now();
+    for (const Action event : eventsAfterTheDeparture()) {
+        act(event);
+    }
+    std::this_thread::sleep_until(acknowledgedAt + DrainTime);
+    const int before = m_target.m_requests;
+    setStoreAway(false);
+    // Requests arrive again, also if the clients' node has no desired state before.
+    ASSERT_TRUE(eventually(MaxWait, [this] {
+        HttpCall call;
+        call.path = "/none/x";
+        call.host = "a.example";
+        call.headers = {{"Fescuepond-Attempt-Id", "a1"}, {"Fescuepond-Deadline-Ms", "900"}};
+        return sendHttp(callers(), call).status == 404;
+    }));
+    std::this_thread::sleep_for(ObservationTime);
+    EXPECT_EQ(m_target.m_requests, before);
+    EXPECT_TRUE(send({.sequence = 1, .born = nowMs()}));
+    EXPECT_TRUE(eventually(MaxWait, [&] {
+        return m_target.m_requests > before;
+    }));
+}
+
+/// The number of seeds comes from the environment for a long run by hand.
+std::vector<unsigned> seeds()
+{
+    constexpr unsigned SeedsInCi = 6;
+    const char *text = std::getenv("FESCUEPOND_DEPARTURE_SEEDS");
+    std::vector<unsigned> result(text == nullptr ? SeedsInCi : static_cast<unsigned>(std::atoi(text)));
+    std::iota(result.begin(), result.end(), 1U);
+    return result;
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, DepartureOrders, testing::ValuesIn(seeds()));
+
 INSTANTIATE_TEST_SUITE_P(Target, DepartureOfEachKind, testing::ValuesIn(Kinds), [](const auto &info) {
     return std::string(info.param.name);
 });
