A reply from before a restore of the store doesn't vouch for a stored departure

Replies of an earlier era count as none at the moment they are handled, and a check that was missed follows.

--- a/modules/membership/announcer.cpp
+++ b/modules/membership/announcer.cpp
@@ -75,6 +75,12 @@
     }
 }
 
+bool Announcer::isOfLatestEra(const StoreReply &reply) const
+{
+    const ExpectedRevision revision = revisionIn(reply);
+    return !revision || revision->era() >= m_platform.era();
+}
+
 bool Announcer::isGone() const
 {
     return m_isWithdrawn && m_table.locked([](const Table &table) {
@@ -179,11 +185,15 @@
 template<typename Change>
 NodeObject Announcer::endCall(const Change &change)
 {
-    return m_table.locked([&](Table &table) {
+    const auto [object, isCheckMissed] = m_table.locked([&](Table &table) {
         table.m_isBusy = false;
         table.m_object = change(table.m_object);
-        return table.m_object;
+        return std::pair(table.m_object, std::exchange(table.m_isCheckMissed, false));
     });
+    if (isCheckMissed) {
+        retryCheckLater();
+    }
+    return object;
 }
 
 void Announcer::write(const ExpectedRevision &expected)
@@ -211,9 +221,10 @@
                                  const ExpectedRevision &expected,
                                  const Departures &departures)
 {
-    const bool isWritten = reply.status() == StoreStatus::Ok;
+    const bool isWritten = reply.status() == StoreStatus::Ok && isOfLatestEra(reply);
     endCall([&](const NodeObject &known) {
-        return isWritten ? afterWrite(known, revisionIn(reply), departures) : known;
+        // The store may have been restored at this moment.
+        return isWritten && isOfLatestEra(reply) ? afterWrite(known, revisionIn(reply), departures) : known;
     });
     if (isWritten) {
         m_failures = 0;
@@ -246,6 +257,7 @@
         return;
     }
     const bool isBusy = m_table.locked([](Table &table) {
+        table.m_isCheckMissed = table.m_isBusy;
         return std::exchange(table.m_isBusy, true);
     });
     if (isBusy) {
@@ -266,8 +278,10 @@
     }
     const Member self = m_members.self();
     const Departures departures = departuresIn(reply);
+    const bool isOutdated = reply.status() == StoreStatus::Ok && !isOfLatestEra(reply);
+    const StoreStatus status = isOutdated ? StoreStatus::Unavailable : reply.status();
     const auto afterReply = [&](const NodeObject &known) {
-        switch (reply.status()) {
+        switch (status) {
         case StoreStatus::Ok:
             return afterRead(known, revisionIn(reply), departures, found && isSameIncarnation(self, *found));
         case StoreStatus::NotFound:
@@ -278,12 +292,12 @@
         }
         return known;
     };
-    if (reply.status() == StoreStatus::Ok || reply.status() == StoreStatus::NotFound) {
+    if (status == StoreStatus::Ok || status == StoreStatus::NotFound) {
         // Before the object is replaced.
         reportRecovered(departures);
     }
     const NodeObject object = endCall(afterReply);
-    const AnnounceDecision decision = decideAnnouncement(self, reply.status(), object, found);
+    const AnnounceDecision decision = decideAnnouncement(self, status, object, found);
     switch (decision.action()) {
     case AnnounceAction::None:
         m_failures = 0;
--- a/modules/membership/announcer.h
+++ b/modules/membership/announcer.h
@@ -42,6 +42,7 @@
     struct Table {
         NodeObject m_object;
         bool m_isBusy = false; ///< A write or a check of this node's object is in flight.
+        bool m_isCheckMissed = false; ///< A check was due meanwhile.
         Recovered m_onRecovered;
         std::vector<Waiting> m_waiting;
         std::uint64_t m_nextWaitingId = 1;
@@ -52,8 +53,8 @@
     /// Does nothing while another write or check is in flight: that one goes on with what is left to do.
     void write(const ExpectedRevision &expected);
     void handleWriteReply(const StoreReply &reply, const ExpectedRevision &expected, const Departures &departures);
-    /// Reads this node's object, and writes it if it is missing, not this incarnation's or lacks departures. The same
-    /// as for write() holds.
+    /// Reads this node's object, and writes it if it is missing, not this incarnation's or lacks departures. If another
+    /// write or check is in flight, it follows later.
     void check();
     void handleCheckReply(const StoreReply &reply);
     /// What `change` makes of the knowledge of this node's object, with no call in flight any longer.
@@ -65,6 +66,8 @@
     /// Writes this node's object if it lacks departures.
     void writeMissing();
     void reportRecovered(const Departures &earlier);
+    /// False if the store was restored since: what the reply tells of the object may be lost.
+    bool isOfLatestEra(const StoreReply &reply) const;
     /// Whether this node has stopped, and leaves nothing in its object that its successor needs.
     bool isGone() const;
     /// This node's object may be lost, and objects of dead nodes may be back.
