--- a/servers/membership/announcement.cpp
+++ b/servers/membership/announcement.cpp
@@ -14,6 +14,8 @@
 
 constexpr Duration InitialRetryDelay = std::chrono::milliseconds(500);
 constexpr Duration MaxRetryDelay = std::chrono::seconds(30);
+/// Until the departures of earlier processes are known.
+constexpr Duration InitialRecoveryRetryDelay = std::chrono::milliseconds(100);
 constexpr Duration MaxRecoveryRetryDelay = std::chrono::seconds(2);
 constexpr int MaxDoublings = 6;
 constexpr Duration RestoreCheckSpread = std::chrono::seconds(1);
@@ -60,8 +62,9 @@
 
 Duration announceRetryDelay(const NodeObject &object, int failures, std::uint64_t random)
 {
-    const Duration longest = std::min(object.hasRecovered() ? MaxRetryDelay : MaxRecoveryRetryDelay,
-                                      InitialRetryDelay * (1 << std::min(failures, MaxDoublings)));
+    const Duration first = object.hasRecovered() ? InitialRetryDelay : InitialRecoveryRetryDelay;
+    const Duration greatest = object.hasRecovered() ? MaxRetryDelay : MaxRecoveryRetryDelay;
+    const Duration longest = std::min(greatest, first * (1 << std::min(failures, MaxDoublings)));
     const Duration half = longest / 2;
     return half + Duration(static_cast<Duration::rep>(random % static_cast<std::uint64_t>(half.count())));
 }
--- a/tests/servers/membership/gossiptest.cpp
+++ b/tests/servers/membership/gossiptest.cpp
@@ -416,6 +416,20 @@
     EXPECT_EQ(restoreCheckDelay(holding, 7), Duration::zero());
 }
 
+TEST(Announcement, BackendServerDoesNotWaitLongForTheStoreAfterItIsBack)
+{
+    const NodeObject waiting;
+    const NodeObject recovered = waiting.withHasRecovered(true);
+    for (const int failures : {0, 1, 3, 6, 50}) {
+        for (const std::uint64_t random : {std::uint64_t{0}, ~std::uint64_t{0}}) {
+            EXPECT_GT(announceRetryDelay(waiting, failures, random), Duration::zero());
+            EXPECT_LE(announceRetryDelay(waiting, failures, random), std::chrono::seconds(2));
+            EXPECT_LE(announceRetryDelay(recovered, failures, random), std::chrono::seconds(30));
+        }
+    }
+    EXPECT_GE(announceRetryDelay(recovered, 50, 0), std::chrono::seconds(15));
+}
+
 TEST(Announcement, ExactlyOneMemberDeletesTheObjectOfADeadOne)
 {
     Gossip gossip(50, 11);
--- a/tests/servers/registration/departuremodeltest.cpp
+++ b/tests/servers/registration/departuremodeltest.cpp
@@ -14,7 +14,6 @@
 #include <algorithm>
 #include <map>
 #include <random>
-#include <set>
 #include <sstream>
 
 namespace fescuepond
