--- a/core/pipeline/interfaces.h
+++ b/core/pipeline/interfaces.h
@@ -63,8 +63,8 @@
 class DepartureStore
 {
 public:
-    /// `isStored`: a process of this node that starts from now on learns of the departures before it sends any call. If
-    /// not, they may or may not be stored later.
+    /// `isStored`: each process of this node that starts from now on finds the departures in the store. If not, they
+    /// may or may not be stored later.
     using Stored = std::function<void(bool isStored)>;
     /// Gets the departures that earlier processes of this node have stored.
     using Recovered = std::function<void(const Departures &earlier)>;
--- a/servers/registration/backendtracker.h
+++ b/servers/registration/backendtracker.h
@@ -6,9 +6,8 @@
 // node, also if the process that acknowledged it had just started and knew nothing of it.
 //
 // Earlier processes of this node may have acknowledged departures that this one doesn't know. Until it has read them
-// from the platform's store, a report of an instance that started before this process doesn't make it serve, since it
-// may have been sent before the departure and have arrived late. Only repeated reports do so: those that arrive late
-// are few.
+// from the platform's store, a report may be one that was sent before a departure and has arrived late. It makes an
+// instance serve only if that seems to have started after this process, or goes on reporting: late reports are few.
 
 #pragma once
 
@@ -56,7 +55,7 @@
     FESCUEPOND_FIELD(KnownDepartures, departures, withDepartures); ///< Of the known instance and of others.
     /// Earlier processes of this node may have acknowledged departures that aren't known yet.
     FESCUEPOND_FIELD(bool, awaitsDepartures, withAwaitsDepartures);
-    /// Wall-clock time. No earlier process knew an instance that started later.
+    /// Wall-clock time. Earlier processes didn't know an instance that started later.
     FESCUEPOND_FIELD(std::uint64_t, processStartedAtMs, withProcessStartedAtMs);
     FESCUEPOND_FIELD(TimePoint, firstReportAt, withFirstReportAt); ///< Of the latest instance.
     FESCUEPOND_FIELD(std::uint64_t, firstSequence, withFirstSequence); ///< Of the latest instance's first report.
@@ -64,7 +63,7 @@
 
 public:
     BackendState state(TimePoint now) const;
-    /// Whether the reports of the latest instance certainly weren't all sent before a departure that isn't known yet.
+    /// Whether the latest instance may be sent calls as far as departures go that aren't known yet.
     bool isConfirmed() const;
     /// Whether other nodes may send calls to this one.
     bool isServing(TimePoint now) const
