A list of departures that is overtaken takes nothing out of the object

If the older list came last, the node's object was written again without the departure that the newer one had brought and that was acknowledged by then.

--- a/core/pipeline/interfaces.h
+++ b/core/pipeline/interfaces.h
@@ -70,8 +70,8 @@
     using Recovered = std::function<void(const Departures &earlier)>;
 
     virtual ~DepartureStore() = default;
-    /// Stores `departures` in place of those given before. `stored`, which may be null, is called within
-    /// DepartureStoreTimeout.
+    /// Stores `departures` beside those given before, of which the oldest give way if there are too many. `stored`,
+    /// which may be null, is called within DepartureStoreTimeout.
     virtual void keep(Departures departures, Stored stored) = 0;
     /// `handler` is called once what earlier processes stored is known, and again whenever it is read anew. Only while
     /// plug-ins start.
--- a/modules/membership/announcer.cpp
+++ b/modules/membership/announcer.cpp
@@ -9,6 +9,7 @@
 #include "core/pipeline/collections.h"
 #include "modules/membership/memberencoding.h"
 #include "servers/membership/memberrecord.h"
+#include "servers/registration/departures.h"
 
 #include <algorithm>
 #include <iterator>
@@ -31,6 +32,21 @@
     return reply.objects().empty() ? std::nullopt : memberFromJson(reply.objects().front().value());
 }
 
+/// Calls that name departures may overtake each other, so an older list takes nothing out of a newer one. The oldest
+/// departures give way if there are too many.
+Departures withAdded(Departures known, const Departures &added)
+{
+    for (const Departure &departure : added) {
+        if (std::find(known.begin(), known.end(), departure) == known.end()) {
+            known.push_back(departure);
+        }
+    }
+    if (known.size() > MaxDepartures) {
+        known.erase(known.begin(), known.end() - static_cast<Departures::difference_type>(MaxDepartures));
+    }
+    return known;
+}
+
 Departures departuresIn(const StoreReply &reply)
 {
     return reply.objects().empty() ? Departures() : departuresFromJson(reply.objects().front().value());
@@ -91,7 +107,7 @@
 void Announcer::keep(Departures departures, Stored stored)
 {
     const std::uint64_t id = m_table.locked([&](Table &table) {
-        table.m_object = table.m_object.withDepartures(departures);
+        table.m_object = table.m_object.withDepartures(withAdded(table.m_object.departures(), departures));
         if (stored) {
             table.m_waiting.push_back(Waiting{table.m_nextWaitingId, std::move(departures), stored});
         }
