--- a/tests/platform/departuretest.cpp
+++ b/tests/platform/departuretest.cpp
@@ -75,14 +75,14 @@
         return valueIn(node.process->waitForLine("event=listening listener=entry"), "address");
     }
 
-    /// A request of a client beside the other node.
-    void sendRequest()
+    /// A request of a client beside the other node; returns the status of the response.
+    int sendRequest(const std::string &path = "/read/x")
     {
         HttpCall call;
-        call.path = "/read/x";
+        call.path = path;
         call.host = "a.example";
         call.headers = {{"Fescuepond-Attempt-Id", "a1"}, {"Fescuepond-Deadline-Ms", "900"}};
-        sendHttp(callers(), call);
+        return sendHttp(callers(), call).status;
     }
 
     /// Whether a request reaches the target within `limit`.
@@ -113,22 +113,10 @@
         EXPECT_TRUE(m_node->wait(MaxWait));
     }
 
-    void start()
-    {
-        const char *build = std::getenv("FESCUEPOND_BUILD");
-        m_node = std::make_unique<Process>(std::string(build == nullptr ? "build" : build) + "/fescuepond",
-                                           std::vector<std::string>{"node", "--settings=" + m_settings},
-                                           m_fleet.folder() + "/node-" + std::to_string(++m_starts) + ".log");
-        m_node->waitForLine("event=node_started");
-        m_entry = addressOf("entry");
-        m_readiness = addressOf("readiness");
-        m_registration = addressOf("registration");
-    }
-
     void restart()
     {
         kill();
-        start();
+        startNode();
     }
 
     void setStoreAway(bool isAway)
@@ -170,7 +158,6 @@
     FleetNode &m_desk; ///< The node beside the clients.
     std::mutex m_mutex;
     std::string m_callers; ///< Its entry; protected by m_mutex.
-    int m_starts = 0;
 };
 
 /// How a target departs.
@@ -259,7 +246,7 @@
     ASSERT_TRUE(depart());
     m_node->signal(SIGTERM);
     ASSERT_TRUE(m_node->wait(MaxWait));
-    start();
+    startNode();
     send(m_lateReport);
     waitForDrain();
     expectNoWork();
@@ -376,7 +363,7 @@
         if (chance(50) || !m_node->wait(MaxWait)) {
             kill();
         }
-        start();
+        startNode();
     }
     void toggleStore()
     {
@@ -433,11 +420,7 @@
     setStoreAway(false);
     // Requests arrive again, also if the clients' node has no desired state before.
     ASSERT_TRUE(eventually(MaxWait, [this] {
-        HttpCall call;
-        call.path = "/none/x";
-        call.host = "a.example";
-        call.headers = {{"Fescuepond-Attempt-Id", "a1"}, {"Fescuepond-Deadline-Ms", "900"}};
-        return sendHttp(callers(), call).status == 404;
+        return sendRequest("/none/x") == 404;
     }));
     std::this_thread::sleep_for(ObservationTime);
     EXPECT_EQ(m_target.m_requests, before);
--- a/tests/platform/fleetenvironment.h
+++ b/tests/platform/fleetenvironment.h
@@ -162,17 +162,9 @@
         m_peerPort.bind(Poco::Net::SocketAddress("127.0.0.1", 0), true);
         const auto store = connectStore(m_fleet.platform(), seconds(2));
         EXPECT_EQ(store->put("config", "main", desiredState, std::nullopt).status(), StoreStatus::Ok);
-        const std::string base = m_fleet.folder() + "/node";
-        m_settings = base + ".yaml";
+        m_settings = m_fleet.folder() + "/node.yaml";
         writeSettings(moreSettings);
-        const char *build = std::getenv("FESCUEPOND_BUILD");
-        m_node = std::make_unique<Process>(std::string(build == nullptr ? "build" : build) + "/fescuepond",
-                                           std::vector<std::string>{"node", "--settings=" + m_settings},
-                                           base + ".log");
-        m_node->waitForLine("event=node_started");
-        m_entry = addressOf("entry");
-        m_readiness = addressOf("readiness");
-        m_registration = addressOf("registration");
+        startNode();
         EXPECT_TRUE(eventually(MaxWait, [this] {
             return sendHttp(m_readiness, {.path = "/ready"}).status == 200;
         }));
@@ -187,6 +179,19 @@
         }
     }
 
+    /// Starts the node, whose former process has ended, with a log of its own.
+    void startNode()
+    {
+        const char *build = std::getenv("FESCUEPOND_BUILD");
+        m_node = std::make_unique<Process>(std::string(build == nullptr ? "build" : build) + "/fescuepond",
+                                           std::vector<std::string>{"node", "--settings=" + m_settings},
+                                           m_fleet.folder() + "/node-" + std::to_string(++m_starts) + ".log");
+        m_node->waitForLine("event=node_started");
+        m_entry = addressOf("entry");
+        m_readiness = addressOf("readiness");
+        m_registration = addressOf("registration");
+    }
+
     /// The bytes of a request that carries `attempt` as its identifier.
     static std::string requestBytes(const std::string &path, const std::string &attempt, int deadlineMs = 1500)
     {
@@ -242,6 +247,7 @@
     std::string m_entry;
     std::string m_readiness;
     std::string m_registration;
+    int m_starts = 0; ///< Of the node.
 };
 
 } // namespace fescuepond::test
