Join lists of departures where the node's object is decided, and decide by an action alone

The joining of lists stood in the plug-in, so the model of random orders went around it, and its limit stood beside the one of the tracker. It is a function of NodeObject now, which the model plays too, with a test for a list that is overtaken. AnnounceDecision repeated the revision that NodeObject holds. The era of a reply to a write is looked at once, where it counts.

--- a/core/values/departure.h
+++ b/core/values/departure.h
@@ -6,6 +6,7 @@
 #include "core/value.h"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -29,4 +30,7 @@
 /// The oldest one first.
 using Departures = std::vector<Departure>;
 
+/// Departures that a node remembers. One backend server at a time runs on its VM.
+constexpr std::size_t MaxDepartures = 16;
+
 } // namespace fescuepond
--- a/modules/membership/announcer.cpp
+++ b/modules/membership/announcer.cpp
@@ -9,7 +9,6 @@
 #include "core/pipeline/collections.h"
 #include "modules/membership/memberencoding.h"
 #include "servers/membership/memberrecord.h"
-#include "servers/registration/departures.h"
 
 #include <algorithm>
 #include <iterator>
@@ -32,21 +31,6 @@
     return reply.objects().empty() ? std::nullopt : memberFromJson(reply.objects().front().value());
 }
 
-/// Calls that name departures may overtake each other, so an older list takes nothing out of a newer one. The oldest
-/// departures give way if there are too many.
-Departures withAdded(Departures known, const Departures &added)
-{
-    for (const Departure &departure : added) {
-        if (std::find(known.begin(), known.end(), departure) == known.end()) {
-            known.push_back(departure);
-        }
-    }
-    if (known.size() > MaxDepartures) {
-        known.erase(known.begin(), known.end() - static_cast<Departures::difference_type>(MaxDepartures));
-    }
-    return known;
-}
-
 Departures departuresIn(const StoreReply &reply)
 {
     return reply.objects().empty() ? Departures() : departuresFromJson(reply.objects().front().value());
@@ -107,7 +91,7 @@
 void Announcer::keep(Departures departures, Stored stored)
 {
     const std::uint64_t id = m_table.locked([&](Table &table) {
-        table.m_object = table.m_object.withDepartures(withAdded(table.m_object.departures(), departures));
+        table.m_object = afterKeep(table.m_object, departures);
         if (stored) {
             table.m_waiting.push_back(Waiting{table.m_nextWaitingId, std::move(departures), stored});
         }
@@ -140,7 +124,7 @@
     const Recovered handler = m_table.locked([&](Table &table) {
         table.m_object = table.m_object.withHasRecovered(true);
         if (!table.m_onRecovered) {
-            table.m_object = table.m_object.withDepartures(earlier);
+            table.m_object = afterKeep(table.m_object, earlier);
         }
         return table.m_onRecovered;
     });
@@ -237,10 +221,10 @@
                                  const ExpectedRevision &expected,
                                  const Departures &departures)
 {
-    const bool isWritten = reply.status() == StoreStatus::Ok && isOfLatestEra(reply);
+    bool isWritten = false;
     endCall([&](const NodeObject &known) {
-        // The store may have been restored at this moment.
-        return isWritten && isOfLatestEra(reply) ? afterWrite(known, revisionIn(reply), departures) : known;
+        isWritten = reply.status() == StoreStatus::Ok && isOfLatestEra(reply);
+        return isWritten ? afterWrite(known, revisionIn(reply), departures) : known;
     });
     if (isWritten) {
         m_failures = 0;
@@ -313,8 +297,7 @@
         reportRecovered(departures);
     }
     const NodeObject object = endCall(afterReply);
-    const AnnounceDecision decision = decideAnnouncement(self, status, object, found);
-    switch (decision.action()) {
+    switch (decideAnnouncement(self, status, object, found)) {
     case AnnounceAction::None:
         m_failures = 0;
         handleStored();
@@ -322,7 +305,7 @@
     case AnnounceAction::Write:
         // Nodes that have started while the object was missing didn't find this node.
         m_hasListed = m_hasListed && found && isSameIncarnation(self, *found);
-        write(decision.expected());
+        write(object.revision());
         return;
     case AnnounceAction::RetryLater:
         retryCheckLater();
--- a/servers/membership/announcement.cpp
+++ b/servers/membership/announcement.cpp
@@ -36,28 +36,23 @@
 
 } // namespace
 
-AnnounceDecision
+AnnounceAction
 decideAnnouncement(const Member &self, StoreStatus status, const NodeObject &object, const std::optional<Member> &found)
 {
     switch (status) {
     case StoreStatus::NotFound:
-        return AnnounceDecision().withAction(AnnounceAction::Write);
+        return AnnounceAction::Write;
     case StoreStatus::Ok:
         break;
     case StoreStatus::Conflict:
     case StoreStatus::Unavailable:
-        return AnnounceDecision().withAction(AnnounceAction::RetryLater);
+        return AnnounceAction::RetryLater;
     }
-    const ExpectedRevision &revision = object.revision();
     if (found && isSameIncarnation(self, *found)) {
-        const AnnounceAction action = object.isCurrent() ? AnnounceAction::None : AnnounceAction::Write;
-        return AnnounceDecision().withAction(action).withExpected(revision);
+        return object.isCurrent() ? AnnounceAction::None : AnnounceAction::Write;
     }
     const bool isLaterIncarnation = found && found->name() == self.name() && overrides(*found, self);
-    if (isLaterIncarnation) {
-        return AnnounceDecision().withAction(AnnounceAction::Superseded);
-    }
-    return AnnounceDecision().withAction(AnnounceAction::Write).withExpected(revision);
+    return isLaterIncarnation ? AnnounceAction::Superseded : AnnounceAction::Write;
 }
 
 Duration announceRetryDelay(const NodeObject &object, int failures, std::uint64_t random)
--- a/servers/membership/announcement.h
+++ b/servers/membership/announcement.h
@@ -16,27 +16,17 @@
 /// What to do after reading this node's object at the platform.
 enum class AnnounceAction {
     None, ///< The object is this incarnation's and holds what it has to: nothing to do.
-    Write, ///< Write the object on condition of the revision that was read.
+    Write, ///< Write the object on condition of its last known revision.
     RetryLater, ///< The platform did not answer.
     Superseded, ///< A later incarnation of this node has written it: leave it alone.
 };
 
-class AnnounceDecision
-{
-    FESCUEPOND_FIELD(AnnounceAction, action, withAction);
-    /// Revision that a write is conditional on; with None: the object's.
-    FESCUEPOND_FIELD(ExpectedRevision, expected, withExpected);
-
-public:
-    friend auto operator<=>(const AnnounceDecision &, const AnnounceDecision &) = default;
-};
-
 /// Decides after a read of this node's object. `object` is what is known of it after the read; `found` is the record
 /// read, empty if the object is missing or not a valid record.
-AnnounceDecision decideAnnouncement(const Member &self,
-                                    StoreStatus status,
-                                    const NodeObject &object,
-                                    const std::optional<Member> &found);
+AnnounceAction decideAnnouncement(const Member &self,
+                                  StoreStatus status,
+                                  const NodeObject &object,
+                                  const std::optional<Member> &found);
 
 /// Delay before the next attempt after `failures` consecutive failures. `random` adds jitter, so that nodes don't retry
 /// at the same moment. Short until the departures of earlier processes are known, since the backend server waits for
--- a/servers/membership/nodeobject.cpp
+++ b/servers/membership/nodeobject.cpp
@@ -3,6 +3,7 @@
 #include "servers/membership/nodeobject.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace fescuepond
 {
@@ -15,6 +16,20 @@
            });
 }
 
+NodeObject afterKeep(const NodeObject &known, const Departures &departures)
+{
+    Departures all = known.departures();
+    for (const Departure &departure : departures) {
+        if (std::find(all.begin(), all.end(), departure) == all.end()) {
+            all.push_back(departure);
+        }
+    }
+    if (all.size() > MaxDepartures) {
+        all.erase(all.begin(), all.end() - static_cast<Departures::difference_type>(MaxDepartures));
+    }
+    return known.withDepartures(std::move(all));
+}
+
 NodeObject afterWrite(const NodeObject &known, const ExpectedRevision &revision, const Departures &departures)
 {
     return known.withRevision(revision).withStoredDepartures(departures).withHasRecovered(true);
--- a/servers/membership/nodeobject.h
+++ b/servers/membership/nodeobject.h
@@ -37,6 +37,9 @@
     friend auto operator<=>(const NodeObject &, const NodeObject &) = default;
 };
 
+/// `departures` have to be stored, too. Lists of departures may overtake each other, so an older one takes nothing out
+/// of a newer one; if there are over MaxDepartures, the oldest give way.
+NodeObject afterKeep(const NodeObject &known, const Departures &departures);
 /// The object was written with `departures`: created, or replaced at a revision that was read before.
 NodeObject afterWrite(const NodeObject &known, const ExpectedRevision &revision, const Departures &departures);
 /// The object was read and holds `departures`. `isOwn`: this process has written it.
--- a/servers/registration/departures.h
+++ b/servers/registration/departures.h
@@ -26,8 +26,6 @@
 /// MaxDepartures at most, the latest ones; no two of the same start of an instance.
 using KnownDepartures = std::vector<KnownDeparture>;
 
-/// Departures that a node remembers. One backend server at a time runs on its VM.
-constexpr std::size_t MaxDepartures = 16;
 /// For how long a departure of an instance without a known start time holds back its reports. Longer than a report may
 /// be late and than an instance still runs; a wall clock that was set back can't lock out a later start for longer.
 constexpr Duration DepartureMemory = std::chrono::seconds(60);
--- a/tests/servers/membership/gossiptest.cpp
+++ b/tests/servers/membership/gossiptest.cpp
@@ -387,7 +387,7 @@
     const Member later = record("a", 3, 0, MemberState::Alive);
     const auto decide = [&](StoreStatus status, const std::optional<Member> &found) {
         const NodeObject object = afterRead(NodeObject(), ObjectRevision().withNumber(7), {}, true);
-        return decideAnnouncement(self, status, object, found).action();
+        return decideAnnouncement(self, status, object, found);
     };
     EXPECT_EQ(decide(StoreStatus::NotFound, {}), AnnounceAction::Write);
     EXPECT_EQ(decide(StoreStatus::Unavailable, {}), AnnounceAction::RetryLater);
@@ -407,15 +407,29 @@
     // As after a restore from a copy that this process wrote before the departure.
     const NodeObject lacking = afterRead(wanted, revision, {}, true);
     EXPECT_FALSE(lacking.holds(departures));
-    EXPECT_EQ(decideAnnouncement(self, StoreStatus::Ok, lacking, self).action(), AnnounceAction::Write);
+    EXPECT_EQ(decideAnnouncement(self, StoreStatus::Ok, lacking, self), AnnounceAction::Write);
     const NodeObject holding = afterRead(wanted, revision, departures, true);
     EXPECT_TRUE(holding.holds(departures));
-    EXPECT_EQ(decideAnnouncement(self, StoreStatus::Ok, holding, self).action(), AnnounceAction::None);
+    EXPECT_EQ(decideAnnouncement(self, StoreStatus::Ok, holding, self), AnnounceAction::None);
     EXPECT_FALSE(afterRead(wanted, revision, departures, false).holds(departures)) << "an earlier process's object";
     EXPECT_FALSE(afterRestore(holding).holds(departures));
     EXPECT_EQ(restoreCheckDelay(holding, 7), Duration::zero());
 }
 
+TEST(Announcement, OlderListOfDeparturesTakesNothingOutOfANewerOne)
+{
+    const Departure first = Departure().withInstance("i-1").withStartedAtMs(5);
+    const Departure second = Departure().withInstance("i-2").withStartedAtMs(6);
+    const NodeObject newer = afterKeep(NodeObject(), {first, second});
+    EXPECT_EQ(afterKeep(newer, {first}), newer);
+    NodeObject full = newer;
+    for (std::uint64_t i = 0; i < MaxDepartures; ++i) {
+        full = afterKeep(full, {Departure().withInstance("i-3").withStartedAtMs(7 + i)});
+    }
+    EXPECT_EQ(full.departures().size(), MaxDepartures);
+    EXPECT_EQ(full.departures().back().startedAtMs(), 6 + MaxDepartures);
+}
+
 TEST(Announcement, BackendServerDoesNotWaitLongForTheStoreAfterItIsBack)
 {
     const NodeObject waiting;
--- a/tests/servers/registration/departuremodeltest.cpp
+++ b/tests/servers/registration/departuremodeltest.cpp
@@ -268,16 +268,16 @@
             recover({});
             process.object = afterMissing(process.object);
         }
-        const AnnounceDecision decision = decideAnnouncement(process.self, status, process.object, found);
-        if (decision.action() == AnnounceAction::Write) {
-            write(decision.expected());
+        const AnnounceAction action = decideAnnouncement(process.self, status, process.object, found);
+        if (action == AnnounceAction::Write) {
+            write(process.object.revision());
         }
     }
 
     void recover(const Departures &earlier)
     {
         m_process->tracker = afterRecovery(m_process->tracker, earlier, m_now);
-        m_process->object = m_process->object.withDepartures(departuresIn(m_process->tracker.departures()));
+        m_process->object = afterKeep(m_process->object, departuresIn(m_process->tracker.departures()));
     }
 
     BackendReport nextReport(BackendState state)
@@ -329,7 +329,7 @@
             return false;
         }
         m_process->tracker = afterReport(m_process->tracker, report, "yard", m_now).tracker;
-        m_process->object = m_process->object.withDepartures(departuresIn(m_process->tracker.departures()));
+        m_process->object = afterKeep(m_process->object, departuresIn(m_process->tracker.departures()));
         return true;
     }
 
@@ -346,7 +346,7 @@
         } else {
             m_process->tracker =
                 afterDeregistration(m_process->tracker, m_target.first, m_now, clockMs(m_nodeErrorMs)).tracker;
-            m_process->object = m_process->object.withDepartures(departuresIn(m_process->tracker.departures()));
+            m_process->object = afterKeep(m_process->object, departuresIn(m_process->tracker.departures()));
         }
         callStore();
         if (m_process->object.holds(departuresIn(m_process->tracker.departures()))) {
