Tests: one place for the calls of targets, which the benchmark of departures uses too

The names of the platform's API belong into platform/, deploy/ and tests/platform/. Change: tests/platform/targetcalls encodes reports and deregistrations, for the benchmark and for the tests that had three copies of the same text. No check changes.

--- a/benchmarks/departure/departure.cpp
+++ b/benchmarks/departure/departure.cpp
@@ -4,6 +4,7 @@
 
 #include "benchmarks/support/programfolder.h"
 #include "tests/platform/desiredstateobject.h"
+#include "tests/platform/targetcalls.h"
 #include "tests/support/fleet.h"
 
 #include <fmt/format.h>
@@ -30,7 +31,6 @@
 using Clock = std::chrono::steady_clock;
 using Milliseconds = std::chrono::duration<double, std::milli>;
 
-constexpr std::uint64_t FirstBorn = 1'700'000'000'000;
 /// For calls of the store that a start makes besides, such as the first watch.
 constexpr auto SettleTime = std::chrono::milliseconds(500);
 
@@ -87,9 +87,9 @@
             restart(m_readyFirst);
         }
         for (int i = 0; i < FLAGS_rounds; ++i) {
-            m_reported.add(send("PUT", "ready"));
+            m_reported.add(send(nextReport("ready")));
             const int before = storeCalls();
-            m_departed.add(i % 2 == 0 ? send("PUT", "draining") : send("DELETE", ""));
+            m_departed.add(send(i % 2 == 0 ? nextReport("draining") : deregistrationCall()));
             m_departureCalls += storeCalls() - before;
             // A later start of the backend server reports as soon as the node listens.
             m_born += 1;
@@ -112,22 +112,19 @@
         return valueIn(m_node->process->waitForLine("event=listening listener=registration"), "address");
     }
 
+    HttpCall nextReport(const std::string &state)
+    {
+        return reportCall({.state = state, .sequence = ++m_sequence, .born = m_born, .zone = "zone-a"});
+    }
+
     /// Sends a report or a deregistration; returns the time to its acknowledgement.
-    double send(const std::string &method, const std::string &state)
+    double send(const HttpCall &call)
     {
-        HttpCall call = {.method = method, .path = "/instances/i-1"};
-        if (!state.empty()) {
-            call.body = fmt::format(R"({{"service":"yard","address":"x","zone":"zone-a","version":"v1","slots":8,)"
-                                    R"("state":"{}","cold_left_s":0,"sequence":{},"born":{}}})",
-                                    state,
-                                    ++m_sequence,
-                                    m_born);
-        }
         const auto start = Clock::now();
         const HttpReply reply = sendHttp(m_registration, call);
         const double time = Milliseconds(Clock::now() - start).count();
         if (reply.status != 200) {
-            fmt::print("{} {} was answered {}\n", method, state, reply.status);
+            fmt::print("{} {} was answered {}\n", call.method, call.body, reply.status);
         }
         return time;
     }
@@ -147,7 +144,7 @@
         m_registration = registrationAddress();
         m_node->process->waitForLine("event=node_started");
         const auto sentAt = std::chrono::system_clock::now().time_since_epoch();
-        send("PUT", "ready");
+        send(nextReport("ready"));
         const std::string line = m_node->process->waitForLine("event=backend_state instance=i-1 state=ready");
         const std::string readyAt = valueIn(line, "time_ms");
         return readyAt.empty() ? -1 : std::max(0.0, std::stod(readyAt) - Milliseconds(sentAt).count());
@@ -164,7 +161,7 @@
     Fleet m_fleet;
     FleetNode *m_node = nullptr;
     std::string m_registration; ///< Address of the node's listener for reports.
-    std::uint64_t m_born = FirstBorn;
+    std::uint64_t m_born = TargetReport().born;
     int m_sequence = 0;
     Samples m_reported;
     Samples m_departed;
--- a/tests/platform/departuretest.cpp
+++ b/tests/platform/departuretest.cpp
@@ -23,17 +23,8 @@
 constexpr auto ObservationTime = milliseconds(1500);
 /// A new start gets work this soon after its report, which leaves room for a busy machine.
 constexpr auto NewStartLimit = seconds(1);
-constexpr std::uint64_t Born = 1'700'000'000'000; ///< Of the first start of the target.
 constexpr auto ReportInterval = milliseconds(500);
 
-/// A target's report, which can be sent later.
-struct TargetReport {
-    std::string state = "ready";
-    int sequence = 1;
-    std::uint64_t born = Born;
-    std::string instance = "i-1";
-};
-
 std::uint64_t nowMs()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -58,16 +49,12 @@
 
     bool send(const TargetReport &report) const
     {
-        const std::string body = R"({"service":"yard","address":"x","zone":"a","version":"v1","slots":8,"state":")"
-            + report.state + R"(","cold_left_s":0,"sequence":)" + std::to_string(report.sequence) + R"(,"born":)"
-            + std::to_string(report.born) + "}";
-        const HttpCall call = {.method = "PUT", .path = "/instances/" + report.instance, .body = body};
-        return sendHttp(m_registration, call).status == 200;
+        return sendHttp(m_registration, reportCall(report)).status == 200;
     }
 
     bool deregister(const std::string &instance = "i-1") const
     {
-        return sendHttp(m_registration, {.method = "DELETE", .path = "/instances/" + instance}).status == 200;
+        return sendHttp(m_registration, deregistrationCall(instance)).status == 200;
     }
 
     static std::string entryOf(const FleetNode &node)
--- a/tests/platform/fleetenvironment.h
+++ b/tests/platform/fleetenvironment.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/pipeline/objectstore.h"
+#include "tests/platform/targetcalls.h"
 #include "tests/support/eventually.h"
 #include "tests/support/fleet.h"
 #include "tests/support/process.h"
@@ -218,9 +219,7 @@
 
     HttpReply report(int sequence, const std::string &state) const
     {
-        const std::string body = R"({"service":"yard","address":"x","zone":"a","version":"v1","slots":8,"state":")"
-            + state + R"(","cold_left_s":0,"sequence":)" + std::to_string(sequence) + R"(,"born":1700000000000})";
-        return sendHttp(m_registration, {.method = "PUT", .path = "/instances/i-1", .body = body});
+        return sendHttp(m_registration, reportCall({.state = state, .sequence = sequence}));
     }
 
     HttpReply send(const std::string &path, const std::string &body = "") const
--- a/tests/platform/fleetenvironmenttest.cpp
+++ b/tests/platform/fleetenvironmenttest.cpp
@@ -147,7 +147,7 @@
 {
     report(1, "ready");
     EXPECT_EQ(send("/read/x").status, 200);
-    EXPECT_EQ(sendHttp(m_registration, {.method = "DELETE", .path = "/instances/i-1"}).status, 200);
+    EXPECT_EQ(sendHttp(m_registration, deregistrationCall()).status, 200);
     std::this_thread::sleep_for(seconds(2));
     const int before = m_target.m_requests;
     EXPECT_EQ(send("/read/x").status, 503);
@@ -157,7 +157,7 @@
 TEST_F(FleetEnvironment, ALateReportDoesNotUndoADepartureThatARestartedNodeAcknowledged)
 {
     // The target has reported to an earlier process of the node only.
-    EXPECT_EQ(sendHttp(m_registration, {.method = "DELETE", .path = "/instances/i-1"}).status, 200);
+    EXPECT_EQ(sendHttp(m_registration, deregistrationCall()).status, 200);
     EXPECT_EQ(report(7, "ready").status, 200);
     EXPECT_EQ(send("/read/x").status, 503);
     std::this_thread::sleep_for(seconds(2));
