A target that starts in the millisecond of its node's process gets work while the store is away

A start counted as new only if it was later than the node's process, by a clock in milliseconds. Change: equal times count as new, too. An instance that an earlier process knew can't have started in that millisecond, since its departure was stored and a process was started in between. Ruled out: a late configuration (in force 560 ms before the limit) and departures (the store was away).

--- a/servers/registration/backendtracker.cpp
+++ b/servers/registration/backendtracker.cpp
@@ -92,8 +92,9 @@
 
 bool BackendTracker::isConfirmed() const
 {
-    // Either alone may mislead: wall clocks may be set, and one of the first reports may be late.
-    const bool isNewStart = m_report.startedAtMs() > m_processStartedAtMs && m_firstSequence <= MaxFirstSequence;
+    // Either alone may mislead: wall clocks may be set, and one of the first reports may be late. An instance that an
+    // earlier process knew did not start in the same millisecond: storing its departure and a start take longer.
+    const bool isNewStart = m_report.startedAtMs() >= m_processStartedAtMs && m_firstSequence <= MaxFirstSequence;
     const bool goesOnReporting =
         m_reportCount > MaxLateReports && m_lastReportAt - m_firstReportAt >= m_timeouts.confirmationTime();
     return !m_awaitsDepartures || isNewStart || goesOnReporting;
--- a/tests/servers/registration/backendtrackertest.cpp
+++ b/tests/servers/registration/backendtrackertest.cpp
@@ -234,6 +234,15 @@
         << "no earlier process knew it";
 }
 
+// Guards against a new start that gets no work while the store is away, since its clock shows the millisecond in which
+// the node's process started.
+TEST(BackendTracker, InstanceThatStartsInTheMillisecondOfItsNodeGetsWorkBeforeTheStoreIsRead)
+{
+    const BackendTracker waiting = fresh.withAwaitsDepartures(true).withProcessStartedAtMs(WallClockMs);
+    EXPECT_TRUE(after(waiting, report("i-1", WallClockMs, 1, BackendState::Ready)).tracker.isServing(Start));
+    EXPECT_FALSE(after(waiting, report("i-1", WallClockMs - 1, 1, BackendState::Ready)).tracker.isServing(Start));
+}
+
 TEST(BackendTracker, InstanceThatGoesOnReportingIsReadyAlthoughTheStoreCannotBeRead)
 {
     BackendTracker tracker = fresh.withAwaitsDepartures(true).withProcessStartedAtMs(WallClockMs);
